--- /dev/null
+++ b/src/eelgrasslift/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/eelgrasslift/program.cpp
@@ -0,0 +1,1 @@
+namespace eelgrasslift {}
--- /dev/null
+++ b/src/libcluster/cluster.cpp
@@ -0,0 +1,1 @@
+#include "libcluster/cluster.h"
--- /dev/null
+++ b/src/libconsensus/consensus.cpp
@@ -0,0 +1,1 @@
+#include "libconsensus/consensus.h"
--- /dev/null
+++ b/src/libcontrol/control.cpp
@@ -0,0 +1,1 @@
+#include "libcontrol/control.h"
--- /dev/null
+++ b/src/librouting/routing.cpp
@@ -0,0 +1,1 @@
+#include "librouting/routing.h"
--- /dev/null
+++ b/src/librouting/routing.h
@@ -0,0 +1,3 @@
+#pragma once
+
+// Public header of librouting.
--- /dev/null
+++ b/src/libserving/serving.cpp
@@ -0,0 +1,1 @@
+#include "libserving/serving.h"
--- /dev/null
+++ b/tests/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
