--- a/src/eelgrasslift/program.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace eelgrasslift {}
