Add gossip node and target directory

Cause: accepted rules must reach 400 nodes in 15 s without a stream per node from the leader, and a lagging VM list must not bring a leaving target back. Ruled out: one stream per entry from the leader (400 streams, ends with a partition).

--- a/src/eelgrasslift/operatorserver.cpp
+++ b/src/eelgrasslift/operatorserver.cpp
@@ -168,7 +168,7 @@
 Endpoint OperatorServer::start(const Endpoint &listen)
 {
     Implementation &impl = *this->implementation;
-    const Endpoint bound = withFreePort(listen);
+    Endpoint bound = withFreePort(listen);
     impl.service = std::make_unique<HandlerService>(impl.handlers);
     impl.server = std::make_unique<cxxtools::http::Server>(impl.loop, bound.address, bound.port);
     impl.server->maxThreads(MaxThreads);
--- a/src/libcluster/cluster.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libcluster/cluster.h"
--- a/src/libcluster/cluster.h
+++ b/src/libcluster/cluster.h
@@ -1,3 +1,6 @@
 #pragma once
 
-// Public header of libcluster.
+// Public header of libcluster: gossip between processes and the directory of targets.
+
+#include "libcluster/gossipnode.h"
+#include "libcluster/targetdirectory.h"
--- /dev/null
+++ b/src/libcluster/targetdirectory.cpp
@@ -0,0 +1,130 @@
+#include "libcluster/targetdirectory.h"
+
+#include <iterator>
+
+namespace eelgrasslift {
+
+std::vector<DirectoryAction> TargetDirectory::handle(const DirectoryEvent &event)
+{
+    return match(
+            event, [&](const VmListReceived &list) { return this->listReceived(list); },
+            [&](const TargetRefused &refused) {
+                return this->markLeaving(refused.target, this->newestVersion);
+            },
+            [&](const LeavingReported &reported) {
+                return this->markLeaving(reported.target, reported.listVersion);
+            },
+            [&](const ConnectionFailed &failed) { return this->connectionFailed(failed.target); },
+            [&](const ProbeSucceeded &probe) { return this->probeSucceeded(probe.target); });
+}
+
+std::vector<DirectoryAction> TargetDirectory::listReceived(const VmListReceived &list)
+{
+    if (list.version < this->newestVersion)
+        return {};
+    this->newestVersion = list.version;
+    this->listed.clear();
+    for (const ListedVm &vm : list.vms)
+        this->listed.emplace(vm.id, vm);
+
+    std::vector<DirectoryAction> actions;
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        if (this->listed.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        if (entry->second.state != TargetState::Leaving)
+            actions.emplace_back(TargetStopsNewWork{entry->first, TargetState::Leaving});
+        entry = this->entries.erase(entry);
+    }
+    for (const auto &[id, vm] : this->listed)
+        this->applyListed(vm, actions);
+    return actions;
+}
+
+void TargetDirectory::applyListed(const ListedVm &vm, std::vector<DirectoryAction> &actions)
+{
+    const auto [entry, isNew] = this->entries.try_emplace(vm.id, TargetEntry{vm, TargetState::Live, 0});
+    TargetEntry &known = entry->second;
+    if (isNew && !vm.isLeaving) {
+        actions.emplace_back(TargetBecameLive{vm.id});
+        return;
+    }
+    // A new address means a replaced VM; it is reached only after a probe.
+    if (known.vm.address != vm.address && known.state == TargetState::Live) {
+        known.state = TargetState::Unreachable;
+        actions.emplace_back(TargetStopsNewWork{vm.id, TargetState::Unreachable});
+    }
+    known.vm = vm;
+    if (!vm.isLeaving)
+        return;
+    if (known.state != TargetState::Leaving || isNew)
+        actions.emplace_back(TargetStopsNewWork{vm.id, TargetState::Leaving});
+    known.state = TargetState::Leaving;
+    known.evidenceVersion = this->newestVersion;
+}
+
+std::vector<DirectoryAction> TargetDirectory::markLeaving(std::string_view target, uint64_t evidenceVersion)
+{
+    const auto entry = this->entries.find(target);
+    if (entry == this->entries.end())
+        return {};
+    TargetEntry &known = entry->second;
+    if (known.state == TargetState::Leaving) {
+        known.evidenceVersion = std::max(known.evidenceVersion, evidenceVersion);
+        return {};
+    }
+    // A newer list has already shown the target as live since the evidence.
+    if (evidenceVersion < this->newestVersion && known.evidenceVersion >= evidenceVersion)
+        return {};
+    known.state = TargetState::Leaving;
+    known.evidenceVersion = evidenceVersion;
+    return {TargetStopsNewWork{std::string(target), TargetState::Leaving}};
+}
+
+std::vector<DirectoryAction> TargetDirectory::connectionFailed(std::string_view target)
+{
+    const auto entry = this->entries.find(target);
+    if (entry == this->entries.end() || entry->second.state != TargetState::Live)
+        return {};
+    entry->second.state = TargetState::Unreachable;
+    return {TargetStopsNewWork{std::string(target), TargetState::Unreachable}};
+}
+
+std::vector<DirectoryAction> TargetDirectory::probeSucceeded(std::string_view target)
+{
+    const auto entry = this->entries.find(target);
+    if (entry == this->entries.end() || entry->second.state == TargetState::Live)
+        return {};
+    TargetEntry &known = entry->second;
+    const bool isStillLeaving = known.state == TargetState::Leaving &&
+                                (known.vm.isLeaving || this->newestVersion <= known.evidenceVersion);
+    if (isStillLeaving)
+        return {};
+    known.state = TargetState::Live;
+    return {TargetBecameLive{std::string(target)}};
+}
+
+std::vector<TargetEntry> TargetDirectory::targetsToProbe() const
+{
+    std::vector<TargetEntry> result;
+    for (const auto &[id, entry] : this->entries) {
+        const bool isShownLiveAgain = entry.state == TargetState::Leaving && !entry.vm.isLeaving &&
+                                      this->newestVersion > entry.evidenceVersion;
+        if (entry.state == TargetState::Unreachable || isShownLiveAgain)
+            result.push_back(entry);
+    }
+    return result;
+}
+
+std::vector<TargetEntry> TargetDirectory::leavingTargets() const
+{
+    std::vector<TargetEntry> result;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.state == TargetState::Leaving)
+            result.push_back(entry);
+    }
+    return result;
+}
+
+} // namespace eelgrasslift
