serving: declare the aggregates of libserving

Cause: the entry process is wired at the same time, so its interfaces are needed first. Ruled out: a time limit before a replaced entry may grant again, because it holds only while no entry is frozen; registration at the other members needs no clock. Conclusion: the library builds with the headers; nothing is tested yet.

--- /dev/null
+++ b/src/libserving/idempotencyclaim.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "libserving/instant.h"
+#include "libserving/records.h"
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace eelgrasslift {
+
+struct ClaimSettings
+{
+    /// Longest time to gather grants before the claim is released.
+    Duration claimTimeout = std::chrono::seconds{1};
+    /// Longest wait for the outcome of another claim on the same key: the service's timeout.
+    Duration outcomeTimeout = std::chrono::seconds{5};
+    /// Unanswered messages are sent again after this time.
+    Duration resendInterval = std::chrono::milliseconds{100};
+    /// After this time an outcome that no majority has confirmed is no longer sent again.
+    Duration resolveTimeout = std::chrono::seconds{10};
+};
+
+struct SendClaim
+{
+    SlotId slot;
+    ClaimRequest request;
+};
+
+struct SendLookup
+{
+    SlotId slot;
+    LookupRequest request;
+};
+
+struct SendResolve
+{
+    SlotId slot;
+    ResolveRequest request;
+};
+
+/// A majority of each group holds the claim: the request may be sent, once.
+struct ClaimGranted
+{};
+
+enum class ClaimRefusal {
+    /// No other claim of the key can have run, and none was seen.
+    NotRun,
+    /// Another claim ran; its record has the answer.
+    Ran,
+    /// Another claim may have run: its entry is silent, or recorded the outcome as unknown.
+    Unknown,
+    /// Too few records could be read to tell whether an earlier request with this key ran. This request was
+    /// not sent.
+    RecordsUnreachable,
+    BodyMismatch
+};
+
+struct ClaimRefused
+{
+    ClaimRefusal reason = ClaimRefusal::NotRun;
+    std::optional<Record> record;
+};
+
+/// Nothing more will be sent for this claim.
+struct ClaimFinished
+{};
+
+using ClaimAction =
+        std::variant<SendClaim, SendLookup, SendResolve, ClaimGranted, ClaimRefused, ClaimFinished>;
+
+enum class RecordCall { Claim, Lookup, Resolve };
+
+/// A reply to one of the messages above. Lost replies need no event.
+struct ReplicaReplied
+{
+    SlotId slot;
+    RecordCall call = RecordCall::Claim;
+    RecordReply reply;
+};
+
+/// Coordinator of one claim, in the entry that received the request.
+class IdempotencyClaim
+{
+public:
+    IdempotencyClaim(ClaimRequest request, std::vector<OwnerGroup> groups, ClaimSettings settings);
+
+    std::vector<ClaimAction> start(const Instant &instant);
+    std::vector<ClaimAction> handle(const ReplicaReplied &event, const Instant &instant);
+    std::vector<ClaimAction> tick(const Instant &instant);
+
+    /// Records the outcome of the granted claim at a majority. Only after ClaimGranted, once.
+    std::vector<ClaimAction> resolve(Record outcome, const Instant &instant);
+
+    /// Gives up a claim that was not granted yet.
+    std::vector<ClaimAction> abandon(const Instant &instant);
+
+    bool isGranted() const { return this->state == State::Granted; }
+    bool isFinished() const { return this->state == State::Finished; }
+    std::optional<TimePoint> nextTick() const;
+
+private:
+    enum class State { Idle, Claiming, Granted, WaitingForOther, Resolving, Finished };
+    struct Grant
+    {
+        uint64_t incarnation = 0;
+    };
+    struct View
+    {
+        uint64_t incarnation = 0;
+        RecordVerdict verdict = RecordVerdict::Abstain;
+        std::optional<Record> record;
+    };
+
+    void claimReplied(const ReplicaReplied &event, const Instant &instant);
+    void lookupReplied(const ReplicaReplied &event, const Instant &instant);
+    void resolveReplied(const ReplicaReplied &event);
+    void noteSuccessors(const RecordReply &reply);
+    bool isSuperseded(const SlotId &slot, uint64_t incarnation) const;
+    bool hasMajority() const;
+    bool mustYield() const;
+    bool isAbsenceKnown() const;
+    const Record *otherClaim() const;
+    void giveUp(const Instant &instant);
+    void settle(const Instant &instant);
+    void refuse(ClaimRefusal reason, const Record *record, const Instant &instant);
+    void startResolving(Record record, const Instant &instant);
+    void sendPending(const Instant &instant);
+    void sendTo(const SlotId &slot);
+    void finish();
+    std::vector<ClaimAction> takeActions();
+
+    ClaimRequest request;
+    std::vector<OwnerGroup> groups;
+    ClaimSettings settings;
+    State state = State::Idle;
+    std::vector<SlotId> slots;
+    std::map<SlotId, View> views;
+    std::map<SlotId, uint64_t> successors;
+    std::map<SlotId, bool> resolved;
+    std::optional<Record> outcome;
+    bool isReleased = false;
+    TimePoint deadline;
+    TimePoint resendAt;
+    std::vector<ClaimAction> actions;
+};
+
+/// The groups that own the records of an account's requests to a service. size and slots come from the
+/// live member list: liveSlots(domain) gives the slots of a domain that have a live process.
+template <typename LiveSlots>
+std::vector<OwnerGroup> ownerGroups(const RuleSet &rules, const AccountRule &account,
+                                    std::string_view service, uint32_t entriesPerDomain,
+                                    LiveSlots &&liveSlots)
+{
+    const auto rule = rules.services.find(service);
+    if (rule != rules.services.end() && rule->second.records == RecordScope::Fleet) {
+        OwnerGroup fleet{"fleet", entriesPerDomain * static_cast<uint32_t>(rules.domains.size()), {}};
+        for (const auto &domain : rules.domains) {
+            const std::vector<SlotId> slots = liveSlots(domain.first);
+            fleet.slots.insert(fleet.slots.end(), slots.begin(), slots.end());
+        }
+        return {std::move(fleet)};
+    }
+    const std::string owner = rules.ownerDomain(account);
+    std::vector<OwnerGroup> groups{{owner, entriesPerDomain, liveSlots(owner)}};
+    if (!account.previousDomain.empty() && account.previousDomain != owner)
+        groups.push_back({account.previousDomain, entriesPerDomain, liveSlots(account.previousDomain)});
+    return groups;
+}
+
+} // namespace eelgrasslift
