--- a/src/libcluster/targetdirectory.cpp
+++ b/src/libcluster/targetdirectory.cpp
@@ -8,7 +8,7 @@
 {
     return match(
             event, [&](const VmListReceived &list) { return this->listReceived(list); },
-            [&](const TargetRefused &refused) {
+            [&](const RefusalSeen &refused) {
                 return this->markLeaving(refused.target, this->newestVersion);
             },
             [&](const LeavingReported &reported) {
--- a/src/libcluster/targetdirectory.h
+++ b/src/libcluster/targetdirectory.h
@@ -27,7 +27,7 @@
 };
 
 /// The target itself refused new work because it is leaving.
-struct TargetRefused
+struct RefusalSeen
 {
     std::string target;
 };
@@ -52,7 +52,7 @@
 };
 
 using DirectoryEvent =
-        std::variant<VmListReceived, TargetRefused, LeavingReported, ConnectionFailed, ProbeSucceeded>;
+        std::variant<VmListReceived, RefusalSeen, LeavingReported, ConnectionFailed, ProbeSucceeded>;
 
 enum class TargetState {
     Live,
