--- a/src/librules/ruleset.cpp
+++ b/src/librules/ruleset.cpp
@@ -6,6 +6,35 @@
 
 namespace eelgrasslift {
 
+namespace {
+
+/// The rule with the longest pattern that matches the target id; the first by name if several are as long.
+template <typename Rules>
+auto longestMatch(const Rules &rules, std::string_view targetId) -> const typename Rules::mapped_type *
+{
+    const typename Rules::mapped_type *best = nullptr;
+    for (const auto &[name, rule] : rules) {
+        if (!matchesPattern(rule.match, targetId))
+            continue;
+        if (best == nullptr || rule.match.size() > best->match.size())
+            best = &rule;
+    }
+    return best;
+}
+
+/// "/shelves" covers "/shelves", "/shelves/7" and "/shelves?x=1" but not "/shelves-clear": a prefix that
+/// ended inside a segment would let an unlisted path be repeated.
+bool coversPath(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix))
+        return false;
+    if (path.size() == prefix.size() || prefix.ends_with('/'))
+        return true;
+    return path[prefix.size()] == '/' || path[prefix.size()] == '?';
+}
+
+} // namespace
+
 bool matchesPattern(std::string_view pattern, std::string_view text)
 {
     size_t patternAt = 0;
@@ -40,21 +69,19 @@
 
 const TargetsRule *RuleSet::targetsFor(std::string_view targetId) const
 {
-    const TargetsRule *best = nullptr;
-    for (const auto &[name, rule] : this->targets) {
-        if (!matchesPattern(rule.match, targetId))
-            continue;
-        if (best == nullptr || rule.match.size() > best->match.size())
-            best = &rule;
-    }
-    return best;
+    return longestMatch(this->targets, targetId);
+}
+
+const LoadRule *RuleSet::loadFor(std::string_view targetId) const
+{
+    return longestMatch(this->loads, targetId);
 }
 
 bool RuleSet::isIdempotent(std::string_view service, std::string_view method, std::string_view path) const
 {
     const RouteRule *best = nullptr;
     for (const auto &[name, route] : this->routes) {
-        if (route.service != service || route.method != method || !path.starts_with(route.path))
+        if (route.service != service || route.method != method || !coversPath(route.path, path))
             continue;
         if (best == nullptr || route.path.size() > best->path.size())
             best = &route;
--- a/src/librules/ruleset.h
+++ b/src/librules/ruleset.h
@@ -166,9 +166,19 @@
     double burst = 2;
 };
 
+/// One rule as it stands in the file, for differences between versions.
+struct RuleSource
+{
+    RuleOrigin origin;
+    /// Key to value, exactly as written.
+    std::map<std::string, std::string, std::less<>> values;
+};
+
 /// The content of one rule file. Immutable once parsed; shared between threads by pointer to const.
 struct RuleSet
 {
+    /// "kind name" to the rule as written.
+    std::map<std::string, RuleSource, std::less<>> sources;
     FleetRule fleet;
     std::map<std::string, DomainRule, std::less<>> domains;
     std::map<std::string, ModelRule, std::less<>> models;
@@ -188,7 +198,11 @@
     /// The properties of the target with this id, or nullptr. The longest matching pattern wins.
     const TargetsRule *targetsFor(std::string_view targetId) const;
 
-    /// Whether a request may be repeated. A request that matches no route may not.
+    /// The desired state of the engine with this id, or nullptr. The longest matching pattern wins.
+    const LoadRule *loadFor(std::string_view targetId) const;
+
+    /// Whether a request may be repeated. Path prefixes match whole segments. A request that matches no route
+    /// may not.
     bool isIdempotent(std::string_view service, std::string_view method, std::string_view path) const;
 
     /// The failure domain that owns the account's idempotency records.
