Add the control state of the entry process

Cause: the entry needs one owner for rules, peers, targets, limits, records and shutdown. Change: EntryState, Placement, RecordService, peer gRPC service and client, kept rules, metrics.

--- /dev/null
+++ b/src/eelgrasslift/entrystate.cpp
@@ -0,0 +1,530 @@
+#include "eelgrasslift/entrystate.h"
+
+#include "eelgrasslift/logging.h"
+#include "eelgrasslift/peercodec.h"
+#include "eelgrasslift/rulesfile.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrasslift {
+
+namespace {
+
+constexpr Duration GossipInterval = std::chrono::milliseconds{500};
+constexpr Duration TickInterval = std::chrono::milliseconds{50};
+constexpr Duration RecoveryInterval = std::chrono::milliseconds{500};
+
+wire::PeerInfo makeSelf(const EntrySettings &settings, const Endpoint &peerAddress, Random &random)
+{
+    wire::PeerInfo self;
+    self.set_id("entry-" + toHex(sha256(std::to_string(random.next()))).substr(0, 16));
+    self.set_address(peerAddress.toString());
+    self.set_domain(settings.common.domain);
+    self.set_is_entry(true);
+    self.set_incarnation(static_cast<uint64_t>(wallNow().time_since_epoch().count()));
+    self.set_record_slot(settings.recordSlot);
+    return self;
+}
+
+GossipSettings gossipSettings(const EntrySettings &settings)
+{
+    GossipSettings result;
+    result.interval = GossipInterval;
+    for (const Endpoint &seed : settings.seeds)
+        result.seeds.push_back(seed.toString());
+    return result;
+}
+
+ReplicaSettings replicaSettings(const EntrySettings &settings, const wire::PeerInfo &self)
+{
+    ReplicaSettings result;
+    result.identity = {self.domain() + "/" + std::to_string(self.record_slot()), self.incarnation()};
+    result.domain = self.domain();
+    result.entriesPerDomain = settings.entriesPerDomain;
+    return result;
+}
+
+DrainSettings drainSettings(const EntrySettings &settings)
+{
+    DrainSettings result;
+    result.acceptWindow = settings.drainAccept;
+    if (settings.drainLimit > Duration{0})
+        result.limit = settings.drainLimit;
+    return result;
+}
+
+SelectorOptions selectorOptions(const EntrySettings &settings)
+{
+    SelectorOptions options;
+    options.ownDomain = settings.common.domain;
+    return options;
+}
+
+wire::ReserveVerdict toWire(AloneVerdict verdict)
+{
+    switch (verdict) {
+    case AloneVerdict::Granted:
+        return wire::RESERVED;
+    case AloneVerdict::Busy:
+        return wire::BUSY;
+    case AloneVerdict::Held:
+        return wire::HELD_BY_OTHER;
+    case AloneVerdict::Quarantined:
+        return wire::QUARANTINED;
+    }
+    return wire::HELD_BY_OTHER;
+}
+
+std::optional<AloneVerdict> fromWire(wire::ReserveVerdict verdict)
+{
+    switch (verdict) {
+    case wire::RESERVED:
+        return AloneVerdict::Granted;
+    case wire::BUSY:
+        return AloneVerdict::Busy;
+    case wire::HELD_BY_OTHER:
+        return AloneVerdict::Held;
+    case wire::QUARANTINED:
+        return AloneVerdict::Quarantined;
+    default:
+        return std::nullopt;
+    }
+}
+
+wire::RecordReply abstain()
+{
+    wire::RecordReply reply;
+    reply.set_verdict(wire::ABSTAIN);
+    return reply;
+}
+
+} // namespace
+
+/// One reservation of a target for a suspect's run.
+struct EntryState::Isolation
+{
+    AloneClaim claim;
+    AloneRequest request;
+    RunId run = 0;
+    PlacementCallback done;
+    bool isEnded = false;
+};
+
+EntryState::EntryState(const EntrySettings &entrySettings, const Endpoint &peerAddress,
+                       ControlThread &controlThread, EntryMetrics &entryMetrics, uint64_t seed)
+    : settings(entrySettings)
+    , control(controlThread)
+    , metrics(entryMetrics)
+    , random(seed)
+    , gossip(makeSelf(entrySettings, peerAddress, this->random), gossipSettings(entrySettings), this->random)
+    , peers(controlThread)
+    , crashQuarantine(QuarantineSettings{})
+    , placementQueue(selectorOptions(entrySettings), this->random, this->targetDirectory, this->crashQuarantine)
+    , recordService(controlThread, this->peers, this->gossip, replicaSettings(entrySettings, this->gossip.self()))
+    , drain(drainSettings(entrySettings))
+{
+    this->placementQueue.setIsolation(
+            [this](const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done) {
+                this->isolate(fingerprint, target, run, std::move(done));
+            },
+            [this](RunId run) { this->endIsolation(run); });
+}
+
+EntryState::~EntryState() = default;
+
+void EntryState::start()
+{
+    const TimePoint now = monotonicNow();
+    this->loadKeptRules();
+    TimerService &timers = this->control.timers();
+    this->subscriptions.push_back(
+            timers.subscribeEvery(now, GossipInterval, [this](TimePoint at) { this->gossipTick(at); }));
+    this->subscriptions.push_back(timers.subscribeEvery(now, TickInterval, [this](TimePoint at) { this->tick(at); }));
+    this->subscriptions.push_back(timers.subscribeEvery(now, RecoveryInterval, [this](TimePoint) {
+        std::vector<std::string> domains;
+        if (const RulesSnapshot rules = this->rules()) {
+            for (const auto &[name, rule] : rules->rules.domains)
+                domains.push_back(name);
+        }
+        this->recordService.recover(domains);
+    }));
+    this->gossipTick(now);
+}
+
+void EntryState::loadKeptRules()
+{
+    if (this->settings.dataFolder.empty())
+        return;
+    match(
+            readRulesFile(this->settings.dataFolder),
+            [&](const wire::RulesDocument &document) {
+                this->carryOut(this->gossip.handle(
+                        RulesAccepted{std::make_shared<const wire::RulesDocument>(document)}, monotonicNow()));
+            },
+            [](const NoRulesFile &) {},
+            [&](RulesFileError) {
+                // The rules come again by gossip; until then callers get an honest refusal.
+                logError("kept-rules-unreadable", {{"folder", this->settings.dataFolder}});
+            });
+}
+
+void EntryState::tick(TimePoint now)
+{
+    for (auto &[run, isolation] : std::map(this->isolations))
+        this->carryOut(isolation, isolation->claim.tick(currentInstant()));
+    this->placementQueue.dispatch(currentInstant());
+    this->updateDrain();
+    this->updateMetrics(now);
+}
+
+void EntryState::gossipTick(TimePoint now)
+{
+    std::vector<std::string> entries;
+    for (const wire::PeerInfo &peer : this->gossip.livePeers(now)) {
+        if (peer.is_entry())
+            entries.push_back(peer.id());
+    }
+    this->limiter.setPeers(entries, now);
+    this->gossip.setPayload(this->makePayload(now));
+    this->carryOut(this->gossip.handle(GossipTick{}, now));
+}
+
+GossipPayload EntryState::makePayload(TimePoint now)
+{
+    GossipPayload payload;
+    for (const AccountUsage &usage : this->limiter.usage(now)) {
+        wire::Usage message;
+        message.set_account(usage.account);
+        message.set_requests_per_second(usage.demand);
+        message.set_in_flight(usage.concurrency);
+        payload.usage.push_back(std::move(message));
+    }
+    for (const QuarantineMark &mark : this->crashQuarantine.marks(currentInstant()))
+        payload.quarantine.push_back(eelgrasslift::toWire(mark));
+    for (const TargetEntry &entry : this->targetDirectory.leavingTargets()) {
+        wire::LeavingMark mark;
+        mark.set_target(entry.vm.id);
+        mark.set_list_version(entry.evidenceVersion);
+        payload.leaving.push_back(std::move(mark));
+    }
+    for (const TargetUse &use : this->placementQueue.selector().ownUse()) {
+        wire::TargetLoad load;
+        load.set_target(use.targetId);
+        load.set_in_flight(use.inFlight);
+        load.set_memory_used(use.memory);
+        load.set_is_reserved(use.isReserved);
+        payload.loads.push_back(std::move(load));
+    }
+    return payload;
+}
+
+wire::GossipDelta EntryState::carryOut(const std::vector<GossipAction> &actions)
+{
+    wire::GossipDelta reply;
+    for (const GossipAction &action : actions) {
+        match(
+                action,
+                [&](const SendDigest &send) {
+                    this->peers.exchange(send.address, send.digest, [this](const auto &delta) {
+                        if (delta)
+                            this->carryOut(this->gossip.handle(DeltaReceived{*delta}, monotonicNow()));
+                    });
+                },
+                [&](const ReplyDelta &delta) { reply = delta.delta; },
+                [&](const AdoptRules &adopt) { this->adoptRules(*adopt.rules); },
+                [&](const PayloadReceived &received) { this->receivePayload(received); });
+    }
+    return reply;
+}
+
+void EntryState::receivePayload(const PayloadReceived &received)
+{
+    const TimePoint now = monotonicNow();
+    const Instant instant = currentInstant();
+    std::vector<AccountUsage> usage;
+    for (const wire::Usage &message : received.payload.usage)
+        usage.push_back({message.account(), message.requests_per_second(), message.in_flight()});
+    this->limiter.applyPeerUsage(received.peer, usage, now);
+    for (const wire::QuarantineMark &message : received.payload.quarantine) {
+        if (const auto mark = eelgrasslift::fromWire(message))
+            this->crashQuarantine.merge(*mark, instant);
+    }
+    for (const wire::LeavingMark &mark : received.payload.leaving)
+        this->handleDirectory(LeavingReported{mark.target(), mark.list_version()});
+    std::vector<TargetUse> use;
+    for (const wire::TargetLoad &load : received.payload.loads)
+        use.push_back({load.target(), load.in_flight(), load.memory_used(), load.is_reserved()});
+    this->placementQueue.selector().applyPeerUse(received.peer, use, now);
+}
+
+void EntryState::adoptRules(const wire::RulesDocument &document)
+{
+    auto parsed = parseRules(document.text(), "accepted rules");
+    if (const auto *errors = std::get_if<RuleErrors>(&parsed)) {
+        // An older binary may meet a newer rule; it keeps the last rules that it understands.
+        logError("accepted-rules-unreadable", {{"version", std::to_string(document.header().version())},
+                                               {"error", errors->empty() ? "" : toText(errors->front())}});
+        return;
+    }
+    auto accepted = std::make_shared<AcceptedRules>();
+    accepted->version = document.header().version();
+    accepted->author = document.author();
+    accepted->acceptedAt = WallTime{std::chrono::milliseconds{document.accepted_unix_ms()}};
+    accepted->text = document.text();
+    accepted->rules = std::move(std::get<RuleSet>(parsed));
+
+    const TimePoint now = monotonicNow();
+    const RuleSet &rules = accepted->rules;
+    this->placementQueue.setRules(rules, now);
+    this->retryBudget.setRule(rules.retry);
+    this->crashQuarantine.setSettings(QuarantineSettings{rules.quarantine.deaths, rules.quarantine.hold});
+    for (const auto &[name, account] : rules.accounts)
+        this->limiter.setAccount(name, AccountLimits{account.rate, account.burst, account.concurrent}, now);
+    if (const RulesSnapshot previous = this->rules()) {
+        for (const auto &[name, account] : previous->rules.accounts) {
+            if (!rules.accounts.contains(name))
+                this->limiter.removeAccount(name);
+        }
+    }
+    this->recordService.replica().setRules(accepted);
+    std::atomic_store(&this->snapshot, RulesSnapshot(accepted));
+    logInfo("rules-in-force", {{"version", std::to_string(accepted->version)}, {"author", accepted->author}});
+    if (!this->settings.dataFolder.empty() && writeRulesFile(this->settings.dataFolder, document))
+        logError("rules-not-kept", {{"folder", this->settings.dataFolder}});
+}
+
+Result<Admitted, LimitRefused> EntryState::admit(const std::string &account)
+{
+    return this->limiter.admit(account, monotonicNow());
+}
+
+void EntryState::release(const std::string &account)
+{
+    this->limiter.release(account, monotonicNow());
+}
+
+void EntryState::requestStarted()
+{
+    ++this->inFlight;
+}
+
+void EntryState::requestFinished()
+{
+    --this->inFlight;
+    this->updateDrain();
+}
+
+void EntryState::recordFirstAttempt(const std::string &group)
+{
+    this->retryBudget.recordRequest(group, monotonicNow());
+}
+
+RetryPermit EntryState::requestRetry(const std::string &group, uint32_t attempt, bool isRepeatable,
+                                     TimePoint deadline)
+{
+    const auto result = this->retryBudget.requestRetry(group, attempt, isRepeatable, monotonicNow(), deadline,
+                                                       this->random);
+    const auto *delay = std::get_if<Duration>(&result);
+    return delay == nullptr ? RetryPermit{} : RetryPermit{true, *delay};
+}
+
+void EntryState::handleDirectory(const DirectoryEvent &event)
+{
+    const std::vector<DirectoryAction> actions = this->targetDirectory.handle(event);
+    for (const DirectoryAction &action : actions) {
+        match(
+                action,
+                [](const TargetBecameLive &live) { logInfo("target-live", {{"target", live.target}}); },
+                [](const TargetStopsNewWork &stopped) {
+                    logInfo("target-stops-new-work",
+                            {{"target", stopped.target},
+                             {"cause", stopped.state == TargetState::Leaving ? "leaving" : "unreachable"}});
+                });
+    }
+    if (actions.empty())
+        return;
+    this->placementQueue.handle(actions, monotonicNow());
+    this->placementQueue.dispatch(currentInstant());
+}
+
+void EntryState::targetDied(const std::string &target)
+{
+    const std::vector<QuarantineMark> marks = this->crashQuarantine.targetDied(target, currentInstant());
+    this->handleDirectory(ConnectionFailed{target});
+    if (marks.empty())
+        return;
+    this->metrics.targetDeaths.Increment();
+    logWarning("target-died", {{"target", target}, {"suspects", std::to_string(marks.size())}});
+    // The next periodic round is up to 500 ms away; suspects are spread at once.
+    this->gossipTick(monotonicNow());
+}
+
+void EntryState::isolate(const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done)
+{
+    const RulesSnapshot current = this->rules();
+    const AloneRequest request{fingerprint, target, toHex(fingerprint).substr(0, 16) + "-"
+                                                            + std::to_string(this->random.next())};
+    std::set<std::string> live{this->gossip.self().id()};
+    std::set<std::string> owners;
+    const std::string ownerDomain = this->gossip.self().domain();
+    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
+        if (peer.is_entry())
+            live.insert(peer.id());
+    }
+    // The fingerprint's hash names the owner domain, so that all entries agree on it.
+    std::string owner = ownerDomain;
+    if (current && !current->rules.domains.empty()) {
+        const size_t index = fingerprint[0] % current->rules.domains.size();
+        owner = std::next(current->rules.domains.begin(), static_cast<std::ptrdiff_t>(index))->first;
+    }
+    for (const wire::PeerInfo &holder : this->gossip.slotHolders(owner)) {
+        if (live.contains(holder.id()))
+            owners.insert(holder.id());
+    }
+    auto isolation = std::make_shared<Isolation>(
+            Isolation{AloneClaim(request, live, owners, this->settings.entriesPerDomain, AloneClaimSettings{}),
+                      request, run, std::move(done), false});
+    this->isolations.emplace(run, isolation);
+    this->carryOut(isolation, isolation->claim.start(currentInstant()));
+}
+
+void EntryState::carryOut(const std::shared_ptr<Isolation> &isolation, const std::vector<AloneAction> &actions)
+{
+    for (const AloneAction &action : actions) {
+        match(
+                action, [&](const SendAloneRequest &message) { this->sendReserve(isolation, message); },
+                [&](const SendAloneRelease &message) {
+                    if (message.entry == this->gossip.self().id()) {
+                        this->crashQuarantine.release(message.claimId);
+                        return;
+                    }
+                    wire::ReleaseRequest request;
+                    request.set_claim_id(message.claimId);
+                    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
+                        if (peer.id() == message.entry)
+                            this->peers.release(peer.address(), request, [](const auto &) {});
+                    }
+                },
+                [&](const AloneGranted &) {
+                    if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
+                        done(Placed{isolation->request.target, {}, isolation->run});
+                },
+                [&](const AloneRefused &refused) {
+                    const PlacementFailure failure = refused.isQuarantined ? PlacementFailure::Quarantined
+                                                                           : PlacementFailure::SuspectBusy;
+                    if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
+                        done(PlacementRefused{failure, std::chrono::seconds{5}});
+                });
+    }
+}
+
+void EntryState::sendReserve(const std::shared_ptr<Isolation> &isolation, const SendAloneRequest &message)
+{
+    if (message.entry == this->gossip.self().id()) {
+        this->control.post([this, isolation, message] {
+            const AloneVerdict verdict = this->crashQuarantine.reserve(message.request, currentInstant());
+            this->carryOut(isolation, isolation->claim.replied(message.entry, verdict, currentInstant()));
+        });
+        return;
+    }
+    wire::ReserveRequest request;
+    request.set_fingerprint(std::string(message.request.fingerprint.begin(), message.request.fingerprint.end()));
+    request.set_target(message.request.target);
+    request.set_claim_id(message.request.claimId);
+    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
+        if (peer.id() != message.entry)
+            continue;
+        this->peers.reserve(peer.address(), request, [this, isolation, message](const auto &answer) {
+            const auto verdict = answer ? fromWire(answer->verdict()) : std::nullopt;
+            if (verdict)
+                this->carryOut(isolation, isolation->claim.replied(message.entry, *verdict, currentInstant()));
+        });
+    }
+}
+
+void EntryState::endIsolation(RunId run)
+{
+    const auto node = this->isolations.extract(run);
+    if (!node.empty())
+        this->carryOut(node.mapped(), node.mapped()->claim.end());
+}
+
+void EntryState::terminate()
+{
+    this->carryOut(this->drain.terminate(monotonicNow()));
+}
+
+void EntryState::updateDrain()
+{
+    this->carryOut(this->drain.update(this->inFlight, monotonicNow()));
+}
+
+void EntryState::carryOut(const std::vector<DrainAction> &actions)
+{
+    this->healthy = this->drain.isHealthy();
+    this->accepting = this->drain.acceptsRequests();
+    for (const DrainAction action : actions) {
+        if (this->drainCallback)
+            this->drainCallback(action);
+    }
+}
+
+void EntryState::updateMetrics(TimePoint now)
+{
+    const RulesSnapshot current = this->rules();
+    this->metrics.openRequests.Set(static_cast<double>(this->inFlight));
+    this->metrics.queuedRequests.Set(static_cast<double>(this->placementQueue.queuedCount()));
+    this->metrics.rulesVersion.Set(current ? static_cast<double>(current->version) : 0);
+    this->metrics.livePeers.Set(static_cast<double>(this->gossip.livePeers(now).size()));
+    this->metrics.idempotencyRecords.Set(static_cast<double>(this->recordService.replica().recordCount()));
+    const auto contact = this->gossip.lastControlContact();
+    this->metrics.rulesAgeSeconds.Set(contact ? toSeconds(now - *contact) : 0);
+}
+
+wire::GossipDelta EntryState::exchange(const wire::GossipDigest &digest)
+{
+    return this->carryOut(this->gossip.handle(DigestReceived{digest}, monotonicNow()));
+}
+
+wire::RecordReply EntryState::claim(const wire::ClaimRequest &request)
+{
+    const auto converted = eelgrasslift::fromWire(request);
+    return converted ? eelgrasslift::toWire(this->recordService.replica().claim(*converted, currentInstant()))
+                     : abstain();
+}
+
+wire::RecordReply EntryState::resolve(const wire::ResolveRequest &request)
+{
+    const auto converted = eelgrasslift::fromWire(request);
+    return converted ? eelgrasslift::toWire(this->recordService.replica().resolve(*converted, currentInstant()))
+                     : abstain();
+}
+
+wire::RecordReply EntryState::lookup(const wire::LookupRequest &request)
+{
+    return eelgrasslift::toWire(
+            this->recordService.replica().lookup(eelgrasslift::fromWire(request), currentInstant()));
+}
+
+wire::ReadRecordsReply EntryState::readRecords(const wire::ReadRecordsRequest &request)
+{
+    return eelgrasslift::toWire(
+            this->recordService.replica().readRecords(eelgrasslift::fromWire(request), currentInstant()));
+}
+
+wire::ReserveReply EntryState::reserve(const wire::ReserveRequest &request)
+{
+    wire::ReserveReply reply;
+    if (const auto fingerprint = digestFromWire(request.fingerprint()))
+        reply.set_verdict(toWire(this->crashQuarantine.reserve(
+                AloneRequest{*fingerprint, request.target(), request.claim_id()}, currentInstant())));
+    return reply;
+}
+
+wire::ReleaseReply EntryState::release(const wire::ReleaseRequest &request)
+{
+    this->crashQuarantine.release(request.claim_id());
+    return {};
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/eelgrasslift/peerclient.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "eelgrasslift/controlthread.h"
+#include "libcore/core.h"
+#include "libwire/wire.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace eelgrasslift {
+
+/// Calls other processes' Peer service. Functions are to be called on the control thread, and callbacks run there;
+/// nothing in a callback means that no answer came within the deadline.
+class PeerClient
+{
+public:
+    template <typename Reply>
+    using Callback = std::function<void(std::optional<Reply>)>;
+
+    explicit PeerClient(ControlThread &control);
+
+    /// Cancels open calls; their callbacks do not run any more.
+    ~PeerClient();
+
+    void exchange(const std::string &address, const wire::GossipDigest &digest, Callback<wire::GossipDelta> done);
+    void claim(const std::string &address, const wire::ClaimRequest &request, Callback<wire::RecordReply> done);
+    void resolve(const std::string &address, const wire::ResolveRequest &request,
+                 Callback<wire::RecordReply> done);
+    void lookup(const std::string &address, const wire::LookupRequest &request, Callback<wire::RecordReply> done);
+    void readRecords(const std::string &address, const wire::ReadRecordsRequest &request,
+                     Callback<wire::ReadRecordsReply> done);
+    void reserve(const std::string &address, const wire::ReserveRequest &request,
+                 Callback<wire::ReserveReply> done);
+    void release(const std::string &address, const wire::ReleaseRequest &request,
+                 Callback<wire::ReleaseReply> done);
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> implementation;
+};
+
+} // namespace eelgrasslift
--- a/src/libcluster/gossipnode.cpp
+++ b/src/libcluster/gossipnode.cpp
@@ -111,8 +111,11 @@
         return;
     const auto [entry, isNew] = this->peers.try_emplace(info.id(), PeerState{info, now});
     PeerState &known = entry->second;
-    if (!isNew && info.heartbeat() > known.info.heartbeat())
-        known = PeerState{info, now};
+    if (!isNew && info.heartbeat() <= known.info.heartbeat())
+        return;
+    known = PeerState{info, now};
+    if (!info.is_entry())
+        this->controlContact = now;
 }
 
 std::vector<GossipAction> GossipNode::absorb(const wire::GossipDigest &digest, TimePoint now)
--- a/src/libcluster/gossipnode.h
+++ b/src/libcluster/gossipnode.h
@@ -117,6 +117,10 @@
     /// All record slots of a failure domain that have a known holder, dead or alive, in slot order.
     std::vector<wire::PeerInfo> slotHolders(std::string_view domain) const;
 
+    /// When the heartbeat of any control process last rose; nothing if none was ever heard of. Shows how long this
+    /// process may have missed newer rules.
+    std::optional<TimePoint> lastControlContact() const { return this->controlContact; }
+
     const wire::PeerInfo &self() const { return this->selfInfo; }
     const std::shared_ptr<const wire::RulesDocument> &rules() const { return this->currentRules; }
     const std::string &clusterId() const { return this->cluster; }
@@ -141,6 +145,7 @@
     std::shared_ptr<const wire::RulesDocument> currentRules;
     std::map<std::string, PeerState, std::less<>> peers;
     GossipPayload payload;
+    std::optional<TimePoint> controlContact;
     uint64_t round = 0;
 };
 
