serving: implement the aggregates of libserving

Cause: the entry process needs behaviour behind the declared interfaces. Ruled out: counting grants by slot alone, because a grant of a replaced process is unknown to its successor.

--- /dev/null
+++ b/src/libserving/crashquarantine.cpp
@@ -0,0 +1,196 @@
+#include "libserving/crashquarantine.h"
+
+namespace eelgrasslift {
+
+namespace {
+
+WallTime holdFrom(WallTime time, Duration hold)
+{
+    return time + std::chrono::duration_cast<std::chrono::milliseconds>(hold);
+}
+
+} // namespace
+
+Sha256 requestFingerprint(std::string_view account, std::string_view target, std::string_view body)
+{
+    std::string text;
+    for (const std::string_view part : {account, target, body})
+        text.append(std::to_string(part.size())).append(":").append(part);
+    return sha256(text);
+}
+
+CrashQuarantine::CrashQuarantine(QuarantineSettings settings)
+    : settings(settings)
+{}
+
+QuarantineVerdict CrashQuarantine::admit(const Sha256 &fingerprint, const Instant &instant)
+{
+    this->dropExpired(instant);
+    const uint32_t deaths = this->deathsOf(fingerprint, instant);
+    if (deaths >= this->limit())
+        return RefuseQuarantined{this->known.at(fingerprint).until};
+    if (deaths > 0)
+        return RunAlone{};
+    return RunNormally{};
+}
+
+bool CrashQuarantine::mayUse(std::string_view target, const Instant &instant) const
+{
+    return std::none_of(this->reservations.begin(), this->reservations.end(), [&](const auto &item) {
+        return item.second.target == target && item.second.until > instant.now;
+    });
+}
+
+void CrashQuarantine::started(uint64_t request, const Sha256 &fingerprint, std::string_view target,
+                              bool isAlone)
+{
+    this->inFlight[request] = {fingerprint, std::string{target}, isAlone};
+}
+
+void CrashQuarantine::lostIsolation(uint64_t request)
+{
+    const auto found = this->inFlight.find(request);
+    if (found != this->inFlight.end())
+        found->second.isAlone = false;
+}
+
+void CrashQuarantine::finished(uint64_t request, bool isComplete, const Instant &instant)
+{
+    const auto found = this->inFlight.find(request);
+    if (found == this->inFlight.end())
+        return;
+    const Sha256 fingerprint = found->second.fingerprint;
+    this->inFlight.erase(found);
+    if (!isComplete || !this->isSuspect(fingerprint, instant))
+        return;
+    QuarantineMark &mark = this->known[fingerprint];
+    mark.deaths = 0;
+    // Later than the suspicion that it clears, so that it wins when the two meet.
+    mark.until =
+            std::max(mark.until + std::chrono::milliseconds{1}, holdFrom(instant.wall, this->settings.hold));
+}
+
+std::vector<QuarantineMark> CrashQuarantine::targetDied(std::string_view target, const Instant &instant)
+{
+    std::vector<InFlight> victims;
+    std::erase_if(this->inFlight, [&](const auto &item) {
+        if (item.second.target != target)
+            return false;
+        victims.push_back(item.second);
+        return true;
+    });
+    std::vector<QuarantineMark> changed;
+    for (const InFlight &victim : victims) {
+        const uint32_t deaths = this->deathsOf(victim.fingerprint, instant);
+        const bool isOwnDeath = victim.isAlone && victims.size() == 1;
+        QuarantineMark &mark = this->known[victim.fingerprint];
+        mark.fingerprint = victim.fingerprint;
+        mark.deaths = isOwnDeath ? deaths + 1 : std::max(deaths, 1U);
+        mark.until = std::max(mark.until, holdFrom(instant.wall, this->settings.hold));
+        changed.push_back(mark);
+    }
+    return changed;
+}
+
+AloneReply CrashQuarantine::reserve(const AloneRequest &request, const Instant &instant)
+{
+    this->dropExpired(instant);
+    this->merge(request.mark, instant);
+    AloneReply reply;
+    if (const auto mark = this->known.find(request.fingerprint); mark != this->known.end())
+        reply.mark = mark->second;
+    if (this->isQuarantined(request.fingerprint, instant)) {
+        reply.verdict = AloneVerdict::Quarantined;
+        return reply;
+    }
+    const bool isHeld =
+            std::any_of(this->reservations.begin(), this->reservations.end(), [&](const auto &item) {
+                const Reservation &reservation = item.second;
+                return item.first != request.claimId && (reservation.fingerprint == request.fingerprint ||
+                                                         reservation.target == request.target);
+            });
+    if (isHeld)
+        return reply;
+    this->reservations[request.claimId] = {request.fingerprint, request.target,
+                                           instant.now + this->settings.reservationLease};
+    reply.verdict = this->isBusy(request) ? AloneVerdict::Busy : AloneVerdict::Granted;
+    return reply;
+}
+
+void CrashQuarantine::release(std::string_view claimId)
+{
+    const auto found = this->reservations.find(claimId);
+    if (found != this->reservations.end())
+        this->reservations.erase(found);
+}
+
+std::vector<QuarantineMark> CrashQuarantine::marks(const Instant &instant) const
+{
+    std::vector<QuarantineMark> result;
+    for (const auto &[fingerprint, mark] : this->known) {
+        if (mark.until > instant.wall)
+            result.push_back(mark);
+    }
+    return result;
+}
+
+/// The greater count wins among marks; a cleared mark wins against suspicions that are older than it, but not
+/// against a quarantine.
+void CrashQuarantine::merge(const QuarantineMark &mark, const Instant &instant)
+{
+    if (mark.until <= instant.wall ||
+        (this->known.count(mark.fingerprint) == 0 && this->known.size() >= this->settings.maxMarks))
+        return;
+    QuarantineMark &stored = this->known[mark.fingerprint];
+    stored.fingerprint = mark.fingerprint;
+    const bool isClearing = (mark.deaths == 0) != (stored.deaths == 0);
+    const uint32_t greater = std::max(mark.deaths, stored.deaths);
+    if (isClearing && greater < this->limit())
+        stored.deaths = mark.until > stored.until ? mark.deaths : stored.deaths;
+    else
+        stored.deaths = greater;
+    stored.until = std::max(stored.until, mark.until);
+}
+
+void CrashQuarantine::clear(const Sha256 &fingerprint)
+{
+    const auto found = this->known.find(fingerprint);
+    if (found == this->known.end())
+        return;
+    found->second.deaths = 0;
+    found->second.until += std::chrono::milliseconds{1};
+}
+
+bool CrashQuarantine::isQuarantined(const Sha256 &fingerprint, const Instant &instant) const
+{
+    return this->deathsOf(fingerprint, instant) >= this->limit();
+}
+
+bool CrashQuarantine::isSuspect(const Sha256 &fingerprint, const Instant &instant) const
+{
+    const uint32_t deaths = this->deathsOf(fingerprint, instant);
+    return deaths > 0 && deaths < this->limit();
+}
+
+uint32_t CrashQuarantine::deathsOf(const Sha256 &fingerprint, const Instant &instant) const
+{
+    const auto found = this->known.find(fingerprint);
+    return found == this->known.end() || found->second.until <= instant.wall ? 0 : found->second.deaths;
+}
+
+/// The reserved run itself does not count when its reservation is renewed.
+bool CrashQuarantine::isBusy(const AloneRequest &request) const
+{
+    return std::any_of(this->inFlight.begin(), this->inFlight.end(), [&](const auto &item) {
+        const InFlight &other = item.second;
+        return other.target == request.target && !(other.isAlone && other.fingerprint == request.fingerprint);
+    });
+}
+
+void CrashQuarantine::dropExpired(const Instant &instant)
+{
+    std::erase_if(this->known, [&](const auto &item) { return item.second.until <= instant.wall; });
+    std::erase_if(this->reservations, [&](const auto &item) { return item.second.until <= instant.now; });
+}
+
+} // namespace eelgrasslift
--- a/src/libserving/crashquarantine.h
+++ b/src/libserving/crashquarantine.h
@@ -3,10 +3,10 @@
 #include "libcore/digest.h"
 #include "libserving/instant.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -56,6 +56,8 @@
     Sha256 fingerprint{};
     std::string target;
     std::string claimId;
+    /// The coordinator's count, merged by the entry that is asked.
+    QuarantineMark mark;
 };
 
 enum class AloneVerdict {
@@ -68,7 +70,18 @@
     Quarantined
 };
 
+/// Answer to an AloneRequest. The coordinator's entry merges the mark, so that a death which gossip has not
+/// brought yet is counted.
+struct AloneReply
+{
+    AloneVerdict verdict = AloneVerdict::Held;
+    QuarantineMark mark;
+};
+
 /// Suspects, reservations and quarantine marks of one entry.
+///
+/// A joint death makes every fingerprint on the target a suspect and never more; only a death of a run that
+/// every live entry isolated adds to the count. So no neighbour of a crash-inducing request is refused.
 class CrashQuarantine
 {
 public:
@@ -81,12 +94,14 @@
     bool mayUse(std::string_view target, const Instant &instant) const;
 
     void started(uint64_t request, const Sha256 &fingerprint, std::string_view target, bool isAlone);
+    /// The isolation of a run can no longer be vouched for: its death counts as a joint one.
+    void lostIsolation(uint64_t request);
     /// The request ended without a death of its target; a suspect that completes is cleared.
     void finished(uint64_t request, bool isComplete, const Instant &instant);
     /// The target's process died. Returns marks that are new or changed, to spread at once.
     std::vector<QuarantineMark> targetDied(std::string_view target, const Instant &instant);
 
-    AloneVerdict reserve(const AloneRequest &request, const Instant &instant);
+    AloneReply reserve(const AloneRequest &request, const Instant &instant);
     void release(std::string_view claimId);
 
     /// Suspects and marks for the gossip digest; cleared ones are sent with 0 deaths until they expire.
@@ -112,81 +127,18 @@
         TimePoint until;
     };
 
-    const QuarantineMark *find(const Sha256 &fingerprint, const Instant &instant) const;
+    uint32_t limit() const { return std::max(MinDeaths, this->settings.deaths); }
+    uint32_t deathsOf(const Sha256 &fingerprint, const Instant &instant) const;
+    bool isBusy(const AloneRequest &request) const;
     void dropExpired(const Instant &instant);
 
+    /// With one death alone, the neighbours of the first joint death would be refused.
+    static constexpr uint32_t MinDeaths = 2;
+
     QuarantineSettings settings;
     std::map<Sha256, QuarantineMark> known;
     std::map<uint64_t, InFlight> inFlight;
     std::map<std::string, Reservation, std::less<>> reservations;
 };
 
-struct AloneClaimSettings
-{
-    /// Longest time to gather the grants.
-    Duration timeout = std::chrono::seconds{5};
-    Duration resendInterval = std::chrono::milliseconds{200};
-    /// Grants are renewed this often while the run lasts; well below the lease.
-    Duration renewInterval = std::chrono::seconds{3};
-};
-
-struct SendAloneRequest
-{
-    std::string entry;
-    AloneRequest request;
-};
-
-struct SendAloneRelease
-{
-    std::string entry;
-    std::string claimId;
-};
-
-/// Every live entry keeps the target free: start the run with isAlone.
-struct AloneGranted
-{};
-
-/// The run cannot be isolated now; the request was not run.
-struct AloneRefused
-{
-    bool isQuarantined = false;
-};
-
-using AloneAction = std::variant<SendAloneRequest, SendAloneRelease, AloneGranted, AloneRefused>;
-
-/// Coordinator of one run of a suspect. Needs a grant of every live entry, so that no neighbour dies with the
-/// suspect, and of a majority of the owner domain's slots, so that two sides of a partition do not both run
-/// it.
-class AloneClaim
-{
-public:
-    /// liveEntries: all entries that may send to the target, this one included. ownerEntries: those of them
-    /// in the owner domain, which has ownerSize configured slots.
-    AloneClaim(AloneRequest request, std::set<std::string> liveEntries, std::set<std::string> ownerEntries,
-               uint32_t ownerSize, AloneClaimSettings settings);
-
-    std::vector<AloneAction> start(const Instant &instant);
-    std::vector<AloneAction> replied(const std::string &entry, AloneVerdict verdict, const Instant &instant);
-    std::vector<AloneAction> tick(const Instant &instant);
-    /// The run has ended in any way, or is no longer wanted.
-    std::vector<AloneAction> end();
-    std::optional<TimePoint> nextTick() const;
-
-private:
-    enum class State { Idle, Asking, Granted, Ended };
-
-    std::vector<AloneAction> ask(bool isRenewal, const Instant &instant);
-    std::vector<AloneAction> refuse(bool isQuarantined);
-
-    AloneRequest request;
-    std::set<std::string> liveEntries;
-    std::set<std::string> ownerEntries;
-    uint32_t ownerSize;
-    AloneClaimSettings settings;
-    State state = State::Idle;
-    std::set<std::string> grants;
-    TimePoint deadline;
-    TimePoint nextSend;
-};
-
 } // namespace eelgrasslift
--- /dev/null
+++ b/src/libserving/generationstream.cpp
@@ -0,0 +1,362 @@
+#include "libserving/generationstream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrasslift {
+
+namespace {
+
+/// First delay of a resume after a failed one; doubled by each further failure.
+constexpr Duration ResumeBackoff = std::chrono::milliseconds{100};
+
+/// The stall limit doubles with each stall in a row, at most this often: an engine that is merely busy must
+/// not be flooded with connections.
+constexpr uint32_t MaxStallDoublings = 4;
+
+/// A stalled connection stays open beside the one that resumes, but no more than this in all.
+constexpr size_t MaxOpenConnections = 2;
+
+} // namespace
+
+GenerationStream::GenerationStream(StreamSettings settings)
+    : settings(settings)
+{}
+
+GenerationStream::GenerationStream(StreamSettings settings, StreamPosition position)
+    : settings(settings)
+    , state(State::Streaming)
+    , target(std::move(position.target))
+    , generation(std::move(position.generation))
+    , nextIndex(position.nextIndex)
+    , isContinued(true)
+    , mayHaveRun(true)
+{}
+
+std::vector<StreamAction> GenerationStream::start(TimePoint now)
+{
+    if (this->isContinued)
+        this->openResume(now);
+    else
+        this->openAttempt(now);
+    return this->takeActions();
+}
+
+std::vector<StreamAction> GenerationStream::handle(const StreamEvent &event, TimePoint now)
+{
+    if (!this->isFinished())
+        std::visit([&](const auto &alternative) { this->on(alternative, now); }, event);
+    return this->takeActions();
+}
+
+std::optional<TimePoint> GenerationStream::nextTick() const
+{
+    if (this->isFinished() || this->isPaused)
+        return std::nullopt;
+    if (!this->generation.empty())
+        return this->lastProgress +
+               this->settings.stallLimit * (1 << std::min(this->stallsInARow, MaxStallDoublings));
+    if (this->settings.firstTokenLimit == Duration{0})
+        return std::nullopt;
+    return this->lastProgress + this->settings.firstTokenLimit;
+}
+
+StreamPosition GenerationStream::position() const
+{
+    return {this->target, this->generation, this->nextIndex};
+}
+
+void GenerationStream::on(const AttemptStarted &event, TimePoint now)
+{
+    if (!this->isOpen(event.connection) || !this->target.empty())
+        return;
+    this->target = event.target;
+    this->lastProgress = now;
+}
+
+void GenerationStream::on(const AttemptRefused &event, TimePoint now)
+{
+    if (!this->isOpen(event.connection) || !this->generation.empty())
+        return;
+    this->connections.clear();
+    this->target.clear();
+    this->attemptEnded(event.mayRetry, IncompleteCause::NotStarted, now);
+}
+
+void GenerationStream::on(const TokenReceived &event, TimePoint now)
+{
+    if (!this->isOpen(event.connection) || !this->adoptGeneration(event.generation)) {
+        ++this->count.foreignTokens;
+        return;
+    }
+    if (event.index < this->nextIndex) {
+        ++this->count.duplicateTokens;
+        return;
+    }
+    if (event.index == this->nextIndex) {
+        this->accept(event, now);
+        return;
+    }
+    if (this->isPaused) {
+        ++this->count.overflowTokens;
+        this->mustResume = true;
+        return;
+    }
+    ++this->count.gaps;
+    if (event.connection == this->lastConnection)
+        this->resumeAfterFailure(false, IncompleteCause::ConnectionLost, now);
+}
+
+void GenerationStream::on(const EngineFinished &event, TimePoint now)
+{
+    const bool isEmptyAnswer = this->generation.empty() && event.tokenCount == 0;
+    if (!this->isOpen(event.connection) || (!isEmptyAnswer && event.generation != this->generation)) {
+        ++this->count.foreignTokens;
+        return;
+    }
+    if (event.tokenCount == this->nextIndex) {
+        this->finishComplete();
+    } else if (event.tokenCount > this->nextIndex) {
+        this->connections.erase(event.connection);
+        if (event.connection == this->lastConnection)
+            this->resumeAfterFailure(false, IncompleteCause::ConnectionLost, now);
+    } else {
+        this->attemptEnded(false, IncompleteCause::EngineFailed, now);
+    }
+}
+
+void GenerationStream::on(const EngineFailed &event, TimePoint now)
+{
+    if (this->isOpen(event.connection))
+        this->attemptEnded(event.mayRetry, IncompleteCause::EngineFailed, now);
+}
+
+void GenerationStream::on(const StreamConnectionLost &event, TimePoint now)
+{
+    if (this->connections.erase(event.connection) == 0 || !this->connections.empty())
+        return;
+    if (this->generation.empty())
+        this->attemptEnded(event.mayRetry, IncompleteCause::ConnectionLost, now);
+    else
+        this->resumeAfterFailure(event.mayRetry, IncompleteCause::ConnectionLost, now);
+}
+
+void GenerationStream::on(const StreamTargetDied &event, TimePoint now)
+{
+    if (!this->target.empty() && event.target == this->target)
+        this->attemptEnded(event.mayRetry, IncompleteCause::TargetDied, now);
+}
+
+/// While another connection of the generation is open, the refusal may be a mistake of the newer one.
+void GenerationStream::on(const ResumeRefused &event, TimePoint now)
+{
+    if (this->connections.erase(event.connection) == 0)
+        return;
+    ++this->resumeFailures;
+    if (this->connections.empty() || this->resumeFailures > this->settings.maxResumeFailures)
+        this->attemptEnded(event.mayRetry, IncompleteCause::ResumeRefused, now);
+}
+
+void GenerationStream::on(const CallerAccepted &event, TimePoint now)
+{
+    this->bufferedTokens -= std::min(this->bufferedTokens, event.tokens);
+    this->bufferedBytes -= std::min(this->bufferedBytes, event.bytes);
+    this->updateBackPressure(now);
+}
+
+void GenerationStream::on(const StreamCallerGone & /*event*/, TimePoint /*now*/)
+{
+    this->cancelAtEngine();
+    this->closeAllBut(0);
+    this->state = State::Cancelled;
+}
+
+void GenerationStream::on(const StallCheck &event, TimePoint now)
+{
+    const std::optional<TimePoint> due = this->nextTick();
+    if (!due || now < *due)
+        return;
+    ++this->count.stalls;
+    if (!this->generation.empty()) {
+        ++this->stallsInARow;
+        this->openResume(now);
+    } else if (event.mayRetry && this->mayRestart()) {
+        this->restart(now);
+    } else {
+        this->lastProgress = now;
+    }
+}
+
+bool GenerationStream::isOverLimit() const
+{
+    return this->bufferedTokens >= this->settings.maxBufferedTokens ||
+           this->bufferedBytes >= this->settings.maxBufferedBytes;
+}
+
+/// Another generation may only start while the caller has no token of this one.
+bool GenerationStream::mayRestart() const
+{
+    const bool isUntouched = this->nextIndex == 0 || this->settings.delivery == Delivery::Whole;
+    return isUntouched && !this->isContinued && this->restartsUsed < this->settings.restarts;
+}
+
+bool GenerationStream::adoptGeneration(const std::string &name)
+{
+    if (this->generation.empty())
+        this->generation = name;
+    return this->generation == name;
+}
+
+void GenerationStream::accept(const TokenReceived &event, TimePoint now)
+{
+    if (this->isOverLimit()) {
+        ++this->count.overflowTokens;
+        this->mustResume = true;
+        return;
+    }
+    this->state = State::Streaming;
+    ++this->nextIndex;
+    this->lastProgress = now;
+    this->resumeFailures = 0;
+    this->stallsInARow = 0;
+    this->closeAllBut(event.connection);
+    DeliverToken token{event.generation, event.index, event.text};
+    if (this->settings.delivery == Delivery::Whole) {
+        this->wholeBytes += token.text.size();
+        this->whole.push_back(std::move(token));
+        if (this->wholeBytes > this->settings.maxWholeBytes)
+            this->attemptEnded(false, IncompleteCause::TooLarge, now);
+        return;
+    }
+    ++this->bufferedTokens;
+    this->bufferedBytes += token.text.size();
+    this->actions.emplace_back(std::move(token));
+    this->updateBackPressure(now);
+}
+
+void GenerationStream::openAttempt(TimePoint now)
+{
+    this->lastProgress = now;
+    this->connections.insert(++this->lastConnection);
+    this->actions.emplace_back(OpenAttempt{this->lastConnection});
+}
+
+void GenerationStream::restart(TimePoint now)
+{
+    this->cancelAtEngine();
+    this->closeAllBut(0);
+    ++this->count.restarts;
+    ++this->restartsUsed;
+    this->state = State::Waiting;
+    this->target.clear();
+    this->generation.clear();
+    this->nextIndex = 0;
+    this->whole.clear();
+    this->wholeBytes = 0;
+    this->resumeFailures = 0;
+    this->stallsInARow = 0;
+    this->openAttempt(now);
+}
+
+/// While reading is paused the resume waits until the caller has caught up.
+void GenerationStream::openResume(TimePoint now, Duration delay)
+{
+    this->lastProgress = now;
+    if (this->isPaused) {
+        this->mustResume = true;
+        return;
+    }
+    while (this->connections.size() >= MaxOpenConnections) {
+        this->actions.emplace_back(CloseConnection{*this->connections.begin()});
+        this->connections.erase(this->connections.begin());
+    }
+    ++this->count.resumes;
+    this->connections.insert(++this->lastConnection);
+    this->actions.emplace_back(
+            OpenResume{this->lastConnection, this->target, this->generation, this->nextIndex, delay});
+}
+
+void GenerationStream::resumeAfterFailure(bool mayRetry, IncompleteCause cause, TimePoint now)
+{
+    if (++this->resumeFailures > this->settings.maxResumeFailures) {
+        this->attemptEnded(mayRetry, cause, now);
+        return;
+    }
+    const bool isFirst = this->resumeFailures == 1;
+    this->openResume(now, isFirst ? Duration{0} : ResumeBackoff * (1 << std::min(this->resumeFailures, 6U)));
+}
+
+void GenerationStream::attemptEnded(bool mayRetry, IncompleteCause cause, TimePoint now)
+{
+    this->mayHaveRun = this->mayHaveRun || cause != IncompleteCause::NotStarted;
+    if (mayRetry && this->mayRestart())
+        this->restart(now);
+    else
+        this->finishIncomplete(cause);
+}
+
+void GenerationStream::finishComplete()
+{
+    for (DeliverToken &token : this->whole)
+        this->actions.emplace_back(std::move(token));
+    this->whole.clear();
+    this->closeAllBut(0);
+    this->state = State::Complete;
+    this->actions.emplace_back(FinishComplete{this->nextIndex});
+}
+
+void GenerationStream::finishIncomplete(IncompleteCause cause)
+{
+    this->cancelAtEngine();
+    this->closeAllBut(0);
+    if (!this->mayHaveRun) {
+        this->state = State::NotRun;
+        this->actions.emplace_back(FailNotRun{});
+        return;
+    }
+    this->state = State::Incomplete;
+    const bool isWhole = this->settings.delivery == Delivery::Whole;
+    this->actions.emplace_back(FinishIncomplete{isWhole ? 0 : this->nextIndex, cause});
+}
+
+void GenerationStream::cancelAtEngine()
+{
+    if (!this->target.empty())
+        this->actions.emplace_back(CancelAtEngine{this->lastConnection, this->target, this->generation});
+}
+
+void GenerationStream::closeAllBut(uint32_t connection)
+{
+    for (const uint32_t open : this->connections) {
+        if (open != connection)
+            this->actions.emplace_back(CloseConnection{open});
+    }
+    std::erase_if(this->connections, [&](uint32_t open) { return open != connection; });
+}
+
+void GenerationStream::updateBackPressure(TimePoint now)
+{
+    const auto isAtLeast = [&](uint64_t quarters) {
+        return 4 * this->bufferedTokens >= quarters * this->settings.maxBufferedTokens ||
+               4 * this->bufferedBytes >= quarters * this->settings.maxBufferedBytes;
+    };
+    if (!this->isPaused && isAtLeast(3)) {
+        this->isPaused = true;
+        for (const uint32_t connection : this->connections)
+            this->actions.emplace_back(PauseReading{connection});
+    } else if (this->isPaused && !isAtLeast(2)) {
+        this->isPaused = false;
+        this->lastProgress = now;
+        for (const uint32_t connection : this->connections)
+            this->actions.emplace_back(ResumeReading{connection});
+        if (std::exchange(this->mustResume, false))
+            this->openResume(now);
+    }
+}
+
+std::vector<StreamAction> GenerationStream::takeActions()
+{
+    return std::exchange(this->actions, {});
+}
+
+} // namespace eelgrasslift
--- a/src/libserving/generationstream.h
+++ b/src/libserving/generationstream.h
@@ -4,8 +4,8 @@
 #include "librules/ruleset.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -133,7 +133,7 @@
     uint64_t tokens = 0;
 };
 
-enum class IncompleteCause { TargetDied, EngineFailed, ResumeRefused, ConnectionLost, Stalled };
+enum class IncompleteCause { TargetDied, EngineFailed, ResumeRefused, ConnectionLost, NotStarted, TooLarge };
 
 /// The caller has the first delivered tokens of one generation and will get no more.
 struct FinishIncomplete
@@ -169,7 +169,8 @@
     uint32_t restarts = 2;
     /// Resumes that fail in a row, without a token in between, before the generation is given up.
     uint32_t maxResumeFailures = 4;
-    /// Delivered tokens that the caller's connection has not accepted yet.
+    /// Most delivered tokens that the caller's connection has not accepted yet. Reading pauses at three
+    /// quarters, and what still arrives beyond the limit is dropped and resumed from the engine later.
     uint64_t maxBufferedTokens = 256;
     uint64_t maxBufferedBytes = uint64_t{64} * 1024;
     /// Answers of delivery=whole are held in memory up to this size.
@@ -189,6 +190,7 @@
     uint64_t foreignTokens = 0;
     uint64_t duplicateTokens = 0;
     uint64_t gaps = 0;
+    uint64_t overflowTokens = 0;
     uint64_t resumes = 0;
     uint64_t restarts = 0;
     uint64_t stalls = 0;
@@ -228,32 +230,35 @@
     void on(const StreamCallerGone &event, TimePoint now);
     void on(const StallCheck &event, TimePoint now);
 
-    bool isOpen(uint32_t connection) const;
-    bool acceptsGeneration(uint32_t connection, const std::string &name);
+    bool isOpen(uint32_t connection) const { return this->connections.count(connection) > 0; }
+    bool isOverLimit() const;
+    bool mayRestart() const;
+    bool adoptGeneration(const std::string &name);
     void accept(const TokenReceived &event, TimePoint now);
     void openAttempt(TimePoint now);
-    void openResume(TimePoint now, Duration delay);
-    void resumeFailed(bool mayRetry, TimePoint now);
-    void generationLost(bool mayRetry, IncompleteCause cause, TimePoint now);
-    bool mayRestart() const;
-    void cancelCurrent();
-    void closeAll(uint32_t except);
+    void restart(TimePoint now);
+    void openResume(TimePoint now, Duration delay = Duration{0});
+    void resumeAfterFailure(bool mayRetry, IncompleteCause cause, TimePoint now);
+    void attemptEnded(bool mayRetry, IncompleteCause cause, TimePoint now);
     void finishComplete();
+    void finishIncomplete(IncompleteCause cause);
+    void cancelAtEngine();
+    void closeAllBut(uint32_t connection);
     void updateBackPressure(TimePoint now);
     std::vector<StreamAction> takeActions();
 
     StreamSettings settings;
     State state = State::Waiting;
-    /// Open connections of the current attempt, oldest first: connection number -> reading is paused.
-    std::map<uint32_t, bool> connections;
+    /// Open connections of the current attempt.
+    std::set<uint32_t> connections;
     uint32_t lastConnection = 0;
     std::string target;
     std::string generation;
     uint64_t nextIndex = 0;
-    uint64_t firstIndex = 0;
+    bool isContinued = false;
     bool mayHaveRun = false;
     bool isPaused = false;
-    bool isResumed = false;
+    bool mustResume = false;
     uint32_t resumeFailures = 0;
     uint32_t restartsUsed = 0;
     uint32_t stallsInARow = 0;
--- a/src/libserving/idempotencyclaim.h
+++ b/src/libserving/idempotencyclaim.h
@@ -4,6 +4,7 @@
 #include "libserving/records.h"
 
 #include <map>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -44,7 +45,7 @@
 {};
 
 enum class ClaimRefusal {
-    /// No other claim of the key can have run, and none was seen.
+    /// No request with this key has run until now, and this one was not sent.
     NotRun,
     /// Another claim ran; its record has the answer.
     Ran,
@@ -80,6 +81,10 @@
 };
 
 /// Coordinator of one claim, in the entry that received the request.
+///
+/// Gathers grants from a majority of the configured slots of every group. If another claim holds the key,
+/// this one is released and waits for the other's outcome; when the other one was released too, it claims
+/// again under a new claim id, so that late messages of the first round cannot count for the second.
 class IdempotencyClaim
 {
 public:
@@ -90,57 +95,72 @@
     std::vector<ClaimAction> tick(const Instant &instant);
 
     /// Records the outcome of the granted claim at a majority. Only after ClaimGranted, once.
-    std::vector<ClaimAction> resolve(Record outcome, const Instant &instant);
+    std::vector<ClaimAction> resolve(RecordState outcome, uint32_t status, std::string contentType,
+                                     std::string answer, const Instant &instant);
 
     /// Gives up a claim that was not granted yet.
     std::vector<ClaimAction> abandon(const Instant &instant);
 
     bool isGranted() const { return this->state == State::Granted; }
-    bool isFinished() const { return this->state == State::Finished; }
+    bool isFinished() const { return this->isFinishedSent; }
     std::optional<TimePoint> nextTick() const;
 
 private:
-    enum class State { Idle, Claiming, Granted, WaitingForOther, Resolving, Finished };
-    struct Grant
-    {
-        uint64_t incarnation = 0;
-    };
+    enum class State { Idle, Claiming, Granted, WaitingForOther, Ended };
+
+    /// What a slot's current process last said about the key.
     struct View
     {
         uint64_t incarnation = 0;
         RecordVerdict verdict = RecordVerdict::Abstain;
         std::optional<Record> record;
     };
+    /// A record change that is sent until a majority has confirmed it.
+    struct Change
+    {
+        Record record;
+        std::set<SlotId> confirmed;
+        TimePoint until;
+    };
 
     void claimReplied(const ReplicaReplied &event, const Instant &instant);
     void lookupReplied(const ReplicaReplied &event, const Instant &instant);
     void resolveReplied(const ReplicaReplied &event);
-    void noteSuccessors(const RecordReply &reply);
-    bool isSuperseded(const SlotId &slot, uint64_t incarnation) const;
-    bool hasMajority() const;
-    bool mustYield() const;
-    bool isAbsenceKnown() const;
+    bool updateView(const ReplicaReplied &event);
+    void noteProcesses(const RecordReply &reply);
+    void evaluateClaim(const Instant &instant, bool isTick);
+    void evaluateWait(const Instant &instant);
+    bool refuseByRecord(const Instant &instant);
+    void stopClaiming(const Instant &instant);
+    void beginClaim(const Instant &instant);
+    void beginWait(const Instant &instant);
+    void release(const Instant &instant);
+    void refuse(ClaimRefusal reason, std::optional<Record> record = std::nullopt);
+    Record ownRecord(RecordState outcome) const;
+    void change(Record record, const Instant &instant);
+    void sendDue(const Instant &instant);
+    void sendToUnanswered();
+    template <typename Predicate>
+    bool everyGroupHas(uint32_t (*needed)(uint32_t), Predicate predicate) const;
+    bool isMajorityHeldByOther() const;
     const Record *otherClaim() const;
-    void giveUp(const Instant &instant);
-    void settle(const Instant &instant);
-    void refuse(ClaimRefusal reason, const Record *record, const Instant &instant);
-    void startResolving(Record record, const Instant &instant);
-    void sendPending(const Instant &instant);
-    void sendTo(const SlotId &slot);
-    void finish();
     std::vector<ClaimAction> takeActions();
 
     ClaimRequest request;
+    std::string baseClaimId;
+    uint32_t round = 0;
     std::vector<OwnerGroup> groups;
     ClaimSettings settings;
     State state = State::Idle;
-    std::vector<SlotId> slots;
+    bool isFinishedSent = false;
+    std::set<SlotId> slots;
     std::map<SlotId, View> views;
-    std::map<SlotId, uint64_t> successors;
-    std::map<SlotId, bool> resolved;
-    std::optional<Record> outcome;
-    bool isReleased = false;
-    TimePoint deadline;
+    std::map<SlotId, uint64_t> processes;
+    std::vector<Change> changes;
+    std::optional<Record> awaited;
+    WallTime claimedAt{};
+    TimePoint claimDeadline;
+    TimePoint outcomeDeadline;
     TimePoint resendAt;
     std::vector<ClaimAction> actions;
 };
--- a/src/libserving/idempotencyreplica.h
+++ b/src/libserving/idempotencyreplica.h
@@ -34,16 +34,18 @@
 
     RecordReply claim(const ClaimRequest &request, const Instant &instant);
     RecordReply resolve(const ResolveRequest &request, const Instant &instant);
-    RecordReply lookup(const LookupRequest &request, const Instant &instant) const;
+    RecordReply lookup(const LookupRequest &request, const Instant &instant);
     ReadRecordsReply readRecords(const ReadRecordsRequest &request, const Instant &instant);
 
-    /// The request to send to every other live entry of the scope's group, periodically, until full. Nothing
-    /// once the replica is full.
-    std::optional<ReadRecordsRequest> recoveryRequest(RecordScope scope, const Instant &instant) const;
+    /// The request to send to every other live entry of the scope's group, periodically, until it is full.
+    /// Nothing once it is.
+    std::optional<ReadRecordsRequest> recoveryRequest(RecordScope scope, const Instant &instant);
     void recordsRead(const ReadRecordsReply &reply, const Instant &instant);
 
-    bool isRegistered(RecordScope scope) const;
-    bool isFull(RecordScope scope) const;
+    bool isRegistered(RecordScope scope) const { return this->membership(scope).isRegistered; }
+    bool isFull(RecordScope scope) const { return this->membership(scope).isFull && !this->isSuperseded; }
+    /// A successor holds this slot: this process grants nothing any more and should be restarted.
+    bool isReplaced() const { return this->isSuperseded; }
     const ReplicaIdentity &identity() const { return this->settings.identity; }
     size_t recordCount() const { return this->records.size(); }
 
@@ -55,30 +57,44 @@
     {
         bool isRegistered = false;
         bool isFull = false;
-        /// Wall time of the registration: the predecessor granted nothing that still counts after it.
-        WallTime registeredAt{};
+        /// Grants of the predecessor after this moment count nowhere.
+        Instant registeredAt;
         std::set<SlotId> registeredWith;
         std::set<SlotId> readFull;
     };
+    struct Entry
+    {
+        Record record;
+        /// Whether this process granted the record's claim, rather than copied the record from another.
+        bool isGrantedHere = false;
+    };
 
     const Membership &membership(RecordScope scope) const;
     Membership &membership(RecordScope scope);
+    void advanceMembership(RecordScope scope, const Instant &instant);
     RecordScope scopeOf(const RecordKey &key) const;
-    Duration retention(const RecordKey &key) const;
+    Duration keepOf(const RecordKey &key) const;
     uint32_t groupSize(RecordScope scope) const;
     bool isOwner(const RecordKey &key) const;
-    bool mayGrant(const RecordKey &key, const Instant &instant) const;
+    bool isTimely(const RecordKey &key, const Instant &instant) const;
     bool knowsAbsence(const RecordKey &key, const Instant &instant) const;
-    void merge(const Record &record);
+    bool mayGrant(const RecordKey &key, const Instant &instant) const;
+    bool isExpired(const Record &record, const Instant &instant) const;
+    Entry *find(const RecordKey &key, const Instant &instant);
+    RecordReply grant(const ClaimRequest &request, const Instant &instant);
+    RecordReply claimKnown(Entry &entry, const ClaimRequest &request, const Instant &instant);
     RecordReply reply(RecordVerdict verdict, const Record *record = nullptr) const;
-    void adoptIncarnation(uint64_t incarnation);
+    std::vector<ReplicaIdentity> knownSuccessors() const;
+    void noteProcess(const ReplicaIdentity &process);
 
     ReplicaSettings settings;
     std::shared_ptr<const AcceptedRules> rules;
+    bool isSuperseded = false;
     Membership domainMembership;
     Membership fleetMembership;
-    std::map<RecordKey, Record> records;
-    std::map<SlotId, uint64_t> successors;
+    std::map<RecordKey, Entry> records;
+    /// The newest process known in each other slot.
+    std::map<SlotId, uint64_t> processes;
 };
 
 } // namespace eelgrasslift
--- a/src/libserving/records.h
+++ b/src/libserving/records.h
@@ -4,10 +4,10 @@
 #include "libcore/time.h"
 #include "librules/ruleset.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 // Messages between entries about idempotency records; they map one to one to proto/peer.proto.
@@ -31,7 +31,12 @@
     std::string account;
     std::string service;
     std::string key;
-    auto operator<=>(const RecordKey &) const = default;
+    bool operator==(const RecordKey &) const = default;
+    bool operator<(const RecordKey &other) const
+    {
+        return std::tie(this->account, this->service, this->key) <
+               std::tie(other.account, other.service, other.key);
+    }
 };
 
 enum class RecordState { Claimed, Ran, NotRun, Unknown };
@@ -111,6 +116,8 @@
     uint64_t readerIncarnation = 0;
     bool isReaderRegistered = false;
     bool isFull = false;
+    /// Successors known to the replier; without them a second replacement would lose the first one's mark.
+    std::vector<ReplicaIdentity> known;
     std::vector<Record> records;
 };
 
@@ -133,7 +140,8 @@
     return size / 2 + 1;
 }
 
-/// Smallest number of slots that intersects with every majority.
+/// Smallest number of slots that intersects with every majority. The same number of other slots intersects
+/// with every majority that contains one's own.
 constexpr uint32_t coverOf(uint32_t size)
 {
     return size - majorityOf(size) + 1;
--- /dev/null
+++ b/src/libserving/servicecall.cpp
@@ -0,0 +1,225 @@
+#include "libserving/servicecall.h"
+
+#include "libcore/result.h"
+#include "libcore/uuid.h"
+
+#include <utility>
+
+namespace eelgrasslift {
+
+namespace {
+
+/// Time for the owner to report that an attempt was dropped before its first byte, which is better news than
+/// a timeout with unknown outcome.
+constexpr Duration SendRefusedGrace = std::chrono::milliseconds{100};
+
+} // namespace
+
+ServiceCall::ServiceCall(ServiceCallSettings settings, std::optional<ServiceClaim> claim)
+    : settings(settings)
+    , claimRequest(std::move(claim))
+{}
+
+std::vector<ServiceAction> ServiceCall::start(const Instant &instant)
+{
+    if (this->state != State::Idle)
+        return {};
+    this->deadline = instant.now + this->settings.timeout;
+    if (!this->claimRequest || this->settings.isIdempotent) {
+        this->send(Duration{0}, instant);
+        return this->takeActions();
+    }
+    if (this->refuseByKeyTime(instant))
+        return this->takeActions();
+    this->state = State::Claiming;
+    this->claim.emplace(this->claimRequest->request, this->claimRequest->groups, this->settings.claim);
+    this->execute(this->claim->start(instant), instant);
+    return this->takeActions();
+}
+
+std::vector<ServiceAction> ServiceCall::handle(const ServiceCallEvent &event, const Instant &instant)
+{
+    if (this->state != State::Idle && this->state != State::Finished)
+        std::visit([&](const auto &alternative) { this->on(alternative, instant); }, event);
+    return this->takeActions();
+}
+
+std::optional<TimePoint> ServiceCall::nextTick() const
+{
+    if (this->state == State::Sending)
+        return this->isStarted ? this->deadline : this->deadline + SendRefusedGrace;
+    return this->claim && !this->isFinished() ? this->claim->nextTick() : std::nullopt;
+}
+
+void ServiceCall::on(const ReplicaReplied &event, const Instant &instant)
+{
+    if (this->claim)
+        this->execute(this->claim->handle(event, instant), instant);
+}
+
+void ServiceCall::on(const SendStarted &event, const Instant & /*instant*/)
+{
+    this->isStarted = this->isStarted || this->isCurrent(event.attempt);
+}
+
+void ServiceCall::on(const SendRefused &event, const Instant &instant)
+{
+    if (!this->isCurrent(event.attempt))
+        return;
+    if (this->isStarted)
+        this->attemptFailed(true, ServiceCause::ConnectionBroken, event.retry, instant);
+    else
+        this->attemptFailed(false, ServiceCause::Unreachable, event.retry, instant);
+}
+
+void ServiceCall::on(const SendBroken &event, const Instant &instant)
+{
+    if (this->isCurrent(event.attempt))
+        this->attemptFailed(true, ServiceCause::ConnectionBroken, event.retry, instant);
+}
+
+void ServiceCall::on(const TargetRefused &event, const Instant &instant)
+{
+    if (this->isCurrent(event.attempt))
+        this->attemptFailed(false, ServiceCause::TargetRefused, event.retry, instant);
+}
+
+void ServiceCall::on(const AnswerReceived &event, const Instant &instant)
+{
+    if (!this->isCurrent(event.attempt))
+        return;
+    this->reply(ServiceOutcome::Ran, ServiceCause::Answered, event.answer);
+    this->resolve(RecordState::Ran, event.answer, instant);
+}
+
+void ServiceCall::on(const ServiceTick & /*event*/, const Instant &instant)
+{
+    if (this->claim)
+        this->execute(this->claim->tick(instant), instant);
+    if (this->state != State::Sending || instant.now < *this->nextTick())
+        return;
+    // The attempt may have started without our having been told yet, so it counts as started.
+    this->actions.emplace_back(AbortSend{this->attempt});
+    this->mayHaveRun = true;
+    this->reply(ServiceOutcome::Unknown, ServiceCause::Timeout);
+    this->resolve(RecordState::Unknown, {}, instant);
+}
+
+void ServiceCall::on(const ServiceCallerGone & /*event*/, const Instant & /*instant*/)
+{
+    this->isCallerGone = true;
+    if (!this->settings.isIdempotent)
+        return;
+    this->actions.emplace_back(AbortSend{this->attempt});
+    this->state = State::Finished;
+    this->actions.emplace_back(ServiceFinished{});
+}
+
+/// An entry whose clock is ahead accepts a key that is still in the future here. Only a key that no clock
+/// within MaxClockSkew of this one accepts is certain not to have run.
+bool ServiceCall::refuseByKeyTime(const Instant &instant)
+{
+    const std::optional<WallTime> time = uuidV7Time(this->claimRequest->request.key.key);
+    if (!time)
+        return false;
+    if (*time > instant.wall + 2 * MaxClockSkew)
+        this->reply(ServiceOutcome::NotRun, ServiceCause::KeyInFuture);
+    else if (*time > instant.wall + MaxClockSkew)
+        this->reply(ServiceOutcome::Unknown, ServiceCause::KeyInFuture);
+    else if (instant.wall > *time + this->settings.keep)
+        this->reply(ServiceOutcome::Unknown, ServiceCause::KeyExpired);
+    return this->isFinished();
+}
+
+bool ServiceCall::isCurrent(uint32_t number) const
+{
+    return this->state == State::Sending && number == this->attempt;
+}
+
+void ServiceCall::execute(std::vector<ClaimAction> claimActions, const Instant &instant)
+{
+    for (ClaimAction &action : claimActions) {
+        match(
+                std::move(action), [&](SendClaim &&send) { this->actions.emplace_back(std::move(send)); },
+                [&](SendLookup &&send) { this->actions.emplace_back(std::move(send)); },
+                [&](SendResolve &&send) { this->actions.emplace_back(std::move(send)); },
+                [&](ClaimGranted &&) {
+                    this->deadline = instant.now + this->settings.timeout;
+                    this->send(Duration{0}, instant);
+                },
+                [&](ClaimRefused &&refusal) { this->refused(refusal); },
+                [&](ClaimFinished &&) {
+                    this->state = State::Finished;
+                    this->actions.emplace_back(ServiceFinished{});
+                });
+    }
+}
+
+void ServiceCall::refused(const ClaimRefused &refusal)
+{
+    this->state = State::Resolving;
+    switch (refusal.reason) {
+    case ClaimRefusal::NotRun:
+        return this->reply(ServiceOutcome::NotRun, ServiceCause::NoMajority);
+    case ClaimRefusal::Unknown:
+        return this->reply(ServiceOutcome::Unknown, ServiceCause::EarlierUnknown);
+    case ClaimRefusal::RecordsUnreachable:
+        return this->reply(ServiceOutcome::Unknown, ServiceCause::RecordsUnreachable);
+    case ClaimRefusal::BodyMismatch:
+        return this->reply(ServiceOutcome::NotRun, ServiceCause::KeyReused);
+    case ClaimRefusal::Ran:
+        break;
+    }
+    const Record &record = *refusal.record;
+    this->reply(ServiceOutcome::Ran,
+                record.answerTruncated ? ServiceCause::ReplayTooLarge : ServiceCause::Replayed,
+                {record.status, record.contentType, record.answer});
+}
+
+void ServiceCall::send(Duration delay, const Instant & /*instant*/)
+{
+    this->state = State::Sending;
+    this->isStarted = false;
+    ++this->attempt;
+    this->actions.emplace_back(SendRequest{this->attempt, delay, this->deadline});
+}
+
+/// A request that must not be repeated is tried again only while nothing was written to any target.
+void ServiceCall::attemptFailed(bool mayHaveRun, ServiceCause cause, const RetryPermit &retry,
+                                const Instant &instant)
+{
+    this->mayHaveRun = this->mayHaveRun || mayHaveRun;
+    const bool isRepeatable = this->settings.isIdempotent || cause == ServiceCause::Unreachable;
+    const bool isInTime = instant.now + retry.delay < this->deadline;
+    if (isRepeatable && retry.isGranted && isInTime && this->attempt < this->settings.attempts)
+        return this->send(retry.delay, instant);
+    this->reply(this->mayHaveRun ? ServiceOutcome::Unknown : ServiceOutcome::NotRun, cause);
+    this->resolve(this->mayHaveRun ? RecordState::Unknown : RecordState::NotRun, {}, instant);
+}
+
+void ServiceCall::reply(ServiceOutcome outcome, ServiceCause cause, ServiceAnswer answer)
+{
+    if (!this->isReplied && !this->isCallerGone)
+        this->actions.emplace_back(ReplyToCaller{outcome, cause, std::move(answer)});
+    this->isReplied = true;
+    if (!this->claim) {
+        this->state = State::Finished;
+        this->actions.emplace_back(ServiceFinished{});
+    }
+}
+
+void ServiceCall::resolve(RecordState outcome, const ServiceAnswer &answer, const Instant &instant)
+{
+    if (!this->claim)
+        return;
+    this->state = State::Resolving;
+    this->execute(this->claim->resolve(outcome, answer.status, answer.contentType, answer.body, instant),
+                  instant);
+}
+
+std::vector<ServiceAction> ServiceCall::takeActions()
+{
+    return std::exchange(this->actions, {});
+}
+
+} // namespace eelgrasslift
--- a/src/libserving/servicecall.h
+++ b/src/libserving/servicecall.h
@@ -91,8 +91,8 @@
     Unreachable,
     Timeout,
     ConnectionBroken,
-    /// Another request with the same key was in progress and ended without having run.
-    Contended,
+    /// No majority of the records could be claimed; no request with this key has run.
+    NoMajority,
     /// Another request with the same key may have run.
     EarlierUnknown,
     /// Nothing was sent, but an earlier request with this key may have run: its records cannot be read.
@@ -157,7 +157,7 @@
     void on(const ServiceTick &event, const Instant &instant);
     void on(const ServiceCallerGone &event, const Instant &instant);
 
-    std::optional<ServiceCause> checkKeyTime(const Instant &instant) const;
+    bool refuseByKeyTime(const Instant &instant);
     bool isCurrent(uint32_t number) const;
     void execute(std::vector<ClaimAction> claimActions, const Instant &instant);
     void refused(const ClaimRefused &refusal);
--- a/src/libserving/serving.h
+++ b/src/libserving/serving.h
@@ -2,6 +2,7 @@
 
 // Public header of libserving: streams, idempotency records, plain-service calls, crash quarantine, shutdown.
 
+#include "libserving/aloneclaim.h"
 #include "libserving/crashquarantine.h"
 #include "libserving/drainstate.h"
 #include "libserving/generationstream.h"
