Add target selection, admission, limits, retries and outlier detection

Cause: the entry needs the decisions of design section 7 as aggregates without sockets or clock. Change: implementations of the librouting headers and their tests (label policy). Ruled out: deficit round robin counters in AdmissionQueue; an offer that no target takes would use up its line's deficit, so lines are ordered by work sent per share instead (same shares). Ruled out: holding back a rise of the account's part for 3 s while computing it from the present own demand; with a common ramp of demand on nine entries the test admitted 362 requests in 5 s where the stated bound is 359, and 127 in flight where it is 99. The part is now computed from the smallest demand that the peers can know. Conclusion: ready to be wired; the weights of the score are not yet measured.

--- a/src/librouting/accountlimiter.h
+++ b/src/librouting/accountlimiter.h
@@ -26,9 +26,9 @@
 struct AccountUsage
 {
     std::string account;
-    /// Requests per second that arrived, refused ones included, averaged over a few seconds.
+    /// Requests per second that arrived, refused ones included, averaged over 10 s.
     double demand = 0;
-    /// Requests in flight, plus recently refused ones.
+    /// Most requests in flight in the last seconds.
     double concurrency = 0;
 };
 
@@ -49,14 +49,18 @@
 ///
 /// Each entry owns a part of the account's limit: its own recent demand plus a part of what nobody uses, or
 /// its share of the demand when the account asks for more than its limit. Entries learn each other's demand
-/// by gossip. A part shrinks at once and grows only after it was due for 3 s, the time that gossip takes, so
-/// that two entries do not hold the same part.
+/// by gossip. An entry computes its own part from the smallest demand that it has told its peers in the last
+/// 3 s, so that it grows only once they know of it, and shrinks at once. Small changes are not told, so that
+/// chance does not move the parts.
 ///
 /// Error bound, for n entries and a gossip delay of at most 3 s: over any interval T the entries together
-/// admit at most rate * T + burst + n requests, since each entry may always hold one whole request. In
-/// flight: at most concurrent + n. An entry that is not heard for 5 s keeps the part it held last, and so do
-/// we for it: the sides of a partition together stay within the same bound, and no side can use the other's
-/// part.
+/// admit at most rate * T + burst + n requests, since each entry may always hold one whole request; in flight
+/// are at most concurrent + n. The price is use: an account whose traffic moves to other entries is held
+/// below its limit for some seconds.
+///
+/// An entry that is not heard for 5 s keeps the part it held last, and so do we for it: the sides of a
+/// partition together stay within the same bound, and no side can use the other's part. An entry that has
+/// just started assumes rate / n until it hears its peers, which adds up to rate / n for the first seconds.
 class AccountLimiter
 {
 public:
@@ -72,7 +76,7 @@
     void release(std::string_view account, TimePoint now);
 
     /// Own usage for gossip: accounts with any recent demand.
-    std::vector<AccountUsage> usage(TimePoint now) const;
+    std::vector<AccountUsage> usage(TimePoint now);
 
     /// Usage of one peer as it arrived by gossip; accounts that are missing have no demand there.
     void applyPeerUsage(std::string_view peer, std::span<const AccountUsage> usage, TimePoint now);
@@ -89,15 +93,27 @@
         float concurrencyPart = 0;
     };
 
-    /// A value that falls at once and rises only after it was due for the hold time.
-    struct HeldValue
+    /// Smallest value of the last 3 to 6 s (two windows of 3 s).
+    class RecentMinimum
+    {
+    public:
+        void update(double value, TimePoint now);
+        double value() const { return this->previous < this->current ? this->previous : this->current; }
+
+    private:
+        double previous = 0;
+        double current = 0;
+        TimePoint since{};
+    };
+
+    /// What this entry claims of a limit: the value that it tells its peers, and the smallest value that
+    /// any of them can still know, on which it relies itself.
+    struct Claim
     {
-        double value = 0;
-        /// Lowest value that was due since pendingSince.
-        double pending = 0;
-        TimePoint pendingSince{};
+        double told = 0;
+        RecentMinimum known;
 
-        void update(double due, TimePoint now);
+        void update(double wanted, TimePoint now);
     };
 
     struct Account
@@ -105,14 +121,20 @@
         AccountLimits limits;
         double demand = 0;
         TimePoint demandAt{};
-        double refusedConcurrency = 0;
         uint32_t inFlight = 0;
-        HeldValue ratePart;
-        HeldValue concurrencyPart;
+        /// Most requests in flight in the previous and the present window of 3 s.
+        uint32_t previousPeak = 0;
+        uint32_t peak = 0;
+        TimePoint peakSince{};
+        Claim rateClaim;
+        Claim concurrencyClaim;
+        double ratePart = 0;
+        double concurrencyPart = 0;
         double tokens = 0;
         TimePoint refilledAt{};
         TimePoint partsAt{};
-        std::map<uint32_t, PeerDemand> peers;
+        /// By index in AccountLimiter::peers.
+        std::vector<PeerDemand> peers;
     };
 
     struct Peer
@@ -122,9 +144,9 @@
         TimePoint heardAt{};
     };
 
-    void decay(Account &account, TimePoint now) const;
+    void updateClaims(Account &account, TimePoint now) const;
     void refreshParts(Account &account, TimePoint now);
-    void refill(Account &account, TimePoint now);
+    void refill(Account &account, double previousPart, TimePoint now);
     double burstPart(const Account &account) const;
     bool isSilent(uint32_t peer, TimePoint now) const;
 
--- a/src/librouting/outlierdetector.h
+++ b/src/librouting/outlierdetector.h
@@ -38,6 +38,9 @@
     /// to send.
     bool beginProbe(std::string_view target, TimePoint now);
 
+    /// The probe ended without a result, for example because its caller left: another one is due.
+    void cancelProbe(std::string_view target);
+
     State state(std::string_view target, TimePoint now) const;
 
     /// When an ejected target may be probed.
--- a/src/librouting/targetload.h
+++ b/src/librouting/targetload.h
@@ -39,12 +39,14 @@
     /// Requests of other entries, from the last report and gossip.
     double otherInFlight(TimePoint now) const;
     double otherMemory(TimePoint now) const;
+    /// Own runs that the last report cannot include yet.
+    uint32_t startedSinceReport() const;
     bool isReservedByPeer(TimePoint now) const;
 
-    /// Memory that the own runs are expected to hold after each horizon.
-    static void addForecast(Forecast &forecast, const LengthProfile &profile, double promptTokens,
-                            double produced, double maxTokens, double memoryPerToken);
-    const Forecast &ownForecast();
+    /// Memory that one request is expected to hold after each horizon.
+    static Forecast requestForecast(const LengthProfile &profile, const SelectRequest &request);
+    /// Recomputed after a start or finish, and for progress at most every 100 ms.
+    const Forecast &ownForecast(TimePoint now);
 
     /// Recent preemptions on the target, fading with the reports' half-life.
     double preemptionLevel(TimePoint now) const;
@@ -74,6 +76,8 @@
         TimePoint heardAt{};
     };
 
+    static void addForecast(Forecast &forecast, const OwnRun &run);
+
     std::vector<OwnRun> runs;
     std::vector<PeerUse> peers;
     uint32_t ownCount = 0;
@@ -81,6 +85,7 @@
     double memoryOfOwn = 0;
     Forecast forecast{};
     bool isForecastStale = true;
+    TimePoint forecastAt{};
 
     LoadReport report;
     std::optional<TimePoint> receivedAt;
--- a/src/librouting/targetselector.h
+++ b/src/librouting/targetselector.h
@@ -21,12 +21,12 @@
 struct SelectorOptions
 {
     /// Failure domain of this entry.
-    std::string ownDomain;
+    std::string ownDomain{};
     /// FleetRule::stallWeight: 0 keeps the most memory free, 100 the least.
     uint32_t stallWeight = 50;
     /// Entries of the whole fleet, this one included; scales the guess of what peers start unseen.
     uint32_t entryCount = 9;
-    OutlierOptions outliers;
+    OutlierOptions outliers{};
 };
 
 /// Chooses the target of each request of one entry (design section 7).
@@ -55,15 +55,15 @@
     void applyPeerUse(std::string_view peer, std::span<const TargetUse> use, TimePoint now);
 
     /// Own runs per target, for gossip; includes targets that are kept free for a suspect.
-    std::vector<TargetUse> ownUse() const;
+    std::vector<TargetUse> ownUse(TimePoint now) const;
 
     Result<Choice, NoTarget> select(const SelectRequest &request, TimePoint now, Random &random);
 
     /// Records that a request is sent to a target; called right after select() with its choice.
     RunId start(std::string_view id, const SelectRequest &request, TimePoint now);
 
-    /// Tokens that the run has produced so far.
-    void progress(RunId run, uint32_t tokens);
+    /// Tokens that the run has produced so far. The first token of a probe readmits its target.
+    void progress(RunId run, uint32_t tokens, TimePoint now);
 
     /// Ends a run. Feeds the outlier detector; the caller feeds LengthEstimator itself.
     void finish(RunId run, RunOutcome outcome, TimePoint now);
@@ -81,6 +81,8 @@
     {
         TargetSettings settings;
         TargetLoad load;
+        /// This target's part of ownTotal.
+        TargetLoad::Forecast counted{};
         bool isPresent = false;
         bool isLeaving = false;
         TimePoint since{};
@@ -109,6 +111,7 @@
     struct Candidate
     {
         uint32_t target = 0;
+        double load = 0;
         double score = 0;
         double cachedShare = 0;
         bool hasHeadroom = false;
@@ -118,9 +121,23 @@
     void rebuildGroups();
     const Group *groupOf(const SelectRequest &request) const;
     bool isUsable(uint32_t target, const SelectRequest &request, TimePoint now) const;
+    std::vector<uint32_t> sample(const std::vector<uint32_t> &targets, const SelectRequest &request,
+                                 TimePoint now, Random &random) const;
     std::optional<Candidate> bestOf(const std::vector<uint32_t> &targets, const SelectRequest &request,
-                                    TimePoint now, Random &random);
-    Candidate evaluate(uint32_t target, const SelectRequest &request, TimePoint now);
+                                    const TargetLoad::Forecast &forecast, TimePoint now, Random &random);
+    void addHolders(std::vector<Candidate> &candidates, const std::vector<uint32_t> &list,
+                    const SelectRequest &request, const TargetLoad::Forecast &forecast, TimePoint now);
+    std::optional<Candidate> firstWithHeadroom(const std::vector<uint32_t> &list,
+                                               const SelectRequest &request,
+                                               const TargetLoad::Forecast &forecast, TimePoint now,
+                                               Random &random);
+    double countLoad(const Target &target, TimePoint now) const;
+    double ramp(const Target &target, TimePoint now) const;
+    Candidate evaluate(uint32_t target, const SelectRequest &request, const TargetLoad::Forecast &forecast,
+                       TimePoint now);
+    double memoryPeak(Target &target, const TargetLoad::Forecast &request, TimePoint now);
+    double headroomLimit(const SelectRequest &request) const;
+    double growthOfOthers(size_t horizon) const;
     Result<Choice, NoTarget> selectAlone(const Group &group, const SelectRequest &request, TimePoint now);
     NoTarget explain(const Group &group, const SelectRequest &request, TimePoint now) const;
     Choice toChoice(const Candidate &candidate, const SelectRequest &request) const;
@@ -135,6 +152,8 @@
     std::map<std::string, Group, std::less<>> serviceGroups;
     std::map<std::string, uint32_t, std::less<>> peerIds;
     std::unordered_map<RunId, Run> runs;
+    /// Forecast of all own runs together; its growth stands for that of other entries' runs.
+    TargetLoad::Forecast ownTotal{};
     RunId nextRun = 1;
 };
 
--- /dev/null
+++ b/tests/routing/test_targetselector.cpp
@@ -0,0 +1,293 @@
+#include "librouting/routing.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+
+struct Fixture
+{
+    explicit Fixture(SelectorOptions options = {.ownDomain = "a"})
+        : selector(std::move(options), lengths)
+    {}
+
+    void add(const std::string &id, const std::string &domain, TimePoint since = Start - 1min)
+    {
+        TargetSettings settings;
+        settings.id = id;
+        settings.domain = domain;
+        settings.models = {"planner"};
+        selector.upsertTarget(settings, since);
+    }
+
+    void report(const std::string &id, uint32_t running, double memory, TimePoint now)
+    {
+        const int64_t time = toMilliseconds(now.time_since_epoch()) - 300;
+        selector.applyReport(id, {1, time, running, 0, memory, 60000, 0}, now);
+    }
+
+    /// The chosen target, or the reason in brackets.
+    std::string pick(SelectRequest request, TimePoint now)
+    {
+        request.model = request.model.empty() ? "planner" : request.model;
+        return match(
+                selector.select(request, now, random), [](const Choice &choice) { return choice.targetId; },
+                [](const NoTarget &none) { return "[" + std::string(toString(none.reason)) + "]"; });
+    }
+
+    std::map<std::string, int> pickMany(const SelectRequest &request, TimePoint now, int count = 1000)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < count; ++i)
+            ++counts[pick(request, now)];
+        return counts;
+    }
+
+    LengthEstimator lengths;
+    TargetSelector selector;
+    Random random{7};
+};
+
+SelectRequest label()
+{
+    SelectRequest request;
+    request.className = "label";
+    request.promptTokens = 200;
+    request.maxTokens = 256;
+    return request;
+}
+
+} // namespace
+
+// Guards against all entries sending to the one target that the last report shows idle.
+TEST_CASE("Nine entries do not herd on one idle target")
+{
+    std::vector<std::unique_ptr<Fixture>> entries;
+    for (int i = 0; i < 9; ++i) {
+        auto entry = std::make_unique<Fixture>();
+        entry->random = Random(static_cast<uint64_t>(i) + 1);
+        for (int target = 0; target < 4; ++target) {
+            entry->add("t" + std::to_string(target), "a");
+            entry->report("t" + std::to_string(target), target == 0 ? 0 : 4, target == 0 ? 0 : 16000, Start);
+        }
+        entries.push_back(std::move(entry));
+    }
+    // All within one report interval: 27 requests, four targets.
+    std::map<std::string, int> sent;
+    for (int round = 0; round < 3; ++round) {
+        for (auto &entry : entries) {
+            SelectRequest request = label();
+            request.model = "planner";
+            const std::string id = entry->pick(request, Start + 100ms);
+            entry->selector.start(id, request, Start + 100ms);
+            ++sent[id];
+        }
+    }
+    CHECK(sent["t0"] <= 18);
+    CHECK(sent.size() == 4);
+}
+
+// Guards against traffic that leaves its failure domain without need, or waits while another domain is idle.
+TEST_CASE("The own failure domain comes first, others take over when it is full or gone")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    fixture.add("a2", "a");
+    fixture.add("b1", "b");
+    fixture.report("a1", 5, 10000, Start);
+    CHECK(fixture.pickMany(label(), Start).count("b1") == 0);
+
+    fixture.report("a1", 16, 59000, Start + 1s);
+    fixture.report("a2", 16, 59000, Start + 1s);
+    CHECK(fixture.pick(label(), Start + 1s) == "b1");
+    fixture.selector.markLeaving("b1");
+    CHECK(fixture.pick(label(), Start + 1s) == "[no-headroom]");
+    fixture.selector.markLeaving("a1");
+    fixture.selector.removeTarget("a2");
+    CHECK(fixture.pick(label(), Start + 1s) == "[all-leaving]");
+    SelectRequest other = label();
+    other.model = "unlisted";
+    CHECK(fixture.pick(other, Start + 1s) == "[unknown-model]");
+}
+
+// Guards against a request that returns to the target on which it just failed, and against work for a target
+// that leaves (G5).
+TEST_CASE("Excluded and leaving targets get nothing; a reinstated one ramps up")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    fixture.add("a2", "a");
+    const std::vector<std::string> excluded{"a1"};
+    SelectRequest request = label();
+    request.excludedTargets = excluded;
+    CHECK(fixture.pickMany(request, Start) == std::map<std::string, int>{{"a2", 1000}});
+    fixture.selector.markLeaving("a2");
+    CHECK(fixture.pick(request, Start) == "[all-excluded]");
+    fixture.selector.reinstateTarget("a2", Start);
+    CHECK(fixture.pick(request, Start) == "a2");
+}
+
+// Guards against a burst on a target that has just started and is still cold.
+TEST_CASE("A new target takes a growing part of its slots")
+{
+    const auto [age, most] = GENERATE(table<Duration, size_t>({{0s, 1}, {5s, 8}, {10s, 16}}));
+    Fixture fixture;
+    fixture.add("new", "a", Start - age);
+    SelectRequest request = label();
+    request.model = "planner";
+    while (fixture.pick(request, Start) == "new")
+        fixture.selector.start("new", request, Start);
+    CHECK(fixture.selector.inFlight("new") == most);
+}
+
+// Guards against memory that fills up during decoding because only the present use was counted.
+TEST_CASE("Long expected outputs need headroom, more of it with a low stall-weight")
+{
+    const auto [weight, used, expected] = GENERATE(table<uint32_t, double, std::string>({
+            {0, 20000, "a1"},
+            {0, 38000, "[no-headroom]"},
+            {100, 38000, "a1"},
+            {100, 62000, "[no-headroom]"},
+    }));
+    Fixture fixture({.ownDomain = "a", .stallWeight = weight});
+    for (int i = 0; i < 30; ++i)
+        fixture.lengths.record("kiosk", "report", 8000);
+    fixture.add("a1", "a");
+    fixture.report("a1", 8, used, Start);
+    SelectRequest report;
+    report.account = "kiosk";
+    report.className = "report";
+    report.promptTokens = 2000;
+    CHECK(fixture.pick(report, Start) == expected);
+}
+
+// Guards against decisions on reports that describe a state long gone, or that arrive out of order.
+TEST_CASE("A stale load report loses its weight; old and repeated reports are dropped")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    fixture.report("a1", 16, 59000, Start);
+    CHECK(fixture.pick(label(), Start) == "[no-headroom]");
+    CHECK(fixture.pick(label(), Start + 10s) == "a1");
+
+    fixture.report("a1", 16, 59000, Start + 11s);
+    fixture.report("a1", 0, 0, Start + 2s);
+    CHECK(fixture.pick(label(), Start + 11s) == "[no-headroom]");
+    // A restarted engine counts from the beginning, with a clock of its own.
+    fixture.selector.applyReport("a1", {2, 5, 0, 0, 0, 60000, 0}, Start + 12s);
+    CHECK(fixture.pick(label(), Start + 12s) == "a1");
+}
+
+// Guards against peers' runs that stay counted after the peer has gone silent.
+TEST_CASE("Peer counts from gossip fill a target and expire")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    const std::vector<TargetUse> use{{"a1", 16, 10000, false}, {"gone", 3, 10, false}};
+    fixture.selector.applyPeerUse("entry-2", use, Start);
+    CHECK(fixture.pick(label(), Start + 1s) == "[no-headroom]");
+    CHECK(fixture.pick(label(), Start + 6s) == "a1");
+    fixture.selector.applyPeerUse("entry-2", use, Start + 7s);
+    fixture.selector.applyPeerUse("entry-2", {}, Start + 8s);
+    CHECK(fixture.pick(label(), Start + 8s) == "a1");
+}
+
+// Guards against an affinity that overloads the target with the cached prefix, and against trust in cache
+// events that are known to be incomplete.
+TEST_CASE("Prefix affinity follows cache events within the load bound")
+{
+    const std::vector<PrefixHash> prefix{11, 12, 13};
+    SelectRequest request = label();
+    request.prefixHashes = prefix;
+    Fixture fixture;
+    for (const char *id : {"a1", "a2", "a3", "a4"}) {
+        fixture.add(id, "a");
+        fixture.report(id, 4, 10000, Start);
+    }
+    const auto event = [&](uint64_t incarnation, uint64_t sequence, CacheEvent::Kind kind) {
+        fixture.selector.applyCacheEvent("a3", {incarnation, sequence, kind, prefix});
+    };
+    const auto share = [&] { return fixture.pickMany(request, Start)["a3"] / 1000.0; };
+    event(1, 1, CacheEvent::Kind::Stored);
+    CHECK(share() == 1.0);
+
+    SECTION("a busier target does not attract by its cache")
+    {
+        fixture.report("a3", 8, 20000, Start + 1ms);
+        CHECK(share() < 0.1);
+    }
+    SECTION("an eviction is believed")
+    {
+        event(1, 2, CacheEvent::Kind::Evicted);
+        CHECK(share() < 0.6);
+    }
+    SECTION("one gap halves the trust, a second ends it")
+    {
+        fixture.selector.applyCacheEvent("a3", {1, 5, CacheEvent::Kind::Stored, {99}});
+        CHECK(share() == 1.0);
+        fixture.selector.applyCacheEvent("a3", {1, 9, CacheEvent::Kind::Stored, {99}});
+        CHECK(share() < 0.6);
+    }
+    SECTION("an event from before a restart is void, and so is a repeated one")
+    {
+        fixture.selector.applyCacheEvent("a3", {2, 1, CacheEvent::Kind::Stored, {99}});
+        CHECK(share() < 0.6);
+        event(2, 1, CacheEvent::Kind::Stored);
+        CHECK(share() < 0.6);
+    }
+}
+
+// Guards against a suspect that takes other callers' requests down with it.
+TEST_CASE("A suspect runs alone, on a target that is kept free for it")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    fixture.add("b1", "b");
+    SelectRequest request = label();
+    request.model = "planner";
+    SelectRequest suspect = request;
+    suspect.runAlone = true;
+    const RunId busyA = fixture.selector.start("a1", request, Start);
+    fixture.selector.start("b1", request, Start);
+    CHECK(fixture.pick(suspect, Start) == "[no-idle-target]");
+    CHECK(fixture.pick(request, Start) == "b1");
+    fixture.selector.finish(busyA, RunOutcome::Completed, Start + 1s);
+    REQUIRE(fixture.pick(suspect, Start + 1s) == "a1");
+    const RunId alone = fixture.selector.start("a1", suspect, Start + 1s);
+    CHECK(fixture.selector.ownUse(Start + 1s).front().isReserved);
+    CHECK(fixture.pickMany(request, Start + 1s).count("a1") == 0);
+    fixture.selector.finish(alone, RunOutcome::Completed, Start + 2s);
+    CHECK(fixture.pick(request, Start + 2s) == "a1");
+
+    const std::vector<TargetUse> reserved{{"a1", 0, 0, true}};
+    fixture.selector.applyPeerUse("entry-2", reserved, Start + 3s);
+    CHECK(fixture.pick(request, Start + 3s) == "b1");
+}
+
+// Guards against a broken target that keeps taking requests, and against one that never comes back.
+TEST_CASE("An ejected target returns after one good probe")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    fixture.add("a2", "a");
+    SelectRequest request = label();
+    request.model = "planner";
+    for (int i = 0; i < 3; ++i)
+        fixture.selector.finish(fixture.selector.start("a1", request, Start), RunOutcome::Failed, Start);
+    CHECK(fixture.pickMany(request, Start).count("a1") == 0);
+
+    fixture.selector.markLeaving("a2");
+    CHECK(fixture.pick(request, Start + 500ms) == "[all-ejected]");
+    REQUIRE(fixture.pick(request, Start + 1s) == "a1");
+    const RunId probe = fixture.selector.start("a1", request, Start + 1s);
+    CHECK(fixture.pick(request, Start + 1s) == "[all-ejected]");
+    fixture.selector.progress(probe, 1, Start + 2s);
+    CHECK(fixture.pick(request, Start + 2s) == "a1");
+}
