--- a/src/libconsensus/filelogstorage.h
+++ b/src/libconsensus/filelogstorage.h
@@ -93,6 +93,7 @@
     uint64_t logLength = 0;
     uint64_t syncedLength = 0;
     uint64_t slotSequence = 0;
+    bool hasDamagedSlot = false;
 };
 
 /// Makes an empty folder the data folder of the only member of a new cluster.
--- a/src/libconsensus/messages.h
+++ b/src/libconsensus/messages.h
@@ -83,10 +83,9 @@
     Term term = 0;
 };
 
+/// Asks for admission as a learner at the envelope's fromAddress.
 struct JoinRequest
-{
-    std::string address;
-};
+{};
 
 enum class JoinStatus : uint8_t { Accepted = 1, NotLeader = 2, Busy = 3, ForeignCluster = 4 };
 
@@ -105,6 +104,7 @@
     ClusterId clusterId{};
     MemberId from = 0;
     MemberId to = 0;
+    std::string fromAddress;
     Message message;
 };
 
--- a/src/libconsensus/raftnode.h
+++ b/src/libconsensus/raftnode.h
@@ -81,6 +81,7 @@
     LogIndex commitIndex() const { return this->committed; }
     const RaftLog &log() const { return this->raftLog; }
     std::string leaderAddress() const { return this->addressOf(this->leader); }
+    MemberId leaderId() const { return this->leader; }
 
     /// Whether no other member can be elected before the lease ends, by this member's clock.
     bool hasLease(TimePoint now) const;
@@ -101,6 +102,7 @@
         std::optional<TimePoint> lastHeard;
         TimePoint lastSent{};
         bool isAwaitingReply = false;
+        LogIndex sentUpTo = 0;
         std::optional<SnapshotTransfer> transfer;
         // Catch-up round: the commit index when it began, and its start.
         LogIndex roundTarget = 0;
@@ -150,6 +152,8 @@
     void startElection(bool isTransfer);
     void becomeLeader();
     void becomeFollower(Term newTerm, MemberId newLeader);
+    void followLeader(Term leaderTerm, MemberId newLeader);
+    bool isStale(Term leaderTerm) const;
     void resetElectionDeadline();
     bool heardFromLeader() const;
     bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
@@ -221,6 +225,10 @@
     RaftRole state = RaftRole::Follower;
     MemberId leader = 0;
     LogIndex committed = 0;
+    /// Sender of the message in hand; its address may not be in the membership yet.
+    MemberId sender = 0;
+    std::string senderAddress;
+    std::string lastLeaderAddress;
     TimePoint heardAt{};
     TimePoint electionDeadline{};
     std::set<MemberId> votes;
