--- a/src/eelgrasslift/replicator.h
+++ b/src/eelgrasslift/replicator.h
@@ -69,7 +69,7 @@
     /// Restores the state from the snapshot and starts the timers. Call it once.
     void start();
 
-    /// Stops timers and sends, and answers open requests with ShutDown. Later calls have no effect.
+    /// Stops timers and messages, and answers open and later requests with ShutDown.
     void stop();
 
     /// The callback runs once, after the command is committed by a majority and applied here.
@@ -92,9 +92,12 @@
     /// For the state dump. hasLease tells whether this member leads at this moment.
     RaftStatus status() const;
 
-    /// Runs after each change of role, leader or membership.
+    /// Runs after each change of role, term, leader or membership.
     void onChange(std::function<void()> callback);
 
+    /// Runs when the members at the join addresses belong to another cluster than the data folder.
+    void onJoinRejected(std::function<void()> callback);
+
 private:
     class Implementation;
     explicit Replicator(std::shared_ptr<Implementation> implementation);
