serving: contract fault matrix of plain-service calls

Cause: at-most-once has to hold for every fault at every step, not only for the cases that were thought of. Change: a fleet of entries, network, plain service and callers in virtual time; 20 faults x 8 steps, single and in all pairs, and seeded random schedules.

--- a/tests/serving/servicefleet.h
+++ b/tests/serving/servicefleet.h
@@ -14,7 +14,16 @@
 namespace eelgrasslift {
 
 /// Steps of a call at which the fault matrix strikes.
-enum class Step { BeforeClaim, ClaimSent, PartlyGranted, Granted, SendStarted, AnswerReceived, Resolving, Resolved };
+enum class Step {
+    BeforeClaim,
+    ClaimSent,
+    PartlyGranted,
+    Granted,
+    SendStarted,
+    AnswerReceived,
+    Resolving,
+    Resolved
+};
 inline constexpr int StepCount = 8;
 
 enum class Fault {
@@ -44,8 +53,8 @@
 const char *name(Step step);
 const char *name(Fault fault);
 
-/// Entries, their network, one plain service and its callers in virtual time. The service counts runs per key;
-/// callers remember what they were told and retry through other entries.
+/// Entries, their network, one plain service and its callers in virtual time. The service counts runs per
+/// key; callers remember what they were told and retry through other entries.
 class ServiceFleet
 {
 public:
@@ -61,8 +70,8 @@
 
     explicit ServiceFleet(Options options);
 
-    /// Arms a fault that strikes once, the first time that a call reaches the step. A fault armed after another
-    /// waits for it.
+    /// Arms a fault that strikes once, the first time that a call reaches the step. A fault armed after
+    /// another waits for it.
     void arm(Fault fault, Step step, bool isAfterPrevious);
     void strike(Fault fault, size_t entry);
     void submit(int key, size_t entry, int triesLeft);
@@ -82,9 +91,10 @@
         int key = 0;
         int request = 0;
         int triesLeft = 0;
-        std::string answer;
         std::unique_ptr<ServiceCall> state;
         bool isReplied = false;
+        bool isCallerGone = false;
+        TimePoint tickAt;
     };
     struct Process
     {
@@ -130,8 +140,11 @@
     Instant instant(const Process &process) const;
     SlotId slotName(size_t slot) const;
     void startProcess(size_t slot);
-    void recover(const ProcessPtr &process);
-    void deliver(const ProcessPtr &process, std::function<void()> callback);
+    void replaceProcess(size_t slot, Duration delay);
+    void recover(const ProcessPtr &process, int rounds);
+    void whenAwake(const ProcessPtr &process, std::function<void()> callback);
+    void kill(size_t slot);
+    void cut(size_t entry, bool isOut, bool isIn);
     void transmit(size_t from, size_t to, bool isReply, std::function<void()> callback);
     void reach(Step step, size_t entry);
     void execute(const ProcessPtr &process, int request, const std::vector<ServiceAction> &actions);
@@ -141,7 +154,9 @@
     void feed(const ProcessPtr &process, int request, const ServiceCallEvent &event);
     void scheduleTick(const ProcessPtr &process, int request);
     void told(const ProcessPtr &process, Call &call, const ReplyToCaller &reply);
-    void retry(int key, size_t entry, int triesLeft);
+    void retryLater(Duration delay, int key, size_t entry, int triesLeft);
+    void perform(const ProcessPtr &process, int request, const ServiceAction &action);
+    std::shared_ptr<const AcceptedRules> rulesOf(size_t slot) const;
 
     Options options;
     Random generator;
@@ -167,8 +182,6 @@
     int nextRequest = 0;
     std::vector<Told> tolds;
     std::vector<Run> runs;
-    /// Requests whose caller lost its connection: it was told nothing.
-    std::set<int> submitted;
 };
 
 } // namespace eelgrasslift
