--- a/src/librouting/targetselector.h
+++ b/src/librouting/targetselector.h
@@ -71,6 +71,9 @@
     /// A failed probe or connection attempt without a run.
     void recordFailure(std::string_view id, TimePoint now) { this->outliers.recordFailure(id, now); }
 
+    /// A stream from the target made no progress within its stall limit, though the run goes on.
+    void recordStall(std::string_view id, TimePoint now) { this->outliers.recordStall(id, now); }
+
     size_t targetCount() const { return this->targetsById.size(); }
     size_t inFlight(std::string_view id) const;
     const OutlierDetector &outlierDetector() const { return this->outliers; }
