--- a/bench/commands.cpp
+++ b/bench/commands.cpp
@@ -113,7 +113,7 @@
     std::vector<Job> jobs;
     for (const Mix &mix : {plovdivMix(), steinerMix()}) {
         for (const double load : options.loads) {
-            for (const uint32_t weight : {0U, 25U, 50U, 75U, 100U}) {
+            for (const uint32_t weight : options.weights) {
                 for (uint32_t i = 0; i < options.seeds; ++i) {
                     RunSettings settings;
                     settings.stallWeight = weight;
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -16,6 +16,8 @@
     std::vector<double> loads{0.6, 0.9, 1.1};
     bool withFaults = true;
     uint32_t stallWeight = 50;
+    /// Of tradeoff.
+    std::vector<uint32_t> weights{0, 25, 50, 75, 100};
     std::string only;
     std::string csvFile;
 };
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -23,6 +23,7 @@
     compareCommand->add_option("--only", options.only, "Only scenarios whose name contains this text");
     CLI::App *tradeoffCommand = app.add_subcommand("tradeoff", "Effect of stall-weight");
     addRunOptions(tradeoffCommand);
+    tradeoffCommand->add_option("--weights", options.weights, "Values of stall-weight");
     CLI::App *slopesCommand = app.add_subcommand("slopes", "Cost per decision and bytes per object by size");
     slopesCommand->add_option("--seed", options.seed, "Seed");
     CLI11_PARSE(app, argc, argv);
