Count gossiped memory of peers when a report shows less

Cause: a preempted request holds no memory in the engine's report, so the entries saw room where a request waited to come back, and sent more. Change: memory of others is the larger of the gossiped and the report's value.

--- a/src/librouting/targetload.cpp
+++ b/src/librouting/targetload.cpp
@@ -144,7 +144,8 @@
         gossiped += now - peer.heardAt < PeerUseLifetime ? peer.memory : 0;
     if (!this->receivedAt)
         return gossiped;
-    return gossiped + faded(this->otherMemoryAtReport - gossiped, now - this->reportTime);
+    const double blended = gossiped + faded(this->otherMemoryAtReport - gossiped, now - this->reportTime);
+    return std::max(gossiped, blended);
 }
 
 bool TargetLoad::isReservedByPeer(TimePoint now) const
