--- a/src/libcontrol/control.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libcontrol/control.h"
