Add stand-ins for engine, plain service, weight store and VM list

Each is a small executable on Boost.Beast with one io_context thread, so that its state needs no locks and tokens stream as they are produced.

--- /dev/null
+++ b/standins/enginefaults.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libcore/core.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace eelgrasslift::standins {
+
+/// What `POST /standin/fault` asked an engine for. Each request sets one fault:
+/// {"fault":"stall","ms":n}          open streams send nothing for n ms; later connections are not affected
+/// {"fault":"stall-all","ms":n}      no stream sends anything for n ms
+/// {"fault":"pause","ms":n}          the batch produces nothing for n ms
+/// {"fault":"close"}                 open streams are closed without their end
+/// {"fault":"close-at","index":n}    the next stream that reaches the index is closed before sending it
+/// {"fault":"delay","ms":n,"count":k}  the next k completions are answered n ms late
+/// {"fault":"foreign","count":k}     before the next k tokens, a token of another generation is sent
+/// {"fault":"duplicate","count":k}   the next k tokens are sent twice
+/// {"fault":"skip","count":k}        the next k tokens are left out, so that the index jumps
+/// {"fault":"refuse","count":k}      the next k completions are refused as by a draining engine
+/// {"fault":"none"}                  ends all faults
+struct EngineFaults
+{
+    TimePoint stallUntil{};
+    uint64_t stallBelowSerial = 0; // streams opened before this serial number are stalled
+    TimePoint stallAllUntil{};
+    TimePoint pauseUntil{};
+    std::optional<uint64_t> closeAtIndex;
+    Duration delay{0};
+    uint64_t delayCount = 0;
+    uint64_t foreignCount = 0;
+    uint64_t duplicateCount = 0;
+    uint64_t skipCount = 0;
+    uint64_t refuseCount = 0;
+
+    /// Sets the fault of a request; false if it is not known. The serial number is that of the next stream.
+    bool set(const nlohmann::json &request, TimePoint now, uint64_t nextStreamSerial);
+};
+
+} // namespace eelgrasslift::standins
--- /dev/null
+++ b/standins/serviceserver.cpp
@@ -0,0 +1,152 @@
+#include "serviceserver.h"
+
+namespace eelgrasslift::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds DrainFlush{50}; // time for the last answer to leave the process
+
+HttpReply refusal(bool isLeaving)
+{
+    HttpHeaders headers{{"X-Not-Run", "1"}, {"Retry-After", "1"}};
+    if (isLeaving)
+        headers.emplace_back("X-Leaving", "1");
+    return jsonReply(503, {{"error", "refused before running"}}, std::move(headers));
+}
+
+nlohmann::json shelves()
+{
+    return {{"shelves", {{"optika-centre", 12}, {"apteka-maritsa", 7}, {"kiosk-kapana", 3}}}};
+}
+
+nlohmann::json freeLanes()
+{
+    return {{"free", {{"2026-12-05", {1, 2, 4}}, {"2026-12-06", {3}}}}};
+}
+
+} // namespace
+
+ServiceServer::ServiceServer(boost::asio::io_context &context, ServiceSettings serviceSettings)
+    : context(context)
+    , settings(std::move(serviceSettings))
+    , journal(this->settings.journal)
+    , server(context, parseEndpoint(this->settings.listen),
+             withErrorReplies([this](const SessionPtr &session) { this->handle(session); }))
+{}
+
+void ServiceServer::handle(const SessionPtr &session)
+{
+    const HttpTarget target = parseTarget(std::string(session->request().target()));
+    if (target.path == "/standin/fault")
+        return this->setFault(session);
+    if (target.path == "/standin/runs")
+        return session->respond(jsonReply(200, this->counts()));
+    if (target.path == "/healthz")
+        return session->respond(jsonReply(this->isDraining ? 503 : 200, {{"leaving", this->isDraining}}));
+    this->handleWork(session, target);
+}
+
+void ServiceServer::handleWork(const SessionPtr &session, const HttpTarget &target)
+{
+    if (this->isDraining)
+        return session->respond(refusal(true));
+    if (this->takeFault("refuse"))
+        return session->respond(refusal(false));
+    if (this->takeFault("close"))
+        return session->abort();
+    const bool closes = this->takeFault("run-then-close");
+    const bool fails = this->takeFault("fail");
+    const bool delays = this->takeFault("delay");
+    HttpReply reply = this->run(session->request(), target);
+    if (closes)
+        return session->abort();
+    if (fails)
+        reply = jsonReply(500, {{"error", "failed after running"}});
+    this->finishLater(session, delays ? this->faultDelay : this->settings.workTime, std::move(reply));
+}
+
+HttpReply ServiceServer::run(const HttpRequest &request, const HttpTarget &target)
+{
+    const std::string method(request.method_string());
+    if (method == "GET" && target.path == "/shelves")
+        return jsonReply(200, shelves());
+    if (method == "GET" && target.path == "/free")
+        return jsonReply(200, freeLanes());
+    const bool isReservation = target.path == "/reservations";
+    if (method != "POST" || (!isReservation && target.path != "/confirmations"))
+        return jsonReply(404, {{"error", "no such path: " + target.path}});
+
+    const std::string requestId = headerValue(request, "X-Request-Id");
+    const std::string key = headerValue(request, "Idempotency-Key");
+    ++this->runCount;
+    ++this->runsPerBody[request.body()];
+    if (!requestId.empty())
+        ++this->runsPerRequestId[requestId];
+    if (!key.empty())
+        ++this->runsPerKey[key];
+    this->journal.write({{"event", "run"},
+                         {"path", target.path},
+                         {"request_id", requestId},
+                         {"key", key},
+                         {"body", request.body()}});
+    ++this->reservationCount;
+    return jsonReply(201, {{isReservation ? "reservation" : "confirmation", this->reservationCount},
+                           {"request_id", requestId}});
+}
+
+void ServiceServer::finishLater(const SessionPtr &session, milliseconds delay, HttpReply reply)
+{
+    ++this->inFlight;
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay);
+    timer->async_wait([this, session, timer, reply = std::move(reply)](boost::system::error_code) {
+        session->respond(reply);
+        --this->inFlight;
+        this->stopIfDrained();
+    });
+}
+
+void ServiceServer::setFault(const SessionPtr &session)
+{
+    const auto body = jsonBody(session->request());
+    if (!body)
+        return session->respond(jsonReply(400, {{"error", "the body must be a JSON object"}}));
+    this->faultName = body->value("fault", std::string{});
+    this->faultCount = this->faultName == "none" ? 0 : body->value("count", uint64_t{1});
+    this->faultDelay = milliseconds{body->value("ms", int64_t{0})};
+    session->respond(jsonReply(200, {{"done", true}}));
+}
+
+bool ServiceServer::takeFault(const std::string &name)
+{
+    if (this->faultName != name || this->faultCount == 0)
+        return false;
+    --this->faultCount;
+    return true;
+}
+
+void ServiceServer::drain()
+{
+    this->isDraining = true;
+    this->journal.write({{"event", "drain"}});
+    this->stopIfDrained();
+}
+
+void ServiceServer::stopIfDrained()
+{
+    if (!this->isDraining || this->inFlight > 0)
+        return;
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, DrainFlush);
+    timer->async_wait([this, timer](boost::system::error_code) { this->context.stop(); });
+}
+
+nlohmann::json ServiceServer::counts() const
+{
+    return {{"runs", this->runCount},
+            {"per_request_id", this->runsPerRequestId},
+            {"per_body", this->runsPerBody},
+            {"per_key", this->runsPerKey}};
+}
+
+} // namespace eelgrasslift::standins
--- /dev/null
+++ b/standins/standin-engine.cpp
@@ -0,0 +1,60 @@
+// Stand-in for a model engine with continuous batching.
+
+#include "engineserver.h"
+
+#include <CLI/CLI.hpp>
+
+#include <sys/resource.h>
+
+using namespace eelgrasslift;
+using namespace eelgrasslift::standins;
+
+namespace {
+
+void addDuration(CLI::App &app, const std::string &name, Duration &duration, const std::string &help)
+{
+    app.add_option_function<double>(
+               name, [&duration](double ms) { duration = fromSeconds(ms / 1000); }, help)
+            ->check(CLI::NonNegativeNumber);
+}
+
+void addOptions(CLI::App &app, EngineServerSettings &settings)
+{
+    BatchSettings &batch = settings.batch;
+    app.add_option("--listen", settings.listen, "address, with port 0 for any free port");
+    app.add_option("--journal", settings.journal, "file to which each run is appended");
+    app.add_option("--model", settings.model, "loaded model; without it, every model is served");
+    app.add_option("--model-version", settings.version, "version of the loaded model");
+    app.add_option("--slots", batch.slots, "requests in the batch at most");
+    app.add_option("--memory", batch.memory, "tokens in the batch at most");
+    app.add_option("--cache-memory", batch.cacheMemory, "tokens of cached prefixes at most");
+    app.add_option("--crash-marker", settings.crashMarker, "text in a prompt that aborts the process");
+    app.add_option("--check-fence", settings.checksFence, "whether orders with a stale fence are refused");
+    app.add_option("--cache-gap", settings.cacheGap, "every n-th cache event is lost; 0: none");
+    addDuration(app, "--token-ms", batch.tokenInterval, "time between tokens");
+    addDuration(app, "--prefill-ms", batch.prefillPerToken, "time per uncached prompt token");
+    addDuration(app, "--keep-ms", batch.keep, "how long an ended generation can be read");
+    addDuration(app, "--load-ms", settings.loadTime, "time to load a model");
+    addDuration(app, "--report-ms", settings.reportInterval, "time between load reports");
+    addDuration(app, "--report-lag-ms", settings.reportLag, "age of published reports and cache events");
+    addDuration(app, "--linger-ms", settings.drainLinger, "wait for callers of unread answers in a drain");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-in for a model engine");
+    EngineServerSettings settings;
+    addOptions(app, settings);
+    CLI11_PARSE(app, argc, argv);
+    const rlimit noCoreFile{0, 0}; // the crash marker aborts on purpose
+    setrlimit(RLIMIT_CORE, &noCoreFile);
+
+    boost::asio::io_context context;
+    EngineServer server(context, settings);
+    TermSignal term(context, [&] { server.drain(); });
+    printListening(server.localEndpoint());
+    context.run();
+    return 0;
+}
