--- a/src/eelgrasslift/asyncbridge.h
+++ b/src/eelgrasslift/asyncbridge.h
@@ -18,9 +18,10 @@
 
 namespace eelgrasslift {
 
-/// Suspends the coroutine until the function that start receives is called, from any thread, once.
+namespace detail {
+
 template <typename Value, typename Start>
-boost::asio::awaitable<Value> awaitCallback(Start start)
+boost::asio::awaitable<Value> awaitStart(Start start)
 {
     auto initiate = [start = std::move(start)](auto handler) mutable {
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
@@ -34,14 +35,28 @@
             std::move(initiate), boost::asio::use_awaitable);
 }
 
+} // namespace detail
+
+// The functions below take a named function object, never a temporary: g++ 12 destroys the captures of a
+// closure twice that is created inside a co_await expression.
+
+/// Suspends the coroutine until the function that start receives is called, from any thread, once.
+template <typename Value, typename Start>
+boost::asio::awaitable<Value> awaitCallback(Start &start)
+{
+    return detail::awaitStart<Value, std::remove_const_t<Start>>(start);
+}
+
 /// Runs function on the control thread and resumes the coroutine on its own executor with the result.
 template <typename Function>
-auto onControl(ControlThread &control, Function function) -> boost::asio::awaitable<decltype(function())>
+auto onControl(ControlThread &control, Function &function)
+        -> boost::asio::awaitable<std::decay_t<decltype(function())>>
 {
-    using Value = decltype(function());
-    return awaitCallback<Value>([&control, function = std::move(function)](std::function<void(Value)> done) mutable {
-        control.post([function = std::move(function), done = std::move(done)]() mutable { done(function()); });
-    });
+    using Value = std::decay_t<decltype(function())>;
+    const auto start = [&control, job = function](std::function<void(Value)> done) {
+        control.post([job, done = std::move(done)]() mutable { done(job()); });
+    };
+    return awaitCallback<Value>(start);
 }
 
 /// Queue between coroutines on one strand.
@@ -49,7 +64,8 @@
 class EventQueue
 {
 public:
-    explicit EventQueue(boost::asio::any_io_executor executor) : timer(std::move(executor))
+    explicit EventQueue(boost::asio::any_io_executor executor)
+        : timer(std::move(executor))
     {
         this->timer.expires_at(std::chrono::steady_clock::time_point::max());
     }
@@ -69,8 +85,7 @@
             this->timer.expires_at(until ? std::chrono::steady_clock::time_point(until->time_since_epoch())
                                          : std::chrono::steady_clock::time_point::max());
             boost::system::error_code error;
-            co_await this->timer.async_wait(
-                    boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            co_await this->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
         }
         Event event = std::move(this->events.front());
         this->events.pop_front();
--- a/src/eelgrasslift/callerconnection.cpp
+++ b/src/eelgrasslift/callerconnection.cpp
@@ -36,14 +36,15 @@
         return invalidRequest(413, "body-too-large", "the body is larger than 1 MiB");
     if (error == beast::error::timeout)
         return invalidRequest(408, "request-timeout", "the " + std::string(part) + " did not arrive in time");
-    if (error.category() == make_error_code(http::error::bad_method).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message)
+    if (error.category() == make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream && error != http::error::partial_message)
         return invalidRequest(400, "malformed-http", "not a valid HTTP request: " + error.message());
     return ConnectionEnd::Closed;
 }
 
 template <typename Message>
-void setFields(Message &message, std::string_view contentType, const std::vector<HeaderField> &fields, bool keepAlive)
+void setFields(Message &message, std::string_view contentType, const std::vector<HeaderField> &fields,
+               bool keepAlive)
 {
     message.set(http::field::content_type, {contentType.data(), contentType.size()});
     message.set(http::field::cache_control, "no-store");
@@ -54,7 +55,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+    : stream(std::move(socket))
+{}
 
 asio::awaitable<bool> CallerConnection::waitForFirstByte()
 {
@@ -86,15 +89,17 @@
         http::response<http::empty_body> proceed(http::status::continue_, parser.get().version());
         co_await http::async_write(this->stream, proceed, asio::redirect_error(asio::use_awaitable, error));
     }
-    co_await http::async_read(this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read(this->stream, this->buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return toReadError(error, "body");
     this->stream.expires_never();
     co_return parser.release();
 }
 
-asio::awaitable<bool> CallerConnection::sendAnswer(unsigned status, std::string_view contentType, std::string body,
-                                                   std::vector<HeaderField> fields, bool keepAlive)
+asio::awaitable<bool> CallerConnection::sendAnswer(unsigned status, std::string_view contentType,
+                                                   std::string body, std::vector<HeaderField> fields,
+                                                   bool keepAlive)
 {
     http::response<http::string_body> answer;
     answer.version(11);
@@ -109,8 +114,8 @@
     co_return !error;
 }
 
-asio::awaitable<bool> CallerConnection::startStream(std::string_view contentType, std::vector<HeaderField> fields,
-                                                    bool keepAlive)
+asio::awaitable<bool> CallerConnection::startStream(std::string_view contentType,
+                                                    std::vector<HeaderField> fields, bool keepAlive)
 {
     http::response<http::empty_body> header;
     header.version(11);
@@ -120,7 +125,8 @@
     http::response_serializer<http::empty_body> serializer(header);
     boost::system::error_code error;
     this->stream.expires_after(WriteTimeout);
-    co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_write_header(this->stream, serializer,
+                                      asio::redirect_error(asio::use_awaitable, error));
     this->stream.expires_never();
     co_return !error;
 }
--- a/src/eelgrasslift/callerconnection.h
+++ b/src/eelgrasslift/callerconnection.h
@@ -53,8 +53,8 @@
     boost::asio::awaitable<bool> sendChunk(std::string_view bytes);
     boost::asio::awaitable<bool> endStream();
 
-    /// Waits until the caller closes its connection, or until cancelWatch(). Data that arrives is kept for the next
-    /// request.
+    /// Waits until the caller closes its connection, or until cancelWatch(). Data that arrives is kept for
+    /// the next request.
     boost::asio::awaitable<bool> watchForClose();
     void cancelWatch();
 
--- a/src/eelgrasslift/callerserver.cpp
+++ b/src/eelgrasslift/callerserver.cpp
@@ -32,12 +32,21 @@
 
 CallerError draining()
 {
-    return {503, "overload", "draining", "this entry is shutting down", Outcome::NotRun, std::chrono::seconds{1}};
+    return {503,
+            "overload",
+            "draining",
+            "this entry is shutting down",
+            Outcome::NotRun,
+            std::chrono::seconds{1}};
 }
 
 CallerError noRules()
 {
-    return {503, "overload", "no-rules", "this entry has no accepted rules yet", Outcome::NotRun,
+    return {503,
+            "overload",
+            "no-rules",
+            "this entry has no accepted rules yet",
+            Outcome::NotRun,
             std::chrono::seconds{1}};
 }
 
@@ -48,7 +57,8 @@
 
 CallerError unknownPath(std::string_view path)
 {
-    return {404, "invalid-request", "unknown-path", "no such path: " + std::string(path), Outcome::NotRun, {}};
+    return {404, "invalid-request", "unknown-path", "no such path: " + std::string(path), Outcome::NotRun,
+            {}};
 }
 
 } // namespace
@@ -59,8 +69,9 @@
     std::vector<HeaderField> fields{{"Eelgrasslift-Outcome", std::string(toString(error.outcome))},
                                     {"Eelgrasslift-Request-Id", requestId}};
     if (error.retryAfter)
-        fields.emplace_back("Retry-After", std::to_string(std::max<int64_t>(
-                                                   1, std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count())));
+        fields.emplace_back("Retry-After",
+                            std::to_string(std::max<int64_t>(
+                                    1, std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count())));
     if (error.status == 401)
         fields.emplace_back("WWW-Authenticate", "Bearer");
     co_return co_await connection.sendAnswer(error.status, "application/json", toJson(error) + "\n",
@@ -155,9 +166,8 @@
     EntryState &state = this->context.state;
     // A connection that stays open would keep its caller on an entry that shuts down.
     const bool keepAlive = request.keep_alive() && state.isHealthy();
-    const std::string requestId = co_await onControl(this->context.control, [&state] {
-        return makeUuidV7(wallNow(), state.randomGenerator());
-    });
+    const auto makeRequestId = [&state] { return makeUuidV7(wallNow(), state.randomGenerator()); };
+    const std::string requestId = co_await onControl(this->context.control, makeRequestId);
     if (!state.acceptsRequests())
         co_return co_await this->refuse(connection, draining(), requestId, false);
     const RulesSnapshot rules = state.rules();
--- a/src/eelgrasslift/completionrequest.cpp
+++ b/src/eelgrasslift/completionrequest.cpp
@@ -13,7 +13,8 @@
     return CallerError{status, "invalid-request", std::move(code), std::move(message), Outcome::NotRun, {}};
 }
 
-std::vector<std::string> classesFor(const RuleSet &rules, const AccountRule &account, const std::string &model)
+std::vector<std::string> classesFor(const RuleSet &rules, const AccountRule &account,
+                                    const std::string &model)
 {
     std::vector<std::string> names;
     for (const std::string &name : account.classes) {
@@ -42,9 +43,11 @@
     if (wanted == document.end()) {
         if (names.size() == 1)
             return names.front();
-        return invalid(400, "class-required", "name one of the classes " + join(names) + " in the field class");
+        return invalid(400, "class-required",
+                       "name one of the classes " + join(names) + " in the field class");
     }
-    if (!wanted->is_string() || std::find(names.begin(), names.end(), wanted->get<std::string>()) == names.end())
+    if (!wanted->is_string() ||
+        std::find(names.begin(), names.end(), wanted->get<std::string>()) == names.end())
         return invalid(400, "unknown-class", "the field class must be one of " + join(names));
     return wanted->get<std::string>();
 }
@@ -78,11 +81,12 @@
     request.maxTokens = modelRule->second.maxTokens;
     const auto maxTokens = document.find("max_tokens");
     if (maxTokens != document.end()) {
-        const bool isValid = maxTokens->is_number_unsigned() && maxTokens->get<uint64_t>() >= 1
-                && maxTokens->get<uint64_t>() <= modelRule->second.maxTokens;
+        const bool isValid = maxTokens->is_number_unsigned() && maxTokens->get<uint64_t>() >= 1 &&
+                             maxTokens->get<uint64_t>() <= modelRule->second.maxTokens;
         if (!isValid)
             return invalid(400, "bad-max-tokens",
-                           "max_tokens must be a whole number in 1.." + std::to_string(modelRule->second.maxTokens));
+                           "max_tokens must be a whole number in 1.." +
+                                   std::to_string(modelRule->second.maxTokens));
         request.maxTokens = maxTokens->get<uint32_t>();
     }
     const auto stream = document.find("stream");
--- a/src/eelgrasslift/completionsession.cpp
+++ b/src/eelgrasslift/completionsession.cpp
@@ -36,10 +36,18 @@
 CallerError resumeError(ResumeTokenError error)
 {
     if (error == ResumeTokenError::OtherAccount)
-        return {403, "invalid-request", "resume-token-of-other-account",
-                "the Last-Event-ID belongs to another account", Outcome::NotRun, {}};
-    return {400, "invalid-request", "bad-resume-token", "the Last-Event-ID is not a resume token of this system",
-            Outcome::NotRun, {}};
+        return {403,
+                "invalid-request",
+                "resume-token-of-other-account",
+                "the Last-Event-ID belongs to another account",
+                Outcome::NotRun,
+                {}};
+    return {400,
+            "invalid-request",
+            "bad-resume-token",
+            "the Last-Event-ID is not a resume token of this system",
+            Outcome::NotRun,
+            {}};
 }
 
 std::string_view toText(IncompleteCause cause)
@@ -84,8 +92,8 @@
     const auto position = this->call.request.find("Last-Event-ID");
     if (position == this->call.request.end())
         return prepared;
-    auto token = ResumeToken::decode({position->value().data(), position->value().size()}, this->call.account.name,
-                                     this->context.state.entrySettings().resumeKey);
+    auto token = ResumeToken::decode({position->value().data(), position->value().size()},
+                                     this->call.account.name, this->context.state.entrySettings().resumeKey);
     if (const auto *error = std::get_if<ResumeTokenError>(&token))
         return resumeError(*error);
     prepared.resume = std::get<ResumeToken>(std::move(token));
@@ -98,19 +106,24 @@
     const auto prepared = this->prepare();
     if (const auto *error = std::get_if<CallerError>(&prepared)) {
         this->context.metrics.countRequest("completion", "not-run", error->code);
-        co_return co_await sendError(this->call.connection, *error, this->call.requestId, this->call.keepAlive)
-                && this->call.keepAlive;
+        co_return co_await sendError(this->call.connection, *error, this->call.requestId,
+                                     this->call.keepAlive) &&
+                this->call.keepAlive;
     }
     const std::string account = this->call.account.name;
-    const auto admitted = co_await onControl(this->context.control, [&state = this->context.state, account] {
-        return state.admit(account);
-    });
+    const auto admit = [&state = this->context.state, account] { return state.admit(account); };
+    const auto admitted = co_await onControl(this->context.control, admit);
     if (const auto *refused = std::get_if<LimitRefused>(&admitted)) {
         this->context.metrics.countRequest("completion", "not-run", "limit");
-        const CallerError error{429, "limit", "account-" + std::string(toString(refused->reason)),
-                                "the account's limit is reached", Outcome::NotRun, refused->retryAfter};
-        co_return co_await sendError(this->call.connection, error, this->call.requestId, this->call.keepAlive)
-                && this->call.keepAlive;
+        const CallerError error{429,
+                                "limit",
+                                "account-" + std::string(toString(refused->reason)),
+                                "the account's limit is reached",
+                                Outcome::NotRun,
+                                refused->retryAfter};
+        co_return co_await sendError(this->call.connection, error, this->call.requestId,
+                                     this->call.keepAlive) &&
+                this->call.keepAlive;
     }
     const bool keepAlive = co_await this->serve(std::get<Prepared>(prepared));
     this->context.control.post([&state = this->context.state, account] { state.release(account); });
@@ -120,7 +133,8 @@
 asio::awaitable<bool> CompletionSession::serve(const Prepared &prepared)
 {
     this->request = prepared.request;
-    this->fingerprint = requestFingerprint(this->call.account.name, this->request.model, this->call.request.body());
+    this->fingerprint =
+            requestFingerprint(this->call.account.name, this->request.model, this->call.request.body());
     const ClassRule &rule = this->call.rules->rules.classes.find(this->request.className)->second;
     StreamSettings settings;
     settings.delivery = this->request.isStreamed ? rule.delivery : Delivery::Whole;
@@ -131,9 +145,8 @@
                                                       prepared.resume->nextIndex});
     else
         this->stream.emplace(settings);
-    this->context.control.post([&state = this->context.state, group = this->request.model] {
-        state.recordFirstAttempt(group);
-    });
+    this->context.control.post(
+            [&state = this->context.state, group = this->request.model] { state.recordFirstAttempt(group); });
 
     const auto self = this->shared_from_this();
     this->isWatching = true;
@@ -158,11 +171,11 @@
             this->handle(*event);
             continue;
         }
-        const bool mayRetry = (co_await onControl(this->context.control, [&state = this->context.state,
-                                                                         group = this->request.model] {
-                                  return state.requestRetry(group, 1, true, TimePoint::max());
-                              })).isGranted;
-        this->feed(StallCheck{mayRetry});
+        const auto requestRetry = [&state = this->context.state, group = this->request.model] {
+            return state.requestRetry(group, 1, true, TimePoint::max());
+        };
+        const RetryPermit permit = co_await onControl(this->context.control, requestRetry);
+        this->feed(StallCheck{permit.isGranted});
     }
 }
 
@@ -226,17 +239,18 @@
     this->context.control.post([self, connection, placement = std::move(placement)]() mutable {
         EntryState &state = self->context.state;
         const auto done = [self, connection, &state](PlacementResult result) {
-            asio::post(self->call.connection.executor(), [self, connection, &state, result = std::move(result)] {
-                const auto *placed = std::get_if<Placed>(&result);
-                if (placed != nullptr && (self->finish || self->stream->isFinished())) {
-                    // The caller went away while the request was placed.
-                    self->context.control.post([&state, run = placed->run] {
-                        state.placement().finishRun(run, RunOutcome::Cancelled, 0, currentInstant());
+            asio::post(
+                    self->call.connection.executor(), [self, connection, &state, result = std::move(result)] {
+                        const auto *placed = std::get_if<Placed>(&result);
+                        if (placed != nullptr && (self->finish || self->stream->isFinished())) {
+                            // The caller went away while the request was placed.
+                            self->context.control.post([&state, run = placed->run] {
+                                state.placement().finishRun(run, RunOutcome::Cancelled, 0, currentInstant());
+                            });
+                            return;
+                        }
+                        self->events.push(PlacementArrived{connection, result});
                     });
-                    return;
-                }
-                self->events.push(PlacementArrived{connection, result});
-            });
         };
         const uint64_t waiting = state.placement().place(std::move(placement), currentInstant(), done);
         asio::post(self->call.connection.executor(), [self, waiting] { self->ticket = waiting; });
@@ -272,7 +286,8 @@
                   });
 }
 
-void CompletionSession::engineReported(uint32_t connection, const std::string &target, const EngineReport &report)
+void CompletionSession::engineReported(uint32_t connection, const std::string &target,
+                                       const EngineReport &report)
 {
     match(
             report,
@@ -287,11 +302,11 @@
 
 asio::awaitable<bool> CompletionSession::waitForRetry()
 {
-    const RetryPermit permit = co_await onControl(
-            this->context.control,
-            [&state = this->context.state, group = this->request.model, attempt = this->attempts] {
-                return state.requestRetry(group, std::max(attempt, 1U), true, TimePoint::max());
-            });
+    const auto requestRetry = [&state = this->context.state, group = this->request.model,
+                               attempt = std::max(this->attempts, 1U)] {
+        return state.requestRetry(group, attempt, true, TimePoint::max());
+    };
+    const RetryPermit permit = co_await onControl(this->context.control, requestRetry);
     if (permit.isGranted && permit.delay > Duration{0}) {
         asio::steady_timer timer(this->call.connection.executor(),
                                  std::chrono::ceil<std::chrono::milliseconds>(permit.delay));
@@ -335,7 +350,8 @@
 }
 
 /// Tells a dead target, whose generations are gone, from a broken link, behind which they go on.
-asio::awaitable<StreamEvent> CompletionSession::classifyLoss(uint32_t connection, std::string target, bool mayRetry)
+asio::awaitable<StreamEvent> CompletionSession::classifyLoss(uint32_t connection, std::string target,
+                                                             bool mayRetry)
 {
     const ProbeResult probe = co_await probeTarget(this->endpoints[target]);
     if (probe != ProbeResult::Refused)
@@ -358,13 +374,13 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
     if (!this->endpoints.contains(action.target)) {
-        this->endpoints[action.target] = co_await onControl(
-                this->context.control, [&state = this->context.state, target = action.target] {
-                    const auto entry = state.directory().targets().find(target);
-                    if (entry == state.directory().targets().end())
-                        return Endpoint{};
-                    return parseEndpoint(entry->second.vm.address).value_or(Endpoint{});
-                });
+        const auto findEndpoint = [&state = this->context.state, target = action.target] {
+            const auto entry = state.directory().targets().find(target);
+            if (entry == state.directory().targets().end())
+                return Endpoint{};
+            return parseEndpoint(entry->second.vm.address).value_or(Endpoint{});
+        };
+        this->endpoints[action.target] = co_await onControl(this->context.control, findEndpoint);
     }
     const Endpoint endpoint = this->endpoints[action.target];
     if (endpoint.port == 0) {
@@ -443,8 +459,8 @@
     const nlohmann::ordered_json data{{"id", action.generation},
                                       {"index", action.index},
                                       {"choices", nlohmann::ordered_json::array({choice})}};
-    this->outbox += "id: " + token.encode(this->context.state.entrySettings().resumeKey)
-            + "\ndata: " + toJsonText(data) + "\n\n";
+    this->outbox += "id: " + token.encode(this->context.state.entrySettings().resumeKey) +
+                    "\ndata: " + toJsonText(data) + "\n\n";
     ++this->outboxTokens;
     this->startWrite();
 }
@@ -453,8 +469,8 @@
 {
     this->finishRun(RunOutcome::Completed);
     if (this->request.isStreamed)
-        this->outbox += "event: complete\ndata: {\"tokens\":" + std::to_string(action.tokens)
-                + "}\n\ndata: [DONE]\n\n";
+        this->outbox += "event: complete\ndata: {\"tokens\":" + std::to_string(action.tokens) +
+                        "}\n\ndata: [DONE]\n\n";
     this->finish = action;
 }
 
@@ -487,19 +503,34 @@
 {
     if (this->finish && std::holds_alternative<FinishIncomplete>(*this->finish)) {
         const auto &incomplete = std::get<FinishIncomplete>(*this->finish);
-        return {502, "outcome", std::string(toText(incomplete.cause)),
-                "the answer is incomplete: the generation cannot be continued", Outcome::Incomplete, {}};
+        return {502,
+                "outcome",
+                std::string(toText(incomplete.cause)),
+                "the answer is incomplete: the generation cannot be continued",
+                Outcome::Incomplete,
+                {}};
     }
     if (!this->placementRefused)
-        return {503, "overload", "no-target", "no engine accepted the request", Outcome::NotRun,
+        return {503,
+                "overload",
+                "no-target",
+                "no engine accepted the request",
+                Outcome::NotRun,
                 std::chrono::seconds{1}};
     const PlacementRefused &refused = *this->placementRefused;
     if (refused.failure == PlacementFailure::Quarantined)
-        return {422, "invalid-request", "request-quarantined",
-                "engines died while they ran this request; it is refused for a time", Outcome::NotRun,
+        return {422,
+                "invalid-request",
+                "request-quarantined",
+                "engines died while they ran this request; it is refused for a time",
+                Outcome::NotRun,
                 refused.retryAfter};
-    return {503, "overload", std::string(toString(refused.failure)), "no engine can take the request now",
-            Outcome::NotRun, std::max(refused.retryAfter, Duration{std::chrono::seconds{1}})};
+    return {503,
+            "overload",
+            std::string(toString(refused.failure)),
+            "no engine can take the request now",
+            Outcome::NotRun,
+            std::max(refused.retryAfter, Duration{std::chrono::seconds{1}})};
 }
 
 std::vector<HeaderField> CompletionSession::headerFields(Outcome outcome) const
@@ -553,8 +584,9 @@
         engine->close();
     this->engines.clear();
     if (this->ticket && !this->currentRun)
-        this->context.control.post(
-                [&state = this->context.state, waiting = *this->ticket] { state.placement().cancel(waiting); });
+        this->context.control.post([&state = this->context.state, waiting = *this->ticket] {
+            state.placement().cancel(waiting);
+        });
     const bool isComplete = this->finish && std::holds_alternative<FinishComplete>(*this->finish);
     const CallerError error = this->failure();
     bool isOk = !this->isCallerGone;
@@ -569,18 +601,19 @@
         }
     }
     if (isOk && !isStream && isComplete) {
-        const nlohmann::ordered_json choice{{"index", 0}, {"text", this->wholeText}, {"finish_reason", "stop"}};
-        const nlohmann::ordered_json document{
-                {"id", this->stream->position().generation},
-                {"choices", nlohmann::ordered_json::array({choice})},
-                {"usage", {{"completion_tokens", this->deliveredTokens}}}};
+        const nlohmann::ordered_json choice{
+                {"index", 0}, {"text", this->wholeText}, {"finish_reason", "stop"}};
+        const nlohmann::ordered_json document{{"id", this->stream->position().generation},
+                                              {"choices", nlohmann::ordered_json::array({choice})},
+                                              {"usage", {{"completion_tokens", this->deliveredTokens}}}};
         isOk = co_await this->call.connection.sendAnswer(200, "application/json", toJsonText(document),
-                                                         this->headerFields(Outcome::Ran), this->call.keepAlive);
+                                                         this->headerFields(Outcome::Ran),
+                                                         this->call.keepAlive);
     } else if (isOk && !isStream) {
         isOk = co_await sendError(this->call.connection, error, this->call.requestId, this->call.keepAlive);
     }
     const std::string outcome = this->isCallerGone ? "caller-gone"
-            : isComplete                           ? "ran"
+                                : isComplete       ? "ran"
                                                    : std::string(toString(error.outcome));
     this->context.metrics.countRequest("completion", outcome, isComplete ? "ok" : error.code);
     logInfo("completion-finished", {{"request", this->call.requestId},
@@ -590,7 +623,7 @@
                                     {"code", isComplete ? "ok" : error.code},
                                     {"tokens", std::to_string(this->deliveredTokens)},
                                     {"attempts", std::to_string(this->attempts)}});
-    co_return isOk && this->call.keepAlive;
+    co_return isOk &&this->call.keepAlive;
 }
 
 void CompletionSession::spawn(asio::awaitable<void> job)
--- a/src/eelgrasslift/completionsession.h
+++ b/src/eelgrasslift/completionsession.h
@@ -69,7 +69,8 @@
     void on(const PauseReading &action);
     void on(const ResumeReading &action);
 
-    void openEngine(uint32_t connection, const Endpoint &endpoint, EngineOrder order, const std::string &target);
+    void openEngine(uint32_t connection, const Endpoint &endpoint, EngineOrder order,
+                    const std::string &target);
     void engineReported(uint32_t connection, const std::string &target, const EngineReport &report);
     boost::asio::awaitable<void> engineEnded(uint32_t connection, std::string target, EngineEnd end);
     boost::asio::awaitable<StreamEvent> classifyLoss(uint32_t connection, std::string target, bool mayRetry);
--- a/src/eelgrasslift/engineconnection.cpp
+++ b/src/eelgrasslift/engineconnection.cpp
@@ -34,19 +34,17 @@
     return match(
             order,
             [&](const CompletionOrder &completion) {
-                const nlohmann::json body{{"model", completion.model},
-                                          {"prompt", completion.prompt},
-                                          {"max_tokens", completion.maxTokens},
-                                          {"priority", completion.priority},
-                                          {"request_id", completion.requestId},
-                                          {"stream", true}};
+                const nlohmann::json body{
+                        {"model", completion.model},          {"prompt", completion.prompt},
+                        {"max_tokens", completion.maxTokens}, {"priority", completion.priority},
+                        {"request_id", completion.requestId}, {"stream", true}};
                 return makeRequest("POST", endpoint, "/v1/completions",
                                    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
             },
             [&](const ResumeOrder &resume) {
                 return makeRequest("GET", endpoint,
-                                   "/v1/generations/" + resume.generation
-                                           + "?from=" + std::to_string(resume.fromIndex));
+                                   "/v1/generations/" + resume.generation +
+                                           "?from=" + std::to_string(resume.fromIndex));
             });
 }
 
@@ -198,7 +196,8 @@
     const auto id = parseTokenId(event.id);
     const nlohmann::json data = nlohmann::json::parse(event.data, nullptr, false);
     const auto choices = data.is_object() ? data.find("choices") : data.end();
-    if (!id || choices == data.end() || !choices->is_array() || choices->empty() || !choices->front().is_object()) {
+    if (!id || choices == data.end() || !choices->is_array() || choices->empty() ||
+        !choices->front().is_object()) {
         this->end = EngineEnd::Lost;
         return;
     }
@@ -221,7 +220,8 @@
 
 asio::awaitable<void> cancelGeneration(Endpoint endpoint, std::string generation)
 {
-    co_await exchange(endpoint, makeRequest("DELETE", endpoint, "/v1/generations/" + generation), CancelTimeout);
+    co_await exchange(endpoint, makeRequest("DELETE", endpoint, "/v1/generations/" + generation),
+                      CancelTimeout);
 }
 
 } // namespace eelgrasslift
--- a/src/eelgrasslift/entrydump.cpp
+++ b/src/eelgrasslift/entrydump.cpp
@@ -57,8 +57,8 @@
         target["in_flight"] = this->placementQueue.selector().inFlight(target["id"].get<std::string>());
     const IdempotencyReplica &replica = this->recordService.replica();
     const auto contact = this->gossip.lastControlContact();
-    const nlohmann::json controlContact
-            = contact ? nlohmann::json(toMilliseconds(now - *contact)) : nlohmann::json(nullptr);
+    const nlohmann::json controlContact =
+            contact ? nlohmann::json(toMilliseconds(now - *contact)) : nlohmann::json(nullptr);
     return {{"process", "entry"},
             {"id", this->gossip.self().id()},
             {"domain", this->gossip.self().domain()},
--- a/src/eelgrasslift/entryprocess.cpp
+++ b/src/eelgrasslift/entryprocess.cpp
@@ -27,7 +27,8 @@
 /// Tells the starter of the process which port was bound; scripts and tests wait for these lines.
 void announce(std::string_view name, const Endpoint &endpoint)
 {
-    std::printf("listening %.*s %s\n", static_cast<int>(name.size()), name.data(), endpoint.toString().c_str());
+    std::printf("listening %.*s %s\n", static_cast<int>(name.size()), name.data(),
+                endpoint.toString().c_str());
     std::fflush(stdout);
 }
 
@@ -56,7 +57,8 @@
     explicit EntryProcess(const EntrySettings &entrySettings)
         : settings(entrySettings)
         , peerEndpoint(withFreePort(entrySettings.peerListen))
-        , state(entrySettings, entrySettings.advertisePeer.port != 0 ? entrySettings.advertisePeer : this->peerEndpoint,
+        , state(entrySettings,
+                entrySettings.advertisePeer.port != 0 ? entrySettings.advertisePeer : this->peerEndpoint,
                 this->control, this->metrics, systemSeed())
         , context{this->state, this->control, this->metrics, this->traffic.get_executor()}
         , callers(this->context, entrySettings.maxConnections)
@@ -117,7 +119,8 @@
     {
         if (action == DrainAction::CloseListener)
             this->callers.stopAccepting();
-        // Connections end with the traffic threads; what is still open then was given up by the operator's limit.
+        // Connections end with the traffic threads; what is still open then was given up by the operator's
+        // limit.
         if (action == DrainAction::Exit || action == DrainAction::AbortRemaining)
             this->traffic.stop();
     }
@@ -135,7 +138,8 @@
     Endpoint peerEndpoint;
     ControlThread control;
     asio::io_context traffic;
-    asio::executor_work_guard<asio::io_context::executor_type> trafficWork = asio::make_work_guard(this->traffic);
+    asio::executor_work_guard<asio::io_context::executor_type> trafficWork =
+            asio::make_work_guard(this->traffic);
     EntryMetrics metrics;
     EntryState state;
     EntryContext context;
--- a/src/eelgrasslift/entrysettings.cpp
+++ b/src/eelgrasslift/entrysettings.cpp
@@ -14,9 +14,11 @@
 
 void addAddressOptions(CLI::App &app, EntrySettings &settings)
 {
-    addEndpointOption(app, "--caller-listen", settings.callerListen, "Address for callers; port 0: any free port")
+    addEndpointOption(app, "--caller-listen", settings.callerListen,
+                      "Address for callers; port 0: any free port")
             ->required();
-    addEndpointOption(app, "--operator-listen", settings.operatorListen, "Address for health, metrics and state")
+    addEndpointOption(app, "--operator-listen", settings.operatorListen,
+                      "Address for health, metrics and state")
             ->required();
     addEndpointOption(app, "--peer-listen", settings.peerListen, "Address for other processes of the system")
             ->required();
@@ -24,7 +26,8 @@
                       "Address under which other processes reach --peer-listen, if it differs");
     addEndpointsOption(app, "--seeds", settings.seeds, "Peer addresses of some control or entry processes")
             ->required();
-    addUrlOption(app, "--vm-list", settings.vmList, "The platform's list of live and leaving VMs")->required();
+    addUrlOption(app, "--vm-list", settings.vmList, "The platform's list of live and leaving VMs")
+            ->required();
 }
 
 } // namespace
@@ -35,8 +38,9 @@
     addAddressOptions(app, settings);
     app.add_option("--data", settings.dataFolder, "Folder that keeps the last accepted rules; empty: none")
             ->envname("EELGRASSLIFT_DATA");
-    app.add_option("--record-slot", settings.recordSlot,
-                   "Number of this entry among the entries of its failure domain that keep idempotency records")
+    app.add_option(
+               "--record-slot", settings.recordSlot,
+               "Number of this entry among the entries of its failure domain that keep idempotency records")
             ->check(CLI::Range(1U, MaxEntriesPerDomain))
             ->capture_default_str()
             ->envname("EELGRASSLIFT_RECORD_SLOT");
--- a/src/eelgrasslift/entrystate.cpp
+++ b/src/eelgrasslift/entrystate.cpp
@@ -119,8 +119,10 @@
     , gossip(makeSelf(entrySettings, peerAddress, this->random), gossipSettings(entrySettings), this->random)
     , peers(controlThread)
     , crashQuarantine(QuarantineSettings{})
-    , placementQueue(selectorOptions(entrySettings), this->random, this->targetDirectory, this->crashQuarantine)
-    , recordService(controlThread, this->peers, this->gossip, replicaSettings(entrySettings, this->gossip.self()))
+    , placementQueue(selectorOptions(entrySettings), this->random, this->targetDirectory,
+                     this->crashQuarantine)
+    , recordService(controlThread, this->peers, this->gossip,
+                    replicaSettings(entrySettings, this->gossip.self()))
     , drain(drainSettings(entrySettings))
 {
     this->placementQueue.setIsolation(
@@ -139,7 +141,8 @@
     TimerService &timers = this->control.timers();
     this->subscriptions.push_back(
             timers.subscribeEvery(now, GossipInterval, [this](TimePoint at) { this->gossipTick(at); }));
-    this->subscriptions.push_back(timers.subscribeEvery(now, TickInterval, [this](TimePoint at) { this->tick(at); }));
+    this->subscriptions.push_back(
+            timers.subscribeEvery(now, TickInterval, [this](TimePoint at) { this->tick(at); }));
     this->subscriptions.push_back(timers.subscribeEvery(now, RecoveryInterval, [this](TimePoint) {
         std::vector<std::string> domains;
         if (const RulesSnapshot rules = this->rules()) {
@@ -159,7 +162,8 @@
             readRulesFile(this->settings.dataFolder),
             [&](const wire::RulesDocument &document) {
                 this->carryOut(this->gossip.handle(
-                        RulesAccepted{std::make_shared<const wire::RulesDocument>(document)}, monotonicNow()));
+                        RulesAccepted{std::make_shared<const wire::RulesDocument>(document)},
+                        monotonicNow()));
             },
             [](const NoRulesFile &) {},
             [&](RulesFileError) {
@@ -334,7 +338,9 @@
     for (const DirectoryAction &action : actions) {
         match(
                 action,
-                [](const TargetBecameLive &live) { logInfo("target-live", {{"target", live.target}}); },
+                [](const TargetBecameLive &live) {
+                    logInfo("target-live", {{"target", live.target}});
+                },
                 [](const TargetStopsNewWork &stopped) {
                     logInfo("target-stops-new-work",
                             {{"target", stopped.target},
@@ -362,7 +368,8 @@
     this->gossipTick(monotonicNow());
 }
 
-void EntryState::isolate(const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done)
+void EntryState::isolate(const Sha256 &fingerprint, const std::string &target, RunId run,
+                         PlacementCallback done)
 {
     const RulesSnapshot current = this->rules();
     AloneRequest request;
@@ -390,14 +397,15 @@
         if (live.contains(holder.id()))
             owners.insert(holder.id());
     }
-    auto isolation = std::make_shared<Isolation>(
-            Isolation{AloneClaim(request, live, owners, this->settings.entriesPerDomain, AloneClaimSettings{}),
-                      request, run, std::move(done), false});
+    auto isolation = std::make_shared<Isolation>(Isolation{
+            AloneClaim(request, live, owners, this->settings.entriesPerDomain, AloneClaimSettings{}), request,
+            run, std::move(done), false});
     this->isolations.emplace(run, isolation);
     this->carryOut(isolation, isolation->claim.start(currentInstant()));
 }
 
-void EntryState::carryOut(const std::shared_ptr<Isolation> &isolation, const std::vector<AloneAction> &actions)
+void EntryState::carryOut(const std::shared_ptr<Isolation> &isolation,
+                          const std::vector<AloneAction> &actions)
 {
     for (const AloneAction &action : actions) {
         match(
@@ -433,12 +441,14 @@
     if (message.entry == this->gossip.self().id()) {
         this->control.post([this, isolation, message] {
             const AloneReply reply = this->crashQuarantine.reserve(message.request, currentInstant());
-            this->carryOut(isolation, isolation->claim.replied(message.entry, reply.verdict, currentInstant()));
+            this->carryOut(isolation,
+                           isolation->claim.replied(message.entry, reply.verdict, currentInstant()));
         });
         return;
     }
     wire::ReserveRequest request;
-    request.set_fingerprint(std::string(message.request.fingerprint.begin(), message.request.fingerprint.end()));
+    request.set_fingerprint(
+            std::string(message.request.fingerprint.begin(), message.request.fingerprint.end()));
     request.set_target(message.request.target);
     request.set_claim_id(message.request.claimId);
     *request.mutable_mark() = eelgrasslift::toWire(message.request.mark);
@@ -510,8 +520,9 @@
 wire::RecordReply EntryState::resolve(const wire::ResolveRequest &request)
 {
     const auto converted = eelgrasslift::fromWire(request);
-    return converted ? eelgrasslift::toWire(this->recordService.replica().resolve(*converted, currentInstant()))
-                     : abstain();
+    return converted
+                   ? eelgrasslift::toWire(this->recordService.replica().resolve(*converted, currentInstant()))
+                   : abstain();
 }
 
 wire::RecordReply EntryState::lookup(const wire::LookupRequest &request)
--- a/src/eelgrasslift/entrystate.h
+++ b/src/eelgrasslift/entrystate.h
@@ -48,7 +48,8 @@
     void release(const std::string &account);
     void requestStarted();
     void requestFinished();
-    RetryPermit requestRetry(const std::string &group, uint32_t attempt, bool isRepeatable, TimePoint deadline);
+    RetryPermit requestRetry(const std::string &group, uint32_t attempt, bool isRepeatable,
+                             TimePoint deadline);
     void recordFirstAttempt(const std::string &group);
 
     Placement &placement() { return this->placementQueue; }
--- a/src/eelgrasslift/httpclient.h
+++ b/src/eelgrasslift/httpclient.h
@@ -30,7 +30,7 @@
                                        Duration timeout);
 
 /// One request on a connection of its own, with an answer of at most maxBytes.
-boost::asio::awaitable<Result<HttpResponse, HttpFailure>> exchange(const Endpoint &endpoint, HttpRequest request,
-                                                                   Duration timeout, size_t maxBytes = 4UL << 20);
+boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
+exchange(const Endpoint &endpoint, HttpRequest request, Duration timeout, size_t maxBytes = 4UL << 20);
 
 } // namespace eelgrasslift
--- a/src/eelgrasslift/metrics.cpp
+++ b/src/eelgrasslift/metrics.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// The users' targets of 0.34 s and 62 ms are bucket bounds, so that the share within them can be read exactly.
-const prometheus::Histogram::BucketBoundaries FirstTokenBounds{0.01, 0.05, 0.1, 0.2, 0.34, 0.5, 1, 2, 5, 10, 30};
+// The users' targets of 0.34 s and 62 ms are bucket bounds, so that the share within them can be read
+// exactly.
+const prometheus::Histogram::BucketBoundaries FirstTokenBounds{0.01, 0.05, 0.1, 0.2, 0.34, 0.5,
+                                                               1,    2,    5,   10,  30};
 const prometheus::Histogram::BucketBoundaries BetweenTokensBounds{0.005, 0.01, 0.02, 0.04, 0.062,
                                                                   0.1,   0.25, 0.5,  1,    2};
 
@@ -21,15 +23,22 @@
     return prometheus::BuildGauge().Name("eelgrasslift_" + name).Help(help).Register(registry).Add({});
 }
 
-prometheus::Histogram &histogram(prometheus::Registry &registry, const std::string &name, const std::string &help,
+prometheus::Histogram &histogram(prometheus::Registry &registry, const std::string &name,
+                                 const std::string &help,
                                  const prometheus::Histogram::BucketBoundaries &bounds)
 {
-    return prometheus::BuildHistogram().Name("eelgrasslift_" + name).Help(help).Register(registry).Add({}, bounds);
+    return prometheus::BuildHistogram()
+            .Name("eelgrasslift_" + name)
+            .Help(help)
+            .Register(registry)
+            .Add({}, bounds);
 }
 
 } // namespace
 
-EntryMetrics::EntryMetrics() : EntryMetrics(std::make_shared<prometheus::Registry>()) {}
+EntryMetrics::EntryMetrics()
+    : EntryMetrics(std::make_shared<prometheus::Registry>())
+{}
 
 EntryMetrics::EntryMetrics(std::shared_ptr<prometheus::Registry> newRegistry)
     : firstTokenSeconds(histogram(*newRegistry, "first_token_seconds",
@@ -38,7 +47,8 @@
                                      "Time between two delivered tokens of one answer", BetweenTokensBounds))
     , tokens(counter(*newRegistry, "tokens_total", "Tokens delivered to callers"))
     , foreignTokens(counter(*newRegistry, "foreign_tokens_total", "Dropped tokens of another generation"))
-    , duplicateTokens(counter(*newRegistry, "duplicate_tokens_total", "Dropped tokens that were delivered before"))
+    , duplicateTokens(
+              counter(*newRegistry, "duplicate_tokens_total", "Dropped tokens that were delivered before"))
     , resumes(counter(*newRegistry, "resumes_total", "Connections opened to resume a generation"))
     , restarts(counter(*newRegistry, "restarts_total", "Attempts started again on a target"))
     , stalls(counter(*newRegistry, "stalls_total", "Times that no token came within the class's stall limit"))
--- a/src/eelgrasslift/peerclient.cpp
+++ b/src/eelgrasslift/peerclient.cpp
@@ -26,7 +26,9 @@
 
 struct PeerClient::Implementation : std::enable_shared_from_this<Implementation>
 {
-    explicit Implementation(ControlThread &controlThread) : control(controlThread) {}
+    explicit Implementation(ControlThread &controlThread)
+        : control(controlThread)
+    {}
 
     wire::Peer::Stub &stubOf(const std::string &address)
     {
@@ -99,7 +101,9 @@
     bool isClosing = false;
 };
 
-PeerClient::PeerClient(ControlThread &control) : implementation(std::make_shared<Implementation>(control)) {}
+PeerClient::PeerClient(ControlThread &control)
+    : implementation(std::make_shared<Implementation>(control))
+{}
 
 PeerClient::~PeerClient()
 {
@@ -110,8 +114,9 @@
                           Callback<wire::GossipDelta> done)
 {
     wire::Peer::Stub &stub = this->implementation->stubOf(address);
-    this->implementation->call(digest, ExchangeDeadline, std::move(done),
-                               [&stub](auto... arguments) { stub.async()->Exchange(std::move(arguments)...); });
+    this->implementation->call(digest, ExchangeDeadline, std::move(done), [&stub](auto... arguments) {
+        stub.async()->Exchange(std::move(arguments)...);
+    });
 }
 
 void PeerClient::claim(const std::string &address, const wire::ClaimRequest &request,
@@ -126,8 +131,9 @@
                          Callback<wire::RecordReply> done)
 {
     wire::Peer::Stub &stub = this->implementation->stubOf(address);
-    this->implementation->call(request, RecordDeadline, std::move(done),
-                               [&stub](auto... arguments) { stub.async()->Resolve(std::move(arguments)...); });
+    this->implementation->call(request, RecordDeadline, std::move(done), [&stub](auto... arguments) {
+        stub.async()->Resolve(std::move(arguments)...);
+    });
 }
 
 void PeerClient::lookup(const std::string &address, const wire::LookupRequest &request,
@@ -151,16 +157,18 @@
                          Callback<wire::ReserveReply> done)
 {
     wire::Peer::Stub &stub = this->implementation->stubOf(address);
-    this->implementation->call(request, RecordDeadline, std::move(done),
-                               [&stub](auto... arguments) { stub.async()->Reserve(std::move(arguments)...); });
+    this->implementation->call(request, RecordDeadline, std::move(done), [&stub](auto... arguments) {
+        stub.async()->Reserve(std::move(arguments)...);
+    });
 }
 
 void PeerClient::release(const std::string &address, const wire::ReleaseRequest &request,
                          Callback<wire::ReleaseReply> done)
 {
     wire::Peer::Stub &stub = this->implementation->stubOf(address);
-    this->implementation->call(request, RecordDeadline, std::move(done),
-                               [&stub](auto... arguments) { stub.async()->Release(std::move(arguments)...); });
+    this->implementation->call(request, RecordDeadline, std::move(done), [&stub](auto... arguments) {
+        stub.async()->Release(std::move(arguments)...);
+    });
 }
 
 } // namespace eelgrasslift
--- a/src/eelgrasslift/peerclient.h
+++ b/src/eelgrasslift/peerclient.h
@@ -11,8 +11,8 @@
 
 namespace eelgrasslift {
 
-/// Calls other processes' Peer service. Functions are to be called on the control thread, and callbacks run there;
-/// nothing in a callback means that no answer came within the deadline.
+/// Calls other processes' Peer service. Functions are to be called on the control thread, and callbacks run
+/// there; nothing in a callback means that no answer came within the deadline.
 class PeerClient
 {
 public:
@@ -24,11 +24,14 @@
     /// Cancels open calls; their callbacks do not run any more.
     ~PeerClient();
 
-    void exchange(const std::string &address, const wire::GossipDigest &digest, Callback<wire::GossipDelta> done);
-    void claim(const std::string &address, const wire::ClaimRequest &request, Callback<wire::RecordReply> done);
+    void exchange(const std::string &address, const wire::GossipDigest &digest,
+                  Callback<wire::GossipDelta> done);
+    void claim(const std::string &address, const wire::ClaimRequest &request,
+               Callback<wire::RecordReply> done);
     void resolve(const std::string &address, const wire::ResolveRequest &request,
                  Callback<wire::RecordReply> done);
-    void lookup(const std::string &address, const wire::LookupRequest &request, Callback<wire::RecordReply> done);
+    void lookup(const std::string &address, const wire::LookupRequest &request,
+                Callback<wire::RecordReply> done);
     void readRecords(const std::string &address, const wire::ReadRecordsRequest &request,
                      Callback<wire::ReadRecordsReply> done);
     void reserve(const std::string &address, const wire::ReserveRequest &request,
--- a/src/eelgrasslift/peercodec.h
+++ b/src/eelgrasslift/peercodec.h
@@ -7,7 +7,8 @@
 
 namespace eelgrasslift {
 
-// Conversions between the aggregates' messages and proto/peer.proto. Messages of the wire that are malformed give nothing.
+// Conversions between the aggregates' messages and proto/peer.proto. Messages of the wire that are malformed
+// give nothing.
 
 wire::RecordKey toWire(const RecordKey &key);
 wire::Record toWire(const Record &record);
--- a/src/eelgrasslift/peerservice.cpp
+++ b/src/eelgrasslift/peerservice.cpp
@@ -16,8 +16,8 @@
         , handler(peerHandler)
     {}
 
-    grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *context, const wire::GossipDigest *request,
-                                       wire::GossipDelta *reply) override
+    grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *context,
+                                       const wire::GossipDigest *request, wire::GossipDelta *reply) override
     {
         return this->serve(context, request, reply, &PeerHandler::exchange);
     }
@@ -28,8 +28,8 @@
         return this->serve(context, request, reply, &PeerHandler::claim);
     }
 
-    grpc::ServerUnaryReactor *Resolve(grpc::CallbackServerContext *context, const wire::ResolveRequest *request,
-                                      wire::RecordReply *reply) override
+    grpc::ServerUnaryReactor *Resolve(grpc::CallbackServerContext *context,
+                                      const wire::ResolveRequest *request, wire::RecordReply *reply) override
     {
         return this->serve(context, request, reply, &PeerHandler::resolve);
     }
@@ -47,22 +47,22 @@
         return this->serve(context, request, reply, &PeerHandler::readRecords);
     }
 
-    grpc::ServerUnaryReactor *Reserve(grpc::CallbackServerContext *context, const wire::ReserveRequest *request,
-                                      wire::ReserveReply *reply) override
+    grpc::ServerUnaryReactor *Reserve(grpc::CallbackServerContext *context,
+                                      const wire::ReserveRequest *request, wire::ReserveReply *reply) override
     {
         return this->serve(context, request, reply, &PeerHandler::reserve);
     }
 
-    grpc::ServerUnaryReactor *Release(grpc::CallbackServerContext *context, const wire::ReleaseRequest *request,
-                                      wire::ReleaseReply *reply) override
+    grpc::ServerUnaryReactor *Release(grpc::CallbackServerContext *context,
+                                      const wire::ReleaseRequest *request, wire::ReleaseReply *reply) override
     {
         return this->serve(context, request, reply, &PeerHandler::release);
     }
 
 private:
     template <typename Request, typename Reply>
-    grpc::ServerUnaryReactor *serve(grpc::CallbackServerContext *context, const Request *request, Reply *reply,
-                                    Reply (PeerHandler::*method)(const Request &))
+    grpc::ServerUnaryReactor *serve(grpc::CallbackServerContext *context, const Request *request,
+                                    Reply *reply, Reply (PeerHandler::*method)(const Request &))
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         this->control.post([this, reactor, request, reply, method] {
--- a/src/eelgrasslift/placement.cpp
+++ b/src/eelgrasslift/placement.cpp
@@ -52,8 +52,8 @@
     return "no-target";
 }
 
-Placement::Placement(SelectorOptions selectorOptions, Random &generator, const TargetDirectory &targetDirectory,
-                     CrashQuarantine &crashQuarantine)
+Placement::Placement(SelectorOptions selectorOptions, Random &generator,
+                     const TargetDirectory &targetDirectory, CrashQuarantine &crashQuarantine)
     : random(generator)
     , directory(targetDirectory)
     , quarantine(crashQuarantine)
@@ -105,7 +105,8 @@
         callback(PlacementRefused{PlacementFailure::Quarantined, refused->until - instant.wall});
         return ticket;
     }
-    const double expected = this->lengths.expectedRemaining(request.account, request.className, 0, request.maxTokens);
+    const double expected =
+            this->lengths.expectedRemaining(request.account, request.className, 0, request.maxTokens);
     WaitingRequest waiting;
     waiting.id = ticket;
     waiting.account = request.account;
@@ -208,7 +209,8 @@
     return parseEndpoint(entry->second.vm.address).value_or(Endpoint{});
 }
 
-void Placement::startRun(uint64_t ticket, const Choice &choice, const SelectRequest &select, const Instant &instant)
+void Placement::startRun(uint64_t ticket, const Choice &choice, const SelectRequest &select,
+                         const Instant &instant)
 {
     const Pending &waiting = this->pending.at(ticket);
     const RunId run = this->targets.start(choice.targetId, select, instant.now);
@@ -221,16 +223,17 @@
         this->answer(ticket, placed);
         return;
     }
-    this->isolateRun(fingerprint, choice.targetId, run, [this, ticket, placed, fingerprint, instant](auto result) {
-        const bool isGranted = std::holds_alternative<Placed>(result);
-        if (!isGranted || !this->pending.contains(ticket)) {
-            this->finishRun(placed.run, RunOutcome::Cancelled, 0, instant);
-            this->answer(ticket, std::move(result));
-            return;
-        }
-        this->quarantine.started(placed.run, fingerprint, placed.target, true);
-        this->answer(ticket, placed);
-    });
+    this->isolateRun(fingerprint, choice.targetId, run,
+                     [this, ticket, placed, fingerprint, instant](auto result) {
+                         const bool isGranted = std::holds_alternative<Placed>(result);
+                         if (!isGranted || !this->pending.contains(ticket)) {
+                             this->finishRun(placed.run, RunOutcome::Cancelled, 0, instant);
+                             this->answer(ticket, std::move(result));
+                             return;
+                         }
+                         this->quarantine.started(placed.run, fingerprint, placed.target, true);
+                         this->answer(ticket, placed);
+                     });
 }
 
 void Placement::finishRun(RunId run, RunOutcome outcome, uint32_t tokens, const Instant &instant)
@@ -245,7 +248,8 @@
     this->dispatch(instant);
 }
 
-std::variant<Placed, PlacementRefused> Placement::placeService(const std::string &service, const std::string &account,
+std::variant<Placed, PlacementRefused> Placement::placeService(const std::string &service,
+                                                               const std::string &account,
                                                                const std::vector<std::string> &excluded,
                                                                const Instant &instant)
 {
--- a/src/eelgrasslift/placement.h
+++ b/src/eelgrasslift/placement.h
@@ -38,7 +38,16 @@
     RunId run = 0;
 };
 
-enum class PlacementFailure { NoTarget, QueueFull, AccountShare, DeadlineWouldPass, DeadlinePassed, Shed, SuspectBusy, Quarantined };
+enum class PlacementFailure {
+    NoTarget,
+    QueueFull,
+    AccountShare,
+    DeadlineWouldPass,
+    DeadlinePassed,
+    Shed,
+    SuspectBusy,
+    Quarantined
+};
 
 std::string_view toString(PlacementFailure failure);
 
@@ -89,7 +98,8 @@
     void dispatch(const Instant &instant);
 
     /// A target of a plain service.
-    std::variant<Placed, PlacementRefused> placeService(const std::string &service, const std::string &account,
+    std::variant<Placed, PlacementRefused> placeService(const std::string &service,
+                                                        const std::string &account,
                                                         const std::vector<std::string> &excluded,
                                                         const Instant &instant);
 
--- a/src/eelgrasslift/recordservice.cpp
+++ b/src/eelgrasslift/recordservice.cpp
@@ -21,7 +21,8 @@
     if (slash == std::string::npos)
         return std::nullopt;
     SlotParts parts{slot.substr(0, slash), 0};
-    const auto [end, status] = std::from_chars(slot.data() + slash + 1, slot.data() + slot.size(), parts.number);
+    const auto [end, status] =
+            std::from_chars(slot.data() + slash + 1, slot.data() + slot.size(), parts.number);
     if (status != std::errc{} || end != slot.data() + slot.size())
         return std::nullopt;
     return parts;
@@ -46,8 +47,8 @@
     return {monotonicNow(), wallNow()};
 }
 
-RecordService::RecordService(ControlThread &controlThread, PeerClient &peerClient, const GossipNode &gossipNode,
-                             ReplicaSettings settings)
+RecordService::RecordService(ControlThread &controlThread, PeerClient &peerClient,
+                             const GossipNode &gossipNode, ReplicaSettings settings)
     : control(controlThread)
     , peers(peerClient)
     , gossip(gossipNode)
@@ -110,7 +111,8 @@
 {
     if (this->isOwnSlot(message.slot)) {
         this->control.post([this, message, done = std::move(done)] {
-            done({message.slot, RecordCall::Resolve, this->records.resolve(message.request, currentInstant())});
+            done({message.slot, RecordCall::Resolve,
+                  this->records.resolve(message.request, currentInstant())});
         });
         return;
     }
--- a/src/eelgrasslift/recordservice.h
+++ b/src/eelgrasslift/recordservice.h
@@ -16,7 +16,8 @@
 class RecordService
 {
 public:
-    RecordService(ControlThread &control, PeerClient &peers, const GossipNode &gossip, ReplicaSettings settings);
+    RecordService(ControlThread &control, PeerClient &peers, const GossipNode &gossip,
+                  ReplicaSettings settings);
 
     IdempotencyReplica &replica() { return this->records; }
 
--- a/src/eelgrasslift/rulesfile.cpp
+++ b/src/eelgrasslift/rulesfile.cpp
@@ -23,7 +23,9 @@
 class FileDescriptor
 {
 public:
-    FileDescriptor(const std::filesystem::path &path, int flags) : descriptor(::open(path.c_str(), flags, 0640)) {}
+    FileDescriptor(const std::filesystem::path &path, int flags)
+        : descriptor(::open(path.c_str(), flags, 0640))
+    {}
     FileDescriptor(const FileDescriptor &) = delete;
     FileDescriptor &operator=(const FileDescriptor &) = delete;
     ~FileDescriptor()
@@ -56,16 +58,18 @@
     const std::filesystem::path path = std::filesystem::path(folder) / FileName;
     std::error_code error;
     if (!std::filesystem::exists(path, error))
-        return error ? std::variant<wire::RulesDocument, NoRulesFile, RulesFileError>(RulesFileError::CannotRead)
+        return error ? std::variant<wire::RulesDocument, NoRulesFile, RulesFileError>(
+                               RulesFileError::CannotRead)
                      : NoRulesFile{};
     std::ifstream file(path, std::ios::binary);
     const std::string content{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     if (!file)
         return RulesFileError::CannotRead;
     wire::RulesDocument rules;
-    const bool isWhole = content.size() > DigestBytes
-            && digestOf(std::string_view(content).substr(DigestBytes)) == content.substr(0, DigestBytes)
-            && rules.ParseFromString(content.substr(DigestBytes));
+    const bool isWhole =
+            content.size() > DigestBytes &&
+            digestOf(std::string_view(content).substr(DigestBytes)) == content.substr(0, DigestBytes) &&
+            rules.ParseFromString(content.substr(DigestBytes));
     if (!isWhole)
         return RulesFileError::Damaged;
     return rules;
--- a/src/eelgrasslift/rulesfile.h
+++ b/src/eelgrasslift/rulesfile.h
@@ -12,8 +12,7 @@
 enum class RulesFileError { CannotRead, CannotWrite, Damaged };
 
 struct NoRulesFile
-{
-};
+{};
 
 /// Reads the last accepted rules that an entry kept in its data folder.
 std::variant<wire::RulesDocument, NoRulesFile, RulesFileError> readRulesFile(const std::string &folder);
--- a/src/eelgrasslift/servicecallrunner.cpp
+++ b/src/eelgrasslift/servicecallrunner.cpp
@@ -81,8 +81,8 @@
     const auto next = this->call.isFinished() ? std::nullopt : this->call.nextTick();
     if (!next)
         return;
-    this->timer = this->context.control.timers().subscribeAt(
-            *next, [weak = this->weak_from_this()](TimePoint) {
+    this->timer =
+            this->context.control.timers().subscribeAt(*next, [weak = this->weak_from_this()](TimePoint) {
                 if (const auto self = weak.lock())
                     self->handle(ServiceTick{});
             });
@@ -92,7 +92,8 @@
 void ServiceCallRunner::sendRecordMessage(const Message &message)
 {
     this->context.state.records().send(
-            message, [self = this->shared_from_this()](const ReplicaReplied &replied) { self->handle(replied); });
+            message,
+            [self = this->shared_from_this()](const ReplicaReplied &replied) { self->handle(replied); });
 }
 
 void ServiceCallRunner::on(const SendRequest &action)
@@ -111,8 +112,8 @@
 
 void ServiceCallRunner::place(uint32_t attempt, TimePoint sendBy)
 {
-    const auto result = this->context.state.placement().placeService(this->request.service, this->request.account,
-                                                                     this->excludedTargets, currentInstant());
+    const auto result = this->context.state.placement().placeService(
+            this->request.service, this->request.account, this->excludedTargets, currentInstant());
     const auto *placed = std::get_if<Placed>(&result);
     if (placed == nullptr) {
         // Posted, because this function runs inside the execution of the call's actions.
@@ -162,9 +163,10 @@
         co_return SendRefused{attempt.number, {}};
     }
     // From here on the request may run: the control thread must agree that the attempt is still wanted.
-    const bool maySend = co_await onControl(this->context.control, [self, number = attempt.number, sendBy] {
+    const auto beginSend = [self, number = attempt.number, sendBy] {
         return self->beginSend(number, sendBy);
-    });
+    };
+    const bool maySend = co_await onControl(this->context.control, beginSend);
     if (!maySend)
         co_return SendRefused{attempt.number, {}};
 
@@ -189,8 +191,8 @@
     if (answer.result_int() == 503 && (isLeaving || answer.find("X-Not-Run") != answer.end()))
         co_return TargetRefused{attempt.number, {}};
     co_return AnswerReceived{attempt.number,
-                             ServiceAnswer{answer.result_int(), std::string(answer[http::field::content_type]),
-                                           answer.body()}};
+                             ServiceAnswer{answer.result_int(),
+                                           std::string(answer[http::field::content_type]), answer.body()}};
 }
 
 bool ServiceCallRunner::beginSend(uint32_t attempt, TimePoint sendBy)
@@ -205,9 +207,9 @@
 {
     const bool hasAnswer = std::holds_alternative<AnswerReceived>(event);
     const bool isRefused = std::holds_alternative<TargetRefused>(event);
-    const RunOutcome outcome = hasAnswer ? RunOutcome::Completed
-            : isRefused                  ? RunOutcome::Refused
-                                         : RunOutcome::Failed;
+    const RunOutcome outcome = hasAnswer   ? RunOutcome::Completed
+                               : isRefused ? RunOutcome::Refused
+                                           : RunOutcome::Failed;
     this->context.state.placement().finishRun(attempt.placed.run, outcome, 0, currentInstant());
     if (!hasAnswer)
         this->excludedTargets.push_back(attempt.placed.target);
--- a/src/eelgrasslift/servicecallrunner.h
+++ b/src/eelgrasslift/servicecallrunner.h
@@ -24,8 +24,8 @@
     std::string idempotencyKey;
 };
 
-/// Drives one ServiceCall: messages to the record holders, sends to targets, timers. Lives on the control thread and
-/// goes on after the caller has left, until the record is resolved.
+/// Drives one ServiceCall: messages to the record holders, sends to targets, timers. Lives on the control
+/// thread and goes on after the caller has left, until the record is resolved.
 class ServiceCallRunner : public std::enable_shared_from_this<ServiceCallRunner>
 {
 public:
--- a/src/eelgrasslift/servicesession.cpp
+++ b/src/eelgrasslift/servicesession.cpp
@@ -39,7 +39,8 @@
     if (!call.rules->rules.services.contains(request.service))
         return invalid(404, "unknown-service", "no service '" + request.service + "'");
     if (!call.account.services.contains(request.service))
-        return invalid(403, "service-not-allowed", "the account may not use the service '" + request.service + "'");
+        return invalid(403, "service-not-allowed",
+                       "the account may not use the service '" + request.service + "'");
     if (request.idempotencyKey.size() > MaxKeyBytes)
         return invalid(400, "key-too-long", "the Idempotency-Key is longer than 256 bytes");
     return request;
@@ -56,8 +57,9 @@
         return CallerError{504, "outcome", std::move(code), std::move(message), Outcome::Unknown, {}};
     };
     const auto notRun = [](unsigned status, std::string code, std::string message) {
-        return CallerError{status, "overload", std::move(code), std::move(message), Outcome::NotRun,
-                           std::chrono::seconds{1}};
+        return CallerError{status,          "overload",
+                           std::move(code), std::move(message),
+                           Outcome::NotRun, std::chrono::seconds{1}};
     };
     const bool isUnknown = reply.outcome == ServiceOutcome::Unknown;
     switch (reply.cause) {
@@ -65,8 +67,12 @@
     case ServiceCause::Replayed:
         return std::nullopt;
     case ServiceCause::ReplayTooLarge:
-        return CallerError{409, "outcome", "answer-not-kept",
-                           "the request with this key ran; its answer was too large to keep", Outcome::Ran, {}};
+        return CallerError{409,
+                           "outcome",
+                           "answer-not-kept",
+                           "the request with this key ran; its answer was too large to keep",
+                           Outcome::Ran,
+                           {}};
     case ServiceCause::TargetRefused:
         return notRun(503, "target-refused", "the service refused the request before running it");
     case ServiceCause::Unreachable:
@@ -81,21 +87,27 @@
     case ServiceCause::EarlierUnknown:
         return unknown("outcome-unknown", "an earlier request with this key may have run");
     case ServiceCause::RecordsUnreachable:
-        return unknown("records-unreachable",
-                       "this request was not sent, but whether an earlier one with its key ran cannot be read");
+        return unknown(
+                "records-unreachable",
+                "this request was not sent, but whether an earlier one with its key ran cannot be read");
     case ServiceCause::KeyReused:
         return invalid(422, "key-reused", "the Idempotency-Key was used with another body");
     case ServiceCause::KeyInFuture:
         return invalid(400, "key-in-future", "the time in the Idempotency-Key is in the future");
     case ServiceCause::KeyExpired:
-        return CallerError{410, "outcome", "key-expired", "the record of this Idempotency-Key has expired",
-                           Outcome::Unknown, {}};
+        return CallerError{410,
+                           "outcome",
+                           "key-expired",
+                           "the record of this Idempotency-Key has expired",
+                           Outcome::Unknown,
+                           {}};
     }
     return unknown("outcome-unknown", "the request may have run");
 }
 
 std::shared_ptr<ServiceCallRunner> makeRunner(EntryContext &context, const CallerCall &call,
-                                              const ServiceRequest &request, ServiceCallRunner::ReplyCallback done)
+                                              const ServiceRequest &request,
+                                              ServiceCallRunner::ReplyCallback done)
 {
     const RuleSet &rules = call.rules->rules;
     const ServiceRule &rule = rules.services.find(request.service)->second;
@@ -124,14 +136,15 @@
     return std::make_shared<ServiceCallRunner>(context, request, settings, std::move(claim), std::move(done));
 }
 
-asio::awaitable<ReplyToCaller> runCall(EntryContext &context, const CallerCall &call, const ServiceRequest &request)
+asio::awaitable<ReplyToCaller> runCall(EntryContext &context, const CallerCall &call,
+                                       const ServiceRequest &request)
 {
-    co_return co_await awaitCallback<ReplyToCaller>(
-            [&context, &call, request](std::function<void(ReplyToCaller)> done) {
-                context.control.post([&context, &call, request, done = std::move(done)]() mutable {
-                    makeRunner(context, call, request, std::move(done))->start();
-                });
-            });
+    const auto start = [&context, &call, request](std::function<void(ReplyToCaller)> done) {
+        context.control.post([&context, &call, request, done = std::move(done)]() mutable {
+            makeRunner(context, call, request, std::move(done))->start();
+        });
+    };
+    co_return co_await awaitCallback<ReplyToCaller>(start);
 }
 
 asio::awaitable<bool> sendReply(EntryContext &context, CallerCall &call, const ServiceRequest &request,
@@ -147,11 +160,12 @@
                                       {"code", error ? error->code : "ok"}});
     if (error)
         co_return co_await sendError(call.connection, *error, call.requestId, call.keepAlive);
-    std::vector<HeaderField> fields{{"Eelgrasslift-Outcome", "ran"}, {"Eelgrasslift-Request-Id", call.requestId}};
+    std::vector<HeaderField> fields{{"Eelgrasslift-Outcome", "ran"},
+                                    {"Eelgrasslift-Request-Id", call.requestId}};
     if (reply.cause == ServiceCause::Replayed)
         fields.emplace_back("Eelgrasslift-Replayed", "true");
-    co_return co_await call.connection.sendAnswer(reply.answer.status, reply.answer.contentType, reply.answer.body,
-                                                  std::move(fields), call.keepAlive);
+    co_return co_await call.connection.sendAnswer(reply.answer.status, reply.answer.contentType,
+                                                  reply.answer.body, std::move(fields), call.keepAlive);
 }
 
 } // namespace
@@ -161,18 +175,23 @@
     const auto parsed = parseService(call);
     if (const auto *error = std::get_if<CallerError>(&parsed)) {
         context.metrics.countRequest("service", "not-run", error->code);
-        co_return co_await sendError(call.connection, *error, call.requestId, call.keepAlive) && call.keepAlive;
+        co_return co_await sendError(call.connection, *error, call.requestId, call.keepAlive) &&
+                call.keepAlive;
     }
     const ServiceRequest &request = std::get<ServiceRequest>(parsed);
     const std::string account = call.account.name;
-    const auto admitted = co_await onControl(context.control, [&state = context.state, account] {
-        return state.admit(account);
-    });
+    const auto admit = [&state = context.state, account] { return state.admit(account); };
+    const auto admitted = co_await onControl(context.control, admit);
     if (const auto *refused = std::get_if<LimitRefused>(&admitted)) {
         context.metrics.countRequest("service", "not-run", "limit");
-        const CallerError error{429, "limit", "account-" + std::string(toString(refused->reason)),
-                                "the account's limit is reached", Outcome::NotRun, refused->retryAfter};
-        co_return co_await sendError(call.connection, error, call.requestId, call.keepAlive) && call.keepAlive;
+        const CallerError error{429,
+                                "limit",
+                                "account-" + std::string(toString(refused->reason)),
+                                "the account's limit is reached",
+                                Outcome::NotRun,
+                                refused->retryAfter};
+        co_return co_await sendError(call.connection, error, call.requestId, call.keepAlive) &&
+                call.keepAlive;
     }
     const ReplyToCaller reply = co_await runCall(context, call, request);
     context.control.post([&state = context.state, account] { state.release(account); });
--- a/src/eelgrasslift/sseparser.cpp
+++ b/src/eelgrasslift/sseparser.cpp
@@ -32,7 +32,8 @@
     }
     const size_t colon = finished.find(':');
     const std::string_view name = std::string_view(finished).substr(0, colon);
-    std::string_view value = colon == std::string::npos ? std::string_view() : std::string_view(finished).substr(colon + 1);
+    std::string_view value =
+            colon == std::string::npos ? std::string_view() : std::string_view(finished).substr(colon + 1);
     if (value.starts_with(' '))
         value.remove_prefix(1);
     if (name == "id")
--- a/src/eelgrasslift/targetpoller.cpp
+++ b/src/eelgrasslift/targetpoller.cpp
@@ -21,8 +21,8 @@
 std::optional<VmListReceived> parseVmList(std::string_view body)
 {
     const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-    if (!document.is_object() || !document.contains("version") || !document["version"].is_number_unsigned()
-        || !document.contains("vms") || !document["vms"].is_array())
+    if (!document.is_object() || !document.contains("version") || !document["version"].is_number_unsigned() ||
+        !document.contains("vms") || !document["vms"].is_array())
         return std::nullopt;
     VmListReceived list;
     list.version = document["version"].get<uint64_t>();
@@ -90,12 +90,14 @@
 {
     bool wasReachable = true;
     while (true) {
-        const auto result = co_await exchange(this->vmList, makeRequest("GET", this->vmList, "/vms"), PollTimeout);
+        const auto result =
+                co_await exchange(this->vmList, makeRequest("GET", this->vmList, "/vms"), PollTimeout);
         const auto *answer = std::get_if<HttpResponse>(&result);
-        const auto list = answer != nullptr && answer->result_int() == 200 ? parseVmList(answer->body())
-                                                                            : std::nullopt;
+        const auto list =
+                answer != nullptr && answer->result_int() == 200 ? parseVmList(answer->body()) : std::nullopt;
         if (list)
-            this->context.control.post([&state = this->context.state, list = *list] { state.handleDirectory(list); });
+            this->context.control.post(
+                    [&state = this->context.state, list = *list] { state.handleDirectory(list); });
         if (!list && wasReachable)
             logWarning("vm-list-unreachable", {{"address", this->vmList.toString()}});
         wasReachable = list.has_value();
@@ -123,8 +125,9 @@
 
 asio::awaitable<void> TargetPoller::loadLoop()
 {
+    const auto listTargets = [this] { return this->targetsToPoll(); };
     while (true) {
-        const auto targets = co_await onControl(this->context.control, [this] { return this->targetsToPoll(); });
+        const auto targets = co_await onControl(this->context.control, listTargets);
         for (const PolledTarget &target : targets)
             asio::co_spawn(co_await asio::this_coro::executor, this->poll(target), asio::detached);
         co_await sleepFor(this->interval);
@@ -157,8 +160,8 @@
 
 asio::awaitable<void> TargetPoller::readLoad(PolledTarget target)
 {
-    const auto result = co_await exchange(target.endpoint, makeRequest("GET", target.endpoint, "/v1/load"),
-                                          PollTimeout);
+    const auto result =
+            co_await exchange(target.endpoint, makeRequest("GET", target.endpoint, "/v1/load"), PollTimeout);
     const auto *answer = std::get_if<HttpResponse>(&result);
     if (answer == nullptr || answer->result_int() != 200)
         co_return;
--- a/src/libcluster/gossipnode.h
+++ b/src/libcluster/gossipnode.h
@@ -117,8 +117,8 @@
     /// All record slots of a failure domain that have a known holder, dead or alive, in slot order.
     std::vector<wire::PeerInfo> slotHolders(std::string_view domain) const;
 
-    /// When the heartbeat of any control process last rose; nothing if none was ever heard of. Shows how long this
-    /// process may have missed newer rules.
+    /// When the heartbeat of any control process last rose; nothing if none was ever heard of. Shows how long
+    /// this process may have missed newer rules.
     std::optional<TimePoint> lastControlContact() const { return this->controlContact; }
 
     const wire::PeerInfo &self() const { return this->selfInfo; }
--- a/tests/cluster/test_gossipnode.cpp
+++ b/tests/cluster/test_gossipnode.cpp
@@ -29,7 +29,8 @@
 class Fleet
 {
 public:
-    explicit Fleet(uint32_t size, uint64_t seed = 1) : random(seed)
+    explicit Fleet(uint32_t size, uint64_t seed = 1)
+        : random(seed)
     {
         for (uint32_t i = 0; i < size; ++i) {
             wire::PeerInfo info;
@@ -56,8 +57,9 @@
 
     size_t countAtVersion(uint64_t version) const
     {
-        return static_cast<size_t>(std::count_if(this->nodes.begin(), this->nodes.end(),
-                                                 [&](const auto &node) { return versionOf(*node) == version; }));
+        return static_cast<size_t>(
+                std::count_if(this->nodes.begin(), this->nodes.end(),
+                              [&](const auto &node) { return versionOf(*node) == version; }));
     }
 
     void carryOut(GossipNode &sender, const std::vector<GossipAction> &actions)
@@ -110,8 +112,8 @@
         uint64_t version;
         uint64_t expected;
     };
-    const auto testCase
-            = GENERATE(values<Case>({{"cluster", 6, 6}, {"cluster", 5, 5}, {"cluster", 4, 5}, {"other", 9, 5}}));
+    const auto testCase = GENERATE(
+            values<Case>({{"cluster", 6, 6}, {"cluster", 5, 5}, {"cluster", 4, 5}, {"other", 9, 5}}));
     Fleet fleet(1);
     fleet.nodes[0]->handle(RulesAccepted{rulesOf("cluster", 5)}, fleet.now);
     wire::GossipDelta delta;
@@ -121,7 +123,8 @@
     CHECK(versionOf(*fleet.nodes[0]) == testCase.expected);
 }
 
-// Guards against a failure domain that stays on old rules after a partition longer than the peer timeout has ended.
+// Guards against a failure domain that stays on old rules after a partition longer than the peer timeout has
+// ended.
 TEST_CASE("A partitioned failure domain catches up after the partition")
 {
     Fleet fleet(12);
