--- a/src/eelgrasslift/asyncbridge.h
+++ b/src/eelgrasslift/asyncbridge.h
@@ -64,8 +64,8 @@
 class EventQueue
 {
 public:
-    explicit EventQueue(boost::asio::any_io_executor executor)
-        : timer(std::move(executor))
+    explicit EventQueue(const boost::asio::any_io_executor &executor)
+        : timer(executor)
     {
         this->timer.expires_at(std::chrono::steady_clock::time_point::max());
     }
