--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -391,8 +391,10 @@
     this->log = std::move(next);
     this->logNumber = number;
     this->logLength = records.size();
-    // The slot makes the new log current; until then a restart uses the old one.
+    // The first slot makes the new log current; until then a restart uses the old one. The second one keeps
+    // a damaged slot from pointing back to the old log, which is removed.
     this->sync();
+    this->recordSyncedLength();
     this->removeStaleFiles();
 }
 
--- a/tests/consensus/faults.h
+++ b/tests/consensus/faults.h
@@ -94,11 +94,11 @@
     raft::RequestId last = 0;
     const bool isCommitted = simulation.runUntil(
             [&] {
-                if (const auto leader = simulation.leader(); leader && last == 0)
-                    last = simulation.propose(*leader);
-                if (last != 0 && !simulation.isAcknowledged(last) && !simulation.leader())
-                    last = 0;
-                return last != 0 && simulation.isAcknowledged(last) && simulation.isRepaired();
+                if (last == 0 || simulation.isRefused(last)) {
+                    const std::optional<size_t> leader = simulation.leader();
+                    last = leader ? simulation.propose(*leader) : 0;
+                }
+                return simulation.isAcknowledged(last) && simulation.isRepaired();
             },
             30s);
     simulation.checkAcknowledged();
--- a/tests/consensus/simulation.cpp
+++ b/tests/consensus/simulation.cpp
@@ -324,8 +324,10 @@
 void Simulation::onAnswer(const Host &host, const Answer &answer)
 {
     const auto *index = std::get_if<LogIndex>(&answer.result);
-    if (index == nullptr)
+    if (index == nullptr) {
+        this->refused.insert(answer.request);
         return;
+    }
     if (this->confirmations.contains(answer.request)) {
         const std::set<std::string> applied{host.applied.begin(), host.applied.end()};
         for (const std::string &command : this->acknowledgedInOrder) {
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -77,7 +77,7 @@
     /// All members of the leader's membership run, are voters, and have the leader's committed entries.
     bool isRepaired() const;
     bool isAcknowledged(raft::RequestId request) const { return this->acknowledged.contains(request); }
-    size_t acknowledgedCount() const { return this->acknowledged.size(); }
+    bool isRefused(raft::RequestId request) const { return this->refused.contains(request); }
 
     /// The last messages sent, to find moments such as "the second snapshot chunk is under way".
     std::function<void(const raft::Envelope &)> onSend;
@@ -110,9 +110,9 @@
     raft::RequestId lastRequest = 0;
     std::map<raft::RequestId, std::string> proposed;
     std::set<raft::RequestId> confirmations;
-    std::map<raft::RequestId, size_t> acknowledgedBefore; // per confirmation
     std::map<raft::RequestId, std::string> acknowledged;
     std::vector<std::string> acknowledgedInOrder;
+    std::set<raft::RequestId> refused;
     std::map<Term, MemberId> leaders;
     std::map<LogIndex, std::pair<Term, std::string>> committed;
     std::vector<std::string> found;
--- a/tests/consensus/test_filelogstorage.cpp
+++ b/tests/consensus/test_filelogstorage.cpp
@@ -245,6 +245,8 @@
         CHECK(storage->recovered().entries == std::vector<LogEntry>{command(9), command(10, 3)});
     }
     CHECK_FALSE(std::filesystem::exists(folder.path / "log-3"));
+    flipByte(folder.path / "synced", GENERATE(3, 515));
+    CHECK(openStorage(folder.path)->recovered().entries.size() == 2);
     flipByte(folder.path / "snapshot-2", 20);
     CHECK(openError(folder.path) == StorageErrorKind::Corrupted);
 }
