--- a/src/libserving/generationstream.cpp
+++ b/src/libserving/generationstream.cpp
@@ -29,6 +29,7 @@
     , target(std::move(position.target))
     , generation(std::move(position.generation))
     , nextIndex(position.nextIndex)
+    , hasProgress(true)
     , isContinued(true)
     , mayHaveRun(true)
 {}
@@ -53,7 +54,7 @@
 {
     if (this->isFinished() || this->isPaused)
         return std::nullopt;
-    if (!this->generation.empty())
+    if (this->hasProgress)
         return this->lastProgress +
                this->settings.stallLimit * (1 << std::min(this->stallsInARow, MaxStallDoublings));
     if (this->settings.firstTokenLimit == Duration{0})
@@ -71,24 +72,27 @@
     if (!this->isOpen(event.connection) || !this->target.empty())
         return;
     this->target = event.target;
+    this->generation = event.generation;
     this->lastProgress = now;
 }
 
 void GenerationStream::on(const AttemptRefused &event, TimePoint now)
 {
-    if (!this->isOpen(event.connection) || !this->generation.empty())
+    if (!this->isOpen(event.connection) || this->hasProgress)
         return;
     this->connections.clear();
     this->target.clear();
+    this->generation.clear();
     this->attemptEnded(event.mayRetry, IncompleteCause::NotStarted, now);
 }
 
 void GenerationStream::on(const TokenReceived &event, TimePoint now)
 {
-    if (!this->isOpen(event.connection) || !this->adoptGeneration(event.generation)) {
+    if (!this->isOpen(event.connection) || !this->adoptGeneration(event)) {
         ++this->count.foreignTokens;
         return;
     }
+    this->hasProgress = true;
     if (event.index < this->nextIndex) {
         ++this->count.duplicateTokens;
         return;
@@ -109,7 +113,7 @@
 
 void GenerationStream::on(const EngineFinished &event, TimePoint now)
 {
-    const bool isEmptyAnswer = this->generation.empty() && event.tokenCount == 0;
+    const bool isEmptyAnswer = this->generation.empty() && event.tokenCount == 0 && !event.generation.empty();
     if (!this->isOpen(event.connection) || (!isEmptyAnswer && event.generation != this->generation)) {
         ++this->count.foreignTokens;
         return;
@@ -118,7 +122,7 @@
         this->finishComplete();
     } else if (event.tokenCount > this->nextIndex) {
         this->connections.erase(event.connection);
-        if (event.connection == this->lastConnection)
+        if (event.connection == this->lastConnection || this->connections.empty())
             this->resumeAfterFailure(false, IncompleteCause::ConnectionLost, now);
     } else {
         this->attemptEnded(false, IncompleteCause::EngineFailed, now);
@@ -177,10 +181,11 @@
     if (!due || now < *due)
         return;
     ++this->count.stalls;
-    if (!this->generation.empty()) {
+    if (this->hasProgress) {
         ++this->stallsInARow;
         this->openResume(now);
     } else if (event.mayRetry && this->mayRestart()) {
+        this->mayHaveRun = true;
         this->restart(now);
     } else {
         this->lastProgress = now;
@@ -200,11 +205,11 @@
     return isUntouched && !this->isContinued && this->restartsUsed < this->settings.restarts;
 }
 
-bool GenerationStream::adoptGeneration(const std::string &name)
+bool GenerationStream::adoptGeneration(const TokenReceived &event)
 {
-    if (this->generation.empty())
-        this->generation = name;
-    return this->generation == name;
+    if (this->generation.empty() && event.index == 0)
+        this->generation = event.generation;
+    return !this->generation.empty() && this->generation == event.generation;
 }
 
 void GenerationStream::accept(const TokenReceived &event, TimePoint now)
@@ -251,6 +256,7 @@
     this->target.clear();
     this->generation.clear();
     this->nextIndex = 0;
+    this->hasProgress = false;
     this->whole.clear();
     this->wholeBytes = 0;
     this->resumeFailures = 0;
--- a/src/libserving/generationstream.h
+++ b/src/libserving/generationstream.h
@@ -14,10 +14,13 @@
 
 // Events. connection is the number from OpenAttempt or OpenResume.
 
+/// The engine took the request. If its response names the generation before the first token, generation is
+/// set and tokens of any other one are dropped; otherwise the first token with index 0 names it.
 struct AttemptStarted
 {
     uint32_t connection = 0;
     std::string target;
+    std::string generation = {};
 };
 
 /// The target refused before it ran anything, or nothing could be sent to it.
@@ -233,7 +236,7 @@
     bool isOpen(uint32_t connection) const { return this->connections.count(connection) > 0; }
     bool isOverLimit() const;
     bool mayRestart() const;
-    bool adoptGeneration(const std::string &name);
+    bool adoptGeneration(const TokenReceived &event);
     void accept(const TokenReceived &event, TimePoint now);
     void openAttempt(TimePoint now);
     void restart(TimePoint now);
@@ -255,6 +258,8 @@
     std::string target;
     std::string generation;
     uint64_t nextIndex = 0;
+    /// A token of the generation has arrived, so that its progress can be watched and resumed.
+    bool hasProgress = false;
     bool isContinued = false;
     bool mayHaveRun = false;
     bool isPaused = false;
--- a/tests/serving/servicefleet.cpp
+++ b/tests/serving/servicefleet.cpp
@@ -193,8 +193,8 @@
     Duration latency = 1ms + std::chrono::microseconds{this->generator.below(500)};
     if (this->now < this->reorderUntil)
         latency += std::chrono::milliseconds{this->generator.below(30)};
-    if (this->now < this->delayUntil)
-        latency += 400ms;
+    if (this->now < this->delayUntil && this->generator.chance(0.5))
+        latency += std::chrono::milliseconds{5 + this->generator.below(400)};
     this->at(latency, callback);
     if (this->now < this->duplicateUntil)
         this->at(latency + std::chrono::milliseconds{this->generator.below(60)}, callback);
@@ -282,7 +282,7 @@
         this->reorderUntil = this->now + 100ms;
         return;
     case Fault::Delays:
-        this->delayUntil = this->now + 3ms;
+        this->delayUntil = this->now + 20ms;
         return;
     case Fault::EntryFrozen:
         this->current[entry]->frozenUntil = this->now + freeze;
--- /dev/null
+++ b/tests/serving/test_resumetoken.cpp
@@ -0,0 +1,35 @@
+#include "libserving/resumetoken.h"
+
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+
+// Guards against a caller that opens another caller's generation or moves its position by hand.
+TEST_CASE("A resume token opens only its own account's generation")
+{
+    const ResumeToken token{"runner-1|x", "gen.7", 42, "kiosk-centre"};
+    const std::string text = token.encode("key");
+    REQUIRE(std::holds_alternative<ResumeToken>(ResumeToken::decode(text, "kiosk-centre", "key")));
+    CHECK(std::get<ResumeToken>(ResumeToken::decode(text, "kiosk-centre", "key")) == token);
+
+    struct Row
+    {
+        std::string text;
+        std::string account;
+        std::string key;
+        ResumeTokenError error;
+    };
+    std::string moved = text;
+    moved[moved.find('.', moved.find('.') + 1) + 2] ^= 1;
+    const auto row = GENERATE_COPY(
+            values<Row>({{text, "kiosk-north", "key", ResumeTokenError::OtherAccount},
+                         {text, "kiosk-centre", "other", ResumeTokenError::BadSignature},
+                         {moved, "kiosk-centre", "key", ResumeTokenError::BadSignature},
+                         {text + "0", "kiosk-centre", "key", ResumeTokenError::BadSignature},
+                         {"", "kiosk-centre", "key", ResumeTokenError::Malformed},
+                         {"a.b.c", "kiosk-centre", "key", ResumeTokenError::Malformed},
+                         {std::string(5000, '.'), "kiosk-centre", "key", ResumeTokenError::Malformed}}));
+    const auto result = ResumeToken::decode(row.text, row.account, row.key);
+    REQUIRE(std::holds_alternative<ResumeTokenError>(result));
+    CHECK(std::get<ResumeTokenError>(result) == row.error);
+}
--- a/tests/serving/test_servicematrix.cpp
+++ b/tests/serving/test_servicematrix.cpp
@@ -46,23 +46,34 @@
     return {seed, Topologies[variant % 3], variant < 6, variant < 3 || variant >= 6};
 }
 
+/// Faults that together can make two memories count for one slot; at random they rarely meet.
+constexpr Fault MemoryFaults[]{Fault::ReplicaReplaced,
+                               Fault::EntryReplaced,
+                               Fault::ReplicaFrozenAndReplaced,
+                               Fault::EntryFrozenAndReplaced,
+                               Fault::Delays,
+                               Fault::LostReplies,
+                               Fault::EntryFrozen};
+
 /// Faults at random times, several keys and callers. Everything follows from the seed.
 std::string runSchedule(uint64_t seed, Tally &tally)
 {
     Random random{seed};
+    const bool isFocused = random.chance(0.6);
     ServiceFleet fleet{options(static_cast<int>(random.below(VariantCount)), seed)};
     const auto soon = [&](uint64_t most) { return std::chrono::microseconds{random.below(most)}; };
-    const int keys = 1 + static_cast<int>(random.below(3));
+    const int keys = isFocused ? 1 : 1 + static_cast<int>(random.below(3));
     for (int key = 0; key < keys; ++key) {
-        for (uint64_t callers = 1 + random.below(2); callers > 0; --callers)
-            fleet.at(soon(12'000), [&fleet, key, entry = random.below(6)] { fleet.submit(key, entry, 4); });
+        for (uint64_t callers = (isFocused ? 2 : 1) + random.below(2); callers > 0; --callers)
+            fleet.at(soon(isFocused ? 30'000 : 12'000),
+                     [&fleet, key, entry = random.below(6)] { fleet.submit(key, entry, 3); });
     }
-    const uint64_t faults = 1 + random.below(6);
-    for (uint64_t i = 0; i < faults; ++i) {
-        const auto fault = static_cast<Fault>(random.below(FaultCount));
+    for (uint64_t faults = 1 + random.below(6); faults > 0; --faults) {
+        const Fault fault = isFocused ? MemoryFaults[random.below(std::size(MemoryFaults))]
+                                      : static_cast<Fault>(random.below(FaultCount));
         const size_t entry = random.below(fleet.entryCount());
-        fleet.at(soon(random.chance(0.7) ? 25'000 : 2'000'000),
-                 [&fleet, fault, entry] { fleet.strike(fault, entry); });
+        const bool isEarly = isFocused || random.chance(0.7);
+        fleet.at(soon(isEarly ? 25'000 : 2'000'000), [&fleet, fault, entry] { fleet.strike(fault, entry); });
     }
     fleet.run(60s);
     tally.add(fleet);
