--- a/src/libserving/serving.h
+++ b/src/libserving/serving.h
@@ -8,5 +8,6 @@
 #include "libserving/generationstream.h"
 #include "libserving/idempotencyclaim.h"
 #include "libserving/idempotencyreplica.h"
+#include "libserving/markspread.h"
 #include "libserving/resumetoken.h"
 #include "libserving/servicecall.h"
--- a/tests/serving/servicefleet.cpp
+++ b/tests/serving/servicefleet.cpp
@@ -155,23 +155,6 @@
              [=, this] { this->whenAwake(process, [=, this] { this->recover(process, rounds - 1); }); });
 }
 
-void ServiceFleet::at(Duration delay, std::function<void()> callback)
-{
-    this->events.push({this->now + delay, this->nextOrder++, std::move(callback)});
-}
-
-void ServiceFleet::run(Duration duration)
-{
-    const TimePoint end = this->now + duration;
-    while (!this->events.empty() && this->events.top().at <= end) {
-        const Event event = this->events.top();
-        this->events.pop();
-        this->now = event.at;
-        event.callback();
-    }
-    this->now = end;
-}
-
 void ServiceFleet::whenAwake(const ProcessPtr &process, std::function<void()> callback)
 {
     if (!process->isAlive)
--- a/tests/serving/servicefleet.h
+++ b/tests/serving/servicefleet.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "virtualtime.h"
+
 #include "libcore/random.h"
 #include "libserving/serving.h"
 
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,7 +55,7 @@
 
 /// Entries, their network, one plain service and its callers in virtual time. The service counts runs per
 /// key; callers remember what they were told and retry through other entries.
-class ServiceFleet
+class ServiceFleet : public VirtualTime
 {
 public:
     enum class Topology { Domain, Fleet, Move };
@@ -75,8 +75,6 @@
     void arm(Fault fault, Step step, bool isAfterPrevious);
     void strike(Fault fault, size_t entry);
     void submit(int key, size_t entry, int triesLeft);
-    void run(Duration duration);
-    void at(Duration delay, std::function<void()> callback);
 
     /// What the callers and the service saw that breaks the contract; empty if nothing.
     std::string violation() const;
@@ -106,16 +104,6 @@
         Duration skew{0};
     };
     using ProcessPtr = std::shared_ptr<Process>;
-    struct Event
-    {
-        TimePoint at;
-        uint64_t order = 0;
-        std::function<void()> callback;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.at, other.order) < std::tie(this->at, this->order);
-        }
-    };
     struct Told
     {
         int key = 0;
@@ -160,10 +148,7 @@
 
     Options options;
     Random generator;
-    TimePoint now;
     WallTime startWall{std::chrono::hours{24 * 365 * 55}};
-    std::priority_queue<Event> events;
-    uint64_t nextOrder = 0;
     std::shared_ptr<const AcceptedRules> rules;
     std::shared_ptr<const AcceptedRules> oldRules;
     std::vector<ProcessPtr> current;
--- a/tests/serving/streamfleet.cpp
+++ b/tests/serving/streamfleet.cpp
@@ -40,22 +40,6 @@
     this->at(0ms, [this] { this->connect(); });
 }
 
-void StreamFleet::at(Duration delay, std::function<void()> callback)
-{
-    this->events.push({this->now + delay, this->nextOrder++, std::move(callback)});
-}
-
-void StreamFleet::run(Duration duration)
-{
-    const TimePoint end = this->now + duration;
-    while (!this->events.empty() && this->events.top().at <= end) {
-        const Event event = this->events.top();
-        this->events.pop();
-        this->now = event.at;
-        event.callback();
-    }
-}
-
 /// The caller's first request, or its return to another entry with the position that it has.
 void StreamFleet::connect()
 {
--- a/tests/serving/streamfleet.h
+++ b/tests/serving/streamfleet.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "virtualtime.h"
+
 #include "libcore/random.h"
 #include "libserving/generationstream.h"
 
-#include <functional>
 #include <memory>
-#include <queue>
 #include <set>
 #include <tuple>
 
@@ -39,15 +39,13 @@
 
 /// One caller, two entries, two engines in virtual time. Engines name and number their tokens; the caller
 /// checks what it receives and reconnects with its position when its entry dies.
-class StreamFleet
+class StreamFleet : public VirtualTime
 {
 public:
     StreamFleet(uint64_t seed, Delivery delivery);
 
     void arm(StreamFault fault, StreamStep step, bool isAfterPrevious);
     void strike(StreamFault fault);
-    void at(Duration delay, std::function<void()> callback);
-    void run(Duration duration);
     std::string violation() const;
     bool isComplete() const { return this->ending == "complete"; }
     bool isUnreached() const { return !this->armed.empty(); }
@@ -76,16 +74,6 @@
         TimePoint stalledUntil;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
-    struct Event
-    {
-        TimePoint at;
-        uint64_t order = 0;
-        std::function<void()> callback;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.at, other.order) < std::tie(this->at, this->order);
-        }
-    };
     struct Armed
     {
         StreamFault fault;
@@ -108,9 +96,6 @@
 
     Random generator;
     Delivery delivery;
-    TimePoint now;
-    std::priority_queue<Event> events;
-    uint64_t nextOrder = 0;
     std::unique_ptr<GenerationStream> stream;
     uint64_t entryLife = 0;
     /// Generations of the caller's earlier requests; a later request may truly not have run.
