serving: scripted replacement schedules

Change: five replicas whose messages the test delivers one by one: a replacement, and two, between the grants of one claim.

--- /dev/null
+++ b/tests/serving/test_replacement.cpp
@@ -0,0 +1,115 @@
+#include "libserving/idempotencyclaim.h"
+#include "libserving/idempotencyreplica.h"
+
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant At{TimePoint{1h}, WallTime{std::chrono::hours{500'000}}};
+
+/// Five replicas whose messages the test delivers one by one.
+struct Group
+{
+    Group()
+    {
+        auto accepted = std::make_shared<AcceptedRules>();
+        accepted->rules.domains["a"].name = "a";
+        accepted->rules.accounts["kiosk"].domain = "a";
+        this->rules = accepted;
+        for (size_t slot = 0; slot < 5; ++slot)
+            this->replicas.push_back(this->create(slot, 1));
+        // The first processes have outlived the retention of anything before them.
+        for (size_t slot = 0; slot < 5; ++slot)
+            this->read(slot, {(slot + 1) % 5, (slot + 2) % 5, (slot + 3) % 5}, true);
+    }
+
+    std::unique_ptr<IdempotencyReplica> create(size_t slot, uint64_t incarnation) const
+    {
+        auto replica = std::make_unique<IdempotencyReplica>(
+                ReplicaSettings{{std::to_string(slot), incarnation}, "a", 5});
+        replica->setRules(this->rules);
+        return replica;
+    }
+
+    void read(size_t reader, const std::vector<size_t> &from, bool isFull = false)
+    {
+        const auto request = this->replicas[reader]->recoveryRequest(RecordScope::Domain, At);
+        for (const size_t other : from) {
+            ReadRecordsReply reply = this->replicas[other]->readRecords(*request, At);
+            reply.isFull = reply.isFull || isFull;
+            this->replicas[reader]->recordsRead(reply, At);
+        }
+    }
+
+    void replace(size_t slot, const std::vector<size_t> &from)
+    {
+        this->replicas[slot] = this->create(slot, 2);
+        this->read(slot, from);
+        REQUIRE(this->replicas[slot]->isFull(RecordScope::Domain));
+    }
+
+    void deliver(IdempotencyClaim &claim, const std::string &claimId, size_t slot)
+    {
+        const ClaimRequest request{{"kiosk", "stock", "plain"}, {}, claimId + ".1", "entry", 0};
+        const RecordReply reply = this->replicas[slot]->claim(request, At);
+        CHECK(reply.verdict == RecordVerdict::Granted);
+        claim.handle({std::to_string(slot), RecordCall::Claim, reply}, At);
+    }
+
+    static IdempotencyClaim start(const std::string &claimId)
+    {
+        IdempotencyClaim claim{{{"kiosk", "stock", "plain"}, {}, claimId, "entry", 0},
+                               {{"a", 5, {"0", "1", "2", "3", "4"}}},
+                               {}};
+        claim.start(At);
+        return claim;
+    }
+
+    std::shared_ptr<const AcceptedRules> rules;
+    std::vector<std::unique_ptr<IdempotencyReplica>> replicas;
+};
+
+} // namespace
+
+// Guards against a key that runs twice because a replaced entry's grant still counts while its successor,
+// which read all records before the other grants were given, grants the key again.
+TEST_CASE("A replacement between two grants does not give a key to two claims")
+{
+    const bool isSecondReplaced = GENERATE(false, true);
+    Group group;
+    IdempotencyClaim early = Group::start("x");
+    group.deliver(early, "x", 0);
+    group.replace(0, {1, 2, 3});
+    if (isSecondReplaced)
+        group.replace(1, {2, 3, 4}); // learns of slot 0's successor only from what 2 and 3 know
+
+    IdempotencyClaim late = Group::start("y");
+    for (const size_t slot : {0, 2, 3})
+        group.deliver(late, "y", slot);
+    REQUIRE(late.isGranted());
+    for (const size_t slot : {1, 4})
+        group.deliver(early, "x", slot);
+    CHECK_FALSE(early.isGranted());
+}
+
+// Guards against a successor that grants a key which was granted before it registered.
+TEST_CASE("A successor knows every key that its predecessor helped to grant")
+{
+    Group group;
+    IdempotencyClaim claim = Group::start("x");
+    for (const size_t slot : {0, 1, 2})
+        group.deliver(claim, "x", slot);
+    REQUIRE(claim.isGranted());
+    group.replace(0, {1, 3, 4});
+    const ClaimRequest other{{"kiosk", "stock", "plain"}, {}, "y.1", "entry", 0};
+    CHECK(group.replicas[0]->claim(other, At).verdict == RecordVerdict::Held);
+
+    // Two readers are not a cover of five: they need not include a member of the granting majority.
+    group.replicas[1] = group.create(1, 2);
+    group.read(1, {3, 4});
+    CHECK_FALSE(group.replicas[1]->isRegistered(RecordScope::Domain));
+    CHECK(group.replicas[1]->claim(other, At).verdict == RecordVerdict::Abstain);
+}
