serving: drop an unused call and check the record of a timeout

Change: IdempotencyClaim::abandon removed; the timeout test checks that the record is unknown. Conclusion: the guard now has a table test as well.

--- a/src/libserving/idempotencyclaim.cpp
+++ b/src/libserving/idempotencyclaim.cpp
@@ -80,15 +80,6 @@
     return this->takeActions();
 }
 
-std::vector<ClaimAction> IdempotencyClaim::abandon(const Instant &instant)
-{
-    if (this->state == State::Claiming)
-        this->release(instant);
-    if (this->state != State::Granted)
-        this->state = State::Ended;
-    return this->takeActions();
-}
-
 std::optional<TimePoint> IdempotencyClaim::nextTick() const
 {
     if (this->state == State::Claiming)
--- a/src/libserving/idempotencyclaim.h
+++ b/src/libserving/idempotencyclaim.h
@@ -98,9 +98,6 @@
     std::vector<ClaimAction> resolve(RecordState outcome, uint32_t status, std::string contentType,
                                      std::string answer, const Instant &instant);
 
-    /// Gives up a claim that was not granted yet.
-    std::vector<ClaimAction> abandon(const Instant &instant);
-
     bool isGranted() const { return this->state == State::Granted; }
     bool isFinished() const { return this->isFinishedSent; }
     std::optional<TimePoint> nextTick() const;
--- a/tests/serving/test_servicecall.cpp
+++ b/tests/serving/test_servicecall.cpp
@@ -128,6 +128,8 @@
     REQUIRE(only<ReplyToCaller>(sent.all).size() == 1);
     CHECK(only<ReplyToCaller>(sent.all)[0].outcome == ServiceOutcome::Unknown);
     CHECK(only<AbortSend>(sent.all).size() == 1);
+    for (const SendResolve &send : only<SendResolve>(sent.all))
+        CHECK(send.request.record.state == RecordState::Unknown);
     sent.feed(AnswerReceived{1, {200, "t", "late"}}, 6s);
     CHECK(only<ReplyToCaller>(sent.all).size() == 1);
 }
