serving: tests for guards that had none

Cause: with the guard taken out, no test failed for: marks confirmed before the error, overflow tokens not counted as failed resumes, a resume at once when the last connection ends.

--- a/tests/serving/test_crashquarantine.cpp
+++ b/tests/serving/test_crashquarantine.cpp
@@ -42,6 +42,7 @@
         const int requests = this->crashers + 4 + static_cast<int>(this->random.below(8));
         for (int request = 0; request < requests; ++request) {
             const uint64_t copies = request < this->crashers ? 1 + this->random.below(3) : 1;
+            this->copiesSent[request] = static_cast<int>(copies);
             for (uint64_t copy = 0; copy < copies; ++copy)
                 this->at(std::chrono::milliseconds{this->random.below(30)},
                          [=, this] { this->submit(request); });
@@ -96,7 +97,8 @@
     int furtherCopies(int request) const
     {
         const auto found = this->copiesAtFirstDeath.find(request);
-        return found == this->copiesAtFirstDeath.end() ? 0 : found->second - 1;
+        const int sent = this->copiesSent.at(request);
+        return found == this->copiesAtFirstDeath.end() ? 0 : std::min(found->second, sent) - 1;
     }
 
     void whenAwake(size_t entry, std::function<void()> callback)
@@ -239,7 +241,7 @@
     void start(uint64_t run, int request, size_t entry, size_t target, bool isAlone)
     {
         // A copy that starts while the first marks are on their way counts as in flight.
-        if (!isAlone && this->deaths.count(request) > 0 && this->now < this->firstDeath[request] + 3ms)
+        if (!isAlone && this->deaths.count(request) > 0 && this->now < this->firstDeath[request] + 16ms)
             ++this->copiesAtFirstDeath[request];
         const uint64_t life = this->targetLife[target];
         this->entries[entry].quarantine.started(run, print(request), std::to_string(target), isAlone);
@@ -307,7 +309,7 @@
     {
         for (const std::string &name : spread->due(this->now)) {
             const size_t to = std::stoul(name);
-            this->at(1ms, [=, this] {
+            this->at(std::chrono::milliseconds{1 + this->random.below(15)}, [=, this] {
                 this->whenAwake(to, [=, this] {
                     for (const QuarantineMark &mark : spread->marks())
                         this->entries[to].quarantine.merge(mark, this->instant());
@@ -337,6 +339,7 @@
     std::map<int, int> deaths;
     std::map<int, TimePoint> firstDeath;
     std::map<int, int> copiesAtFirstDeath;
+    std::map<int, int> copiesSent;
     std::vector<int> refused;
 };
 
@@ -434,6 +437,24 @@
     CHECK(std::holds_alternative<AloneRefused>(minority.start(at(0s)).back()));
 }
 
+// Guards against an error that reaches the caller before the other entries know the suspect, and against a
+// caller that waits for a dead entry.
+TEST_CASE("Marks are confirmed by every entry before the caller is told")
+{
+    MarkSpread spread{{QuarantineMark{print(1), 1, StartWall}}, {"e1", "e2"}, {}};
+    const TimePoint start{1h};
+    CHECK(spread.due(start).size() == 2);
+    spread.confirmed("e1");
+    CHECK_FALSE(spread.isDone(start));
+    CHECK(spread.due(start + 49ms).empty());
+    CHECK(spread.due(start + 50ms) == std::vector<std::string>{"e2"});
+    CHECK_FALSE(spread.isDone(start + 499ms));
+    if (GENERATE(true, false))
+        CHECK(spread.isDone(start + 500ms));
+    spread.confirmed("e2");
+    CHECK(spread.isDone(start));
+}
+
 // Guards against deaths beyond the bound and against innocent neighbours that are refused or starve, with
 // entries that freeze. EELGRASSLIFT_SEED replays one seed.
 TEST_CASE("Crash-inducing requests stay within the bound in random schedules", "[contract]")
--- a/tests/serving/test_generationstream.cpp
+++ b/tests/serving/test_generationstream.cpp
@@ -141,6 +141,15 @@
     CHECK(only<FinishIncomplete>(actions).size() == row.incomplete);
 }
 
+// Guards against a stream that waits for the stall limit although no connection is left.
+TEST_CASE("The end of the last connection resumes at once")
+{
+    Running running;
+    CHECK(only<OpenResume>(running.token(1, 4)).size() == 1);
+    CHECK(running.stream.handle(ResumeRefused{2, true}, Start).empty());
+    CHECK(only<OpenResume>(running.stream.handle(EngineFinished{1, "g", 5}, Start)).size() == 1);
+}
+
 // Guards against a stalled link that holds up the caller although the engine goes on.
 TEST_CASE("A stall opens a second connection at the exact index")
 {
@@ -182,7 +191,9 @@
     running.token(1, 6);
     running.token(1, 7);
     CHECK(only<DeliverToken>(running.token(1, 8)).empty());
-    CHECK(only<DeliverToken>(running.token(1, 9)).empty());
+    for (uint64_t index = 9; index < 20; ++index)
+        CHECK(running.token(1, index).empty());
+    CHECK_FALSE(running.stream.isFinished());
     CHECK_FALSE(running.stream.nextTick());
     CHECK(running.stream.handle(CallerAccepted{4, 4}, Start).empty());
     const auto actions = running.stream.handle(CallerAccepted{4, 4}, Start);
