serving: resend crash-inducing requests at once in the crash fleet

Change: resends wait 0 to 199 ms; the hold's end is checked without admit(), which drops expired marks.

--- a/tests/serving/test_crashquarantine.cpp
+++ b/tests/serving/test_crashquarantine.cpp
@@ -130,8 +130,7 @@
     void resubmit(int request)
     {
         this->open -= request >= this->crashers ? 1 : 0;
-        this->at(std::chrono::milliseconds{20 + this->random.below(200)},
-                 [=, this] { this->submit(request); });
+        this->at(std::chrono::milliseconds{this->random.below(200)}, [=, this] { this->submit(request); });
     }
 
     void submit(int request)
@@ -367,6 +366,8 @@
         quarantine.started(6, print(3), "t", false);
     quarantine.targetDied("t", at(3s));
     CHECK(std::holds_alternative<RefuseQuarantined>(quarantine.admit(print(1), at(4s))) == isIsolated);
+    CHECK(quarantine.isQuarantined(print(1), at(3s + 59min)) == isIsolated);
+    CHECK_FALSE(quarantine.isQuarantined(print(1), at(3s + 1h)));
     CHECK(std::holds_alternative<RunNormally>(quarantine.admit(print(1), at(3s + 1h))));
 }
 
