Send nothing new to an engine in which requests wait

Cause: an engine with waiting requests is full, whatever its memory figure says. Change: a report with waiting requests that is less than 1 s old takes the target's headroom away.

--- a/src/librouting/targetload.cpp
+++ b/src/librouting/targetload.cpp
@@ -9,6 +9,8 @@
 
 constexpr double ReportHalfLifeSeconds = 2;
 constexpr Duration PeerUseLifetime = std::chrono::seconds{5};
+// Two report intervals of the engines.
+constexpr Duration QueueingLifetime = std::chrono::seconds{1};
 constexpr Duration ForecastInterval = std::chrono::milliseconds{100};
 
 double faded(double value, Duration age)
@@ -148,6 +150,11 @@
     return std::max(gossiped, blended);
 }
 
+bool TargetLoad::isQueueing(TimePoint now) const
+{
+    return this->receivedAt && this->report.waiting > 0 && now - this->reportTime < QueueingLifetime;
+}
+
 bool TargetLoad::isReservedByPeer(TimePoint now) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(), [now](const PeerUse &peer) {
--- a/src/librouting/targetload.h
+++ b/src/librouting/targetload.h
@@ -41,6 +41,8 @@
     double otherMemory(TimePoint now) const;
     /// Own runs that the last report cannot include yet.
     uint32_t startedSinceReport() const;
+    /// Whether requests waited inside the engine at the last report, if that is recent.
+    bool isQueueing(TimePoint now) const;
     bool isReservedByPeer(TimePoint now) const;
 
     /// Memory that one request is expected to hold after each horizon.
--- a/src/librouting/targetselector.cpp
+++ b/src/librouting/targetselector.cpp
@@ -282,7 +282,8 @@
     const bool isIdle = target.load.ownInFlight() == 0 && candidate.load == 0;
     const double slots = target.settings.slots * this->ramp(target, now);
     candidate.hasHeadroom =
-            isIdle || (candidate.load * slots + 1 <= slots && peak <= this->headroomLimit(request));
+            isIdle || (!target.load.isQueueing(now) && candidate.load * slots + 1 <= slots &&
+                       peak <= this->headroomLimit(request));
     return candidate;
 }
 
