Let requests that need little memory use the reserve

Cause: labels waited up to 15 s (p95) for memory that reports are expected to need, though a label takes 0.4% of an engine's memory. Change: the forecast limit rises by up to 0.2 for a request whose own forecast peak is below 2% of the memory.

--- a/src/librouting/targetselector.cpp
+++ b/src/librouting/targetselector.cpp
@@ -17,6 +17,10 @@
 constexpr double MostMemoryLimit = 1.10;
 // What a request that is about to miss its deadline may take in addition.
 constexpr double UrgencyAllowance = 0.10;
+// What a request that needs next to no memory may take in addition, falling to nothing for one that is
+// expected to need LargeRequest of the target's memory: labels must not wait for the memory of reports.
+constexpr double SmallAllowance = 0.20;
+constexpr double LargeRequest = 0.02;
 // Weights of the score beside the forecast peak (weight 1).
 constexpr double CountWeight = 0.5;
 constexpr double AffinityWeight = 0.3;
@@ -261,11 +265,12 @@
     return peak / (target.settings.memory * this->ramp(target, now));
 }
 
-double TargetSelector::headroomLimit(const SelectRequest &request) const
+double TargetSelector::headroomLimit(const SelectRequest &request, double ownPeak) const
 {
     const double weight = std::min(this->options.stallWeight, 100U) / 100.0;
-    return LeastMemoryLimit + (MostMemoryLimit - LeastMemoryLimit) * weight +
-           UrgencyAllowance * std::clamp(request.urgency, 0.0, 1.0);
+    const double limit = LeastMemoryLimit + (MostMemoryLimit - LeastMemoryLimit) * weight;
+    return limit + UrgencyAllowance * std::clamp(request.urgency, 0.0, 1.0) +
+           SmallAllowance * std::clamp(1 - ownPeak / LargeRequest, 0.0, 1.0);
 }
 
 TargetSelector::Candidate TargetSelector::evaluate(uint32_t index, const SelectRequest &request,
@@ -277,6 +282,7 @@
     candidate.target = index;
     candidate.load = this->countLoad(target, now);
     const double peak = isEngine ? this->memoryPeak(target, forecast, now) : 0;
+    const double ownPeak = *std::max_element(forecast.begin(), forecast.end()) / target.settings.memory;
     candidate.cachedShare =
             request.prefixHashes.empty() ? 0 : this->prefixes.matchedShare(index, request.prefixHashes);
     candidate.score = peak + CountWeight * candidate.load +
@@ -287,7 +293,7 @@
     const double slots = target.settings.slots * this->ramp(target, now);
     candidate.hasHeadroom =
             isIdle || (!target.load.isQueueing(now) && candidate.load * slots + 1 <= slots &&
-                       peak <= this->headroomLimit(request));
+                       peak <= this->headroomLimit(request, ownPeak));
     return candidate;
 }
 
--- a/src/librouting/targetselector.h
+++ b/src/librouting/targetselector.h
@@ -139,7 +139,7 @@
     Candidate evaluate(uint32_t target, const SelectRequest &request, const TargetLoad::Forecast &forecast,
                        TimePoint now);
     double memoryPeak(Target &target, const TargetLoad::Forecast &request, TimePoint now);
-    double headroomLimit(const SelectRequest &request) const;
+    double headroomLimit(const SelectRequest &request, double ownPeak) const;
     double growthOfOthers(size_t horizon) const;
     Result<Choice, NoTarget> selectAlone(const Group &group, const SelectRequest &request, TimePoint now);
     NoTarget explain(const Group &group, const SelectRequest &request, TimePoint now) const;
