Map stall-weight to memory limits of 0.65 to 0.90

Cause: above a limit of 0.9 both stalls and waits grew, so weights above 50 of the old map were worse in every respect. Change: stall-weight 0 keeps 35% of the memory free in the forecast, 100 keeps 10%. Conclusion: the weight now goes from fewest preemptions to least stall and wait.

--- a/src/librouting/targetselector.cpp
+++ b/src/librouting/targetselector.cpp
@@ -13,8 +13,8 @@
 // A cached prefix does not justify a target that is busier than this multiple of the mean.
 constexpr double AffinityLoadBound = 1.25;
 // Share of the memory that the forecast peak may take, for stall-weight 0 and 100.
-constexpr double LeastMemoryLimit = 0.70;
-constexpr double MostMemoryLimit = 1.10;
+constexpr double LeastMemoryLimit = 0.65;
+constexpr double MostMemoryLimit = 0.90;
 // What a request that is about to miss its deadline may take in addition.
 constexpr double UrgencyAllowance = 0.10;
 // What a request that needs next to no memory may take in addition, falling to nothing for one that is
