Use the memory that an engine reports if it is less than configured

Cause: engines that lose memory to adapters were filled up to the configured size. Change: TargetLoad::memoryTotal(); tests for it, for the reserve and for waiting engines; scenario names without a comma, which broke the columns of the CSV file.

--- a/bench/commands.cpp
+++ b/bench/commands.cpp
@@ -23,7 +23,7 @@
 std::string scenarioName(const Mix &mix, double load, Fault fault)
 {
     std::ostringstream out;
-    out << mix.name << " load " << load << ", " << toString(fault);
+    out << mix.name << " load " << load << " " << toString(fault);
     return out.str();
 }
 
--- a/src/librouting/targetload.cpp
+++ b/src/librouting/targetload.cpp
@@ -150,6 +150,12 @@
     return std::max(gossiped, blended);
 }
 
+double TargetLoad::memoryTotal(double configured) const
+{
+    const bool isReported = this->receivedAt && this->report.memoryTotal > 0;
+    return isReported ? std::min(configured, this->report.memoryTotal) : configured;
+}
+
 bool TargetLoad::isQueueing(TimePoint now) const
 {
     return this->receivedAt && this->report.waiting > 0 && now - this->reportTime < QueueingLifetime;
--- a/src/librouting/targetload.h
+++ b/src/librouting/targetload.h
@@ -52,7 +52,8 @@
 
     /// Recent preemptions on the target, fading with the reports' half-life.
     double preemptionLevel(TimePoint now) const;
-    std::optional<TimePoint> reportReceivedAt() const { return this->receivedAt; }
+    /// Memory by the last report if that is less than configured; an engine may have lost some to adapters.
+    double memoryTotal(double configured) const;
 
     size_t byteSize() const;
 
--- a/src/librouting/targetselector.cpp
+++ b/src/librouting/targetselector.cpp
@@ -262,7 +262,7 @@
     double peak = 0;
     for (size_t i = 0; i < own.size(); ++i)
         peak = std::max(peak, own[i] + request[i] + others * this->growthOfOthers(i));
-    return peak / (target.settings.memory * this->ramp(target, now));
+    return peak / (target.load.memoryTotal(target.settings.memory) * this->ramp(target, now));
 }
 
 double TargetSelector::headroomLimit(const SelectRequest &request, double ownPeak) const
--- a/tests/routing/test_targetselector.cpp
+++ b/tests/routing/test_targetselector.cpp
@@ -168,6 +168,38 @@
     CHECK(fixture.pick(report, Start) == expected);
 }
 
+// Guards against labels that wait for memory which reports are expected to need, and against trust in the
+// configured memory when the engine reports less.
+TEST_CASE("Small requests use the reserve, and reported memory counts if it is smaller")
+{
+    Fixture fixture;
+    for (int i = 0; i < 30; ++i)
+        fixture.lengths.record("cashier", "label", 40);
+    fixture.add("a1", "a");
+    fixture.report("a1", 8, 50000, Start);
+    SelectRequest small = label();
+    small.account = "cashier";
+    CHECK(fixture.pick(small, Start) == "a1");
+    SelectRequest large = label();
+    large.promptTokens = 4000;
+    CHECK(fixture.pick(large, Start) == "[no-headroom]");
+
+    const int64_t time = toMilliseconds(Start.time_since_epoch());
+    fixture.selector.applyReport("a1", {1, time, 8, 0, 50000, 50000, 0}, Start + 300ms);
+    CHECK(fixture.pick(small, Start + 300ms) == "[no-headroom]");
+}
+
+// Guards against new work for an engine that already holds requests back.
+TEST_CASE("An engine with waiting requests gets nothing while that report is recent")
+{
+    Fixture fixture;
+    fixture.add("a1", "a");
+    const int64_t time = toMilliseconds(Start.time_since_epoch());
+    fixture.selector.applyReport("a1", {1, time, 2, 1, 5000, 60000, 0}, Start);
+    CHECK(fixture.pick(label(), Start) == "[no-headroom]");
+    CHECK(fixture.pick(label(), Start + 1s) == "a1");
+}
+
 // Guards against decisions on reports that describe a state long gone, or that arrive out of order.
 TEST_CASE("A stale load report loses its weight; old and repeated reports are dropped")
 {
