Split target selection into state, groups, scorer and selector

Change: TargetState, TargetGroups and TargetScorer take over their parts; SelectorOptions::entryCount and TargetLoad::startedSinceReport() are gone, since nothing used them. Conclusion: no change of behaviour.

--- a/bench/routingentry.cpp
+++ b/bench/routingentry.cpp
@@ -15,7 +15,6 @@
     SelectorOptions options;
     options.ownDomain = domainName(settings.index / (EntryCount / DomainCount));
     options.stallWeight = settings.stallWeight;
-    options.entryCount = EntryCount;
     return options;
 }
 
--- a/src/librouting/targetload.cpp
+++ b/src/librouting/targetload.cpp
@@ -94,16 +94,6 @@
     return true;
 }
 
-uint32_t TargetLoad::startedSinceReport() const
-{
-    if (this->ownCount == 0)
-        return 0;
-    return static_cast<uint32_t>(
-            std::count_if(this->runs.begin(), this->runs.end(), [this](const OwnRun &run) {
-                return run.isUsed && (!this->receivedAt || run.startedAt > this->reportTime);
-            }));
-}
-
 void TargetLoad::applyPeerUse(uint32_t peer, const TargetUse &use, TimePoint now)
 {
     const PeerUse next{peer, use.inFlight, static_cast<float>(use.memory), use.isReserved, now};
--- a/src/librouting/targetload.h
+++ b/src/librouting/targetload.h
@@ -39,8 +39,6 @@
     /// Requests of other entries, from the last report and gossip.
     double otherInFlight(TimePoint now) const;
     double otherMemory(TimePoint now) const;
-    /// Own runs that the last report cannot include yet.
-    uint32_t startedSinceReport() const;
     /// Whether requests waited inside the engine at the last report, if that is recent.
     bool isQueueing(TimePoint now) const;
     bool isReservedByPeer(TimePoint now) const;
--- a/src/librouting/targetselector.cpp
+++ b/src/librouting/targetselector.cpp
@@ -7,25 +7,10 @@
 
 namespace {
 
-constexpr Duration SlowStartTime = std::chrono::seconds{10};
-// A new target takes a tenth of its share at once: enough to find out whether it works.
-constexpr double SlowStartFloor = 0.1;
 // A cached prefix does not justify a target that is busier than this multiple of the mean.
 constexpr double AffinityLoadBound = 1.25;
-// Share of the memory that the forecast peak may take, for stall-weight 0 and 100.
-constexpr double LeastMemoryLimit = 0.65;
-constexpr double MostMemoryLimit = 0.90;
-// What a request that is about to miss its deadline may take in addition.
-constexpr double UrgencyAllowance = 0.10;
-// What a request that needs next to no memory may take in addition, falling to nothing for one that is
-// expected to need LargeRequest of the target's memory: labels must not wait for the memory of reports.
-constexpr double SmallAllowance = 0.20;
-constexpr double LargeRequest = 0.02;
-// Weights of the score beside the forecast peak (weight 1).
-constexpr double CountWeight = 0.5;
+// Worth of a fully cached prompt in the score.
 constexpr double AffinityWeight = 0.3;
-constexpr double PenaltyWeight = 1.0;
-constexpr double PreemptionWeight = 0.1;
 // Up to this score the own failure domain is used without a look at others: its targets are about half full.
 constexpr double OwnDomainBound = 0.6;
 // How much better a target of another failure domain must be above that.
@@ -53,17 +38,19 @@
     : options(std::move(options))
     , lengths(lengths)
     , outliers(this->options.outliers)
+    , scorer(this->options.stallWeight, this->outliers, this->prefixes)
 {}
 
 void TargetSelector::setOptions(SelectorOptions next)
 {
     const bool isMoved = next.ownDomain != this->options.ownDomain;
     this->options = std::move(next);
+    this->scorer.setStallWeight(this->options.stallWeight);
     if (isMoved)
         this->rebuildGroups();
 }
 
-TargetSelector::Target *TargetSelector::find(std::string_view id)
+TargetState *TargetSelector::find(std::string_view id)
 {
     const auto entry = this->targetsById.find(id);
     return entry == this->targetsById.end() ? nullptr : &this->targets[entry->second];
@@ -71,21 +58,20 @@
 
 void TargetSelector::upsertTarget(const TargetSettings &settings, TimePoint now)
 {
-    if (Target *known = this->find(settings.id)) {
+    if (TargetState *known = this->find(settings.id)) {
         known->settings = settings;
         this->rebuildGroups();
         return;
     }
     // A removed target's place is reused once its last run has ended.
-    auto place = std::find_if(this->targets.begin(), this->targets.end(), [](const Target &target) {
+    auto place = std::find_if(this->targets.begin(), this->targets.end(), [](const TargetState &target) {
         return !target.isPresent && target.load.ownInFlight() == 0;
     });
     if (place == this->targets.end())
-        place = this->targets.insert(this->targets.end(), Target{});
+        place = this->targets.insert(this->targets.end(), TargetState{});
     const auto index = static_cast<uint32_t>(place - this->targets.begin());
-    for (size_t i = 0; i < this->ownTotal.size(); ++i)
-        this->ownTotal[i] -= place->counted[i];
-    *place = Target{};
+    this->scorer.forget(*place);
+    *place = TargetState{};
     place->settings = settings;
     place->isPresent = true;
     place->since = now;
@@ -108,28 +94,17 @@
 
 void TargetSelector::rebuildGroups()
 {
-    this->modelGroups.clear();
-    this->serviceGroups.clear();
-    for (const auto &entry : this->targetsById) {
-        const uint32_t index = entry.second;
-        const Target &target = this->targets[index];
-        const auto add = [&](Group &group) {
-            ++group.listed;
-            if (target.isLeaving)
-                return;
-            const bool isOwn = target.settings.domain == this->options.ownDomain;
-            (isOwn ? group.own : group.other).push_back(index);
-        };
-        for (const std::string &model : target.settings.models)
-            add(this->modelGroups[model]);
-        if (!target.settings.service.empty())
-            add(this->serviceGroups[target.settings.service]);
+    this->groups.clear();
+    for (const auto &[id, index] : this->targetsById) {
+        const TargetState &target = this->targets[index];
+        const bool isOwnDomain = target.settings.domain == this->options.ownDomain;
+        this->groups.add(index, target.settings, isOwnDomain, target.isLeaving);
     }
 }
 
 void TargetSelector::markLeaving(std::string_view id)
 {
-    Target *target = this->find(id);
+    TargetState *target = this->find(id);
     if (!target || target->isLeaving)
         return;
     target->isLeaving = true;
@@ -138,7 +113,7 @@
 
 void TargetSelector::reinstateTarget(std::string_view id, TimePoint now)
 {
-    Target *target = this->find(id);
+    TargetState *target = this->find(id);
     if (!target || !target->isLeaving)
         return;
     target->isLeaving = false;
@@ -149,13 +124,13 @@
 
 void TargetSelector::applyReport(std::string_view id, const LoadReport &report, TimePoint now)
 {
-    if (Target *target = this->find(id))
+    if (TargetState *target = this->find(id))
         target->load.applyReport(report, now);
 }
 
 void TargetSelector::applyCacheEvent(std::string_view id, const CacheEvent &event)
 {
-    Target *target = this->find(id);
+    TargetState *target = this->find(id);
     if (!target)
         return;
     const auto index = static_cast<uint32_t>(target - this->targets.data());
@@ -184,10 +159,10 @@
 {
     const auto next = static_cast<uint32_t>(this->peerIds.size());
     const uint32_t peerId = this->peerIds.emplace(std::string(peer), next).first->second;
-    for (Target &target : this->targets)
+    for (TargetState &target : this->targets)
         target.load.removePeerUse(peerId);
     for (const TargetUse &entry : use) {
-        if (Target *target = this->find(entry.targetId))
+        if (TargetState *target = this->find(entry.targetId))
             target->load.applyPeerUse(peerId, entry, now);
     }
 }
@@ -196,9 +171,8 @@
 {
     std::vector<TargetUse> list;
     for (const auto &[id, index] : this->targetsById) {
-        const Target &target = this->targets[index];
-        const bool isReserved =
-                target.load.aloneCount() > 0 || (target.reservedUntil && now < *target.reservedUntil);
+        const TargetState &target = this->targets[index];
+        const bool isReserved = target.load.aloneCount() > 0 || target.isReserved(now);
         if (target.load.ownInFlight() > 0 || isReserved)
             list.push_back({id, target.load.ownInFlight(), target.load.ownMemory(), isReserved});
     }
@@ -211,16 +185,9 @@
     return entry == this->targetsById.end() ? 0 : this->targets[entry->second].load.ownInFlight();
 }
 
-const TargetSelector::Group *TargetSelector::groupOf(const SelectRequest &request) const
-{
-    const auto &groups = request.model.empty() ? this->serviceGroups : this->modelGroups;
-    const auto entry = groups.find(request.model.empty() ? request.service : request.model);
-    return entry == groups.end() ? nullptr : &entry->second;
-}
-
 bool TargetSelector::isUsable(uint32_t index, const SelectRequest &request, TimePoint now) const
 {
-    const Target &target = this->targets[index];
+    const TargetState &target = this->targets[index];
     const std::string &id = target.settings.id;
     if (isExcluded(id, request))
         return false;
@@ -229,72 +196,7 @@
         return false;
     if (request.runAlone)
         return true;
-    return target.load.aloneCount() == 0 && !(target.reservedUntil && now < *target.reservedUntil) &&
-           !target.load.isReservedByPeer(now);
-}
-
-double TargetSelector::ramp(const Target &target, TimePoint now) const
-{
-    const double share = toSeconds(now - target.since) / toSeconds(SlowStartTime);
-    return std::clamp(share, SlowStartFloor, 1.0);
-}
-
-double TargetSelector::countLoad(const Target &target, TimePoint now) const
-{
-    const TargetLoad &load = target.load;
-    const double slots = std::max(1.0, target.settings.slots * this->ramp(target, now));
-    return (load.ownInFlight() + load.otherInFlight(now)) / slots;
-}
-
-double TargetSelector::growthOfOthers(size_t horizon) const
-{
-    return this->ownTotal[0] > 0 ? this->ownTotal[horizon] / this->ownTotal[0] : 1.0;
-}
-
-double TargetSelector::memoryPeak(Target &target, const TargetLoad::Forecast &request, TimePoint now)
-{
-    const TargetLoad::Forecast &own = target.load.ownForecast(now);
-    for (size_t i = 0; i < own.size(); ++i) {
-        this->ownTotal[i] += own[i] - target.counted[i];
-        target.counted[i] = own[i];
-    }
-    const double others = target.load.otherMemory(now);
-    double peak = 0;
-    for (size_t i = 0; i < own.size(); ++i)
-        peak = std::max(peak, own[i] + request[i] + others * this->growthOfOthers(i));
-    return peak / (target.load.memoryTotal(target.settings.memory) * this->ramp(target, now));
-}
-
-double TargetSelector::headroomLimit(const SelectRequest &request, double ownPeak) const
-{
-    const double weight = std::min(this->options.stallWeight, 100U) / 100.0;
-    const double limit = LeastMemoryLimit + (MostMemoryLimit - LeastMemoryLimit) * weight;
-    return limit + UrgencyAllowance * std::clamp(request.urgency, 0.0, 1.0) +
-           SmallAllowance * std::clamp(1 - ownPeak / LargeRequest, 0.0, 1.0);
-}
-
-TargetSelector::Candidate TargetSelector::evaluate(uint32_t index, const SelectRequest &request,
-                                                   const TargetLoad::Forecast &forecast, TimePoint now)
-{
-    Target &target = this->targets[index];
-    const bool isEngine = target.settings.kind == TargetKind::Engine;
-    Candidate candidate;
-    candidate.target = index;
-    candidate.load = this->countLoad(target, now);
-    const double peak = isEngine ? this->memoryPeak(target, forecast, now) : 0;
-    const double ownPeak = *std::max_element(forecast.begin(), forecast.end()) / target.settings.memory;
-    candidate.cachedShare =
-            request.prefixHashes.empty() ? 0 : this->prefixes.matchedShare(index, request.prefixHashes);
-    candidate.score = peak + CountWeight * candidate.load +
-                      PenaltyWeight * this->outliers.penalty(target.settings.id, now) +
-                      PreemptionWeight * target.load.preemptionLevel(now);
-    // An idle target takes any request: otherwise one that is larger than the limit would never run.
-    const bool isIdle = target.load.ownInFlight() == 0 && candidate.load == 0;
-    const double slots = target.settings.slots * this->ramp(target, now);
-    candidate.hasHeadroom =
-            isIdle || (!target.load.isQueueing(now) && candidate.load * slots + 1 <= slots &&
-                       peak <= this->headroomLimit(request, ownPeak));
-    return candidate;
+    return !target.isTakenBySuspect(now);
 }
 
 std::vector<uint32_t> TargetSelector::sample(const std::vector<uint32_t> &list, const SelectRequest &request,
@@ -310,30 +212,31 @@
     return chosen;
 }
 
-void TargetSelector::addHolders(std::vector<Candidate> &candidates, const std::vector<uint32_t> &list,
-                                const SelectRequest &request, const TargetLoad::Forecast &forecast,
-                                TimePoint now)
+void TargetSelector::addHolders(std::vector<TargetScorer::Candidate> &candidates,
+                                const std::vector<uint32_t> &list, const SelectRequest &request,
+                                const TargetLoad::Forecast &forecast, TimePoint now)
 {
     const std::span<const PrefixIndex::Holder> holders = this->prefixes.holders(request.prefixHashes);
     for (const PrefixIndex::Holder &holder : holders.first(std::min(holders.size(), MaxHolders))) {
         const bool isListed = std::find(list.begin(), list.end(), holder.target) != list.end();
-        const bool isKnown =
-                std::any_of(candidates.begin(), candidates.end(),
-                            [&](const Candidate &candidate) { return candidate.target == holder.target; });
+        const bool isKnown = std::any_of(
+                candidates.begin(), candidates.end(),
+                [&](const TargetScorer::Candidate &candidate) { return candidate.target == holder.target; });
         if (isListed && !isKnown && this->isUsable(holder.target, request, now))
-            candidates.push_back(this->evaluate(holder.target, request, forecast, now));
+            candidates.push_back(this->scorer.evaluate(holder.target, this->targets[holder.target], request,
+                                                       forecast, now));
     }
 }
 
-std::optional<TargetSelector::Candidate> TargetSelector::bestOf(const std::vector<uint32_t> &list,
-                                                                const SelectRequest &request,
-                                                                const TargetLoad::Forecast &forecast,
-                                                                TimePoint now, Random &random)
+std::optional<TargetScorer::Candidate> TargetSelector::bestOf(const std::vector<uint32_t> &list,
+                                                              const SelectRequest &request,
+                                                              const TargetLoad::Forecast &forecast,
+                                                              TimePoint now, Random &random)
 {
-    std::vector<Candidate> candidates;
+    std::vector<TargetScorer::Candidate> candidates;
     double loadSum = 0;
     for (const uint32_t index : this->sample(list, request, now, random)) {
-        candidates.push_back(this->evaluate(index, request, forecast, now));
+        candidates.push_back(this->scorer.evaluate(index, this->targets[index], request, forecast, now));
         loadSum += candidates.back().load;
     }
     if (candidates.empty())
@@ -342,12 +245,12 @@
     if (!request.prefixHashes.empty()) {
         this->addHolders(candidates, list, request, forecast, now);
         const double bound = AffinityLoadBound * loadSum / static_cast<double>(sampled);
-        for (Candidate &candidate : candidates)
+        for (TargetScorer::Candidate &candidate : candidates)
             candidate.score -= candidate.load <= bound ? AffinityWeight * candidate.cachedShare : 0;
     }
-    std::optional<Candidate> best;
+    std::optional<TargetScorer::Candidate> best;
     for (size_t i = 0; i < candidates.size(); ++i) {
-        const Candidate &candidate = candidates[i];
+        const TargetScorer::Candidate &candidate = candidates[i];
         const bool isAllowed = i < sampled || candidate.cachedShare > 0;
         if (isAllowed && candidate.hasHeadroom && (!best || candidate.score < best->score))
             best = candidate;
@@ -355,9 +258,10 @@
     return best ? best : this->firstWithHeadroom(list, request, forecast, now, random);
 }
 
-std::optional<TargetSelector::Candidate>
-TargetSelector::firstWithHeadroom(const std::vector<uint32_t> &list, const SelectRequest &request,
-                                  const TargetLoad::Forecast &forecast, TimePoint now, Random &random)
+std::optional<TargetScorer::Candidate> TargetSelector::firstWithHeadroom(const std::vector<uint32_t> &list,
+                                                                         const SelectRequest &request,
+                                                                         const TargetLoad::Forecast &forecast,
+                                                                         TimePoint now, Random &random)
 {
     if (list.empty())
         return std::nullopt;
@@ -366,14 +270,15 @@
         const uint32_t index = list[(offset + i) % list.size()];
         if (!this->isUsable(index, request, now))
             continue;
-        const Candidate candidate = this->evaluate(index, request, forecast, now);
+        const TargetScorer::Candidate candidate =
+                this->scorer.evaluate(index, this->targets[index], request, forecast, now);
         if (candidate.hasHeadroom)
             return candidate;
     }
     return std::nullopt;
 }
 
-Choice TargetSelector::toChoice(const Candidate &candidate, const SelectRequest &request) const
+Choice TargetSelector::toChoice(const TargetScorer::Candidate &candidate, const SelectRequest &request) const
 {
     const TargetSettings &settings = this->targets[candidate.target].settings;
     return {settings.id, settings.domain == this->options.ownDomain, candidate.score,
@@ -382,7 +287,7 @@
 
 Result<Choice, NoTarget> TargetSelector::select(const SelectRequest &request, TimePoint now, Random &random)
 {
-    const Group *group = this->groupOf(request);
+    const TargetGroups::Group *group = this->groups.find(request);
     if (!group)
         return NoTarget{NoTarget::Reason::UnknownModel, Duration{0}};
     if (request.runAlone)
@@ -400,8 +305,8 @@
     return this->explain(*group, request, now);
 }
 
-Result<Choice, NoTarget> TargetSelector::selectAlone(const Group &group, const SelectRequest &request,
-                                                     TimePoint now)
+Result<Choice, NoTarget> TargetSelector::selectAlone(const TargetGroups::Group &group,
+                                                     const SelectRequest &request, TimePoint now)
 {
     std::optional<uint32_t> leastBusy;
     double leastLoad = 0;
@@ -409,10 +314,10 @@
         for (const uint32_t index : *list) {
             if (!this->isUsable(index, request, now) || this->targets[index].load.aloneCount() > 0)
                 continue;
-            Target &target = this->targets[index];
+            TargetState &target = this->targets[index];
             // Decayed reports leave fractions; less than half a request counts as none.
             const double busy = target.load.ownInFlight() + target.load.otherInFlight(now);
-            const bool isKept = target.reservedUntil && now < *target.reservedUntil;
+            const bool isKept = target.isReserved(now);
             if (busy < 0.5) {
                 target.reservedUntil.reset();
                 return this->toChoice({.target = index}, request);
@@ -429,7 +334,8 @@
     return NoTarget{NoTarget::Reason::NoIdleTarget, std::chrono::seconds{1}};
 }
 
-NoTarget TargetSelector::explain(const Group &group, const SelectRequest &request, TimePoint now) const
+NoTarget TargetSelector::explain(const TargetGroups::Group &group, const SelectRequest &request,
+                                 TimePoint now) const
 {
     if (group.own.empty() && group.other.empty())
         return {NoTarget::Reason::AllLeaving, std::chrono::seconds{1}};
@@ -461,7 +367,7 @@
 RunId TargetSelector::start(std::string_view id, const SelectRequest &request, TimePoint now)
 {
     const RunId run = this->nextRun++;
-    Target *target = this->find(id);
+    TargetState *target = this->find(id);
     if (!target)
         return run;
     const LengthProfile &profile = this->lengths.profile(request.account, request.className);
@@ -479,7 +385,7 @@
     const auto entry = this->runs.find(run);
     if (entry == this->runs.end())
         return;
-    Target &target = this->targets[entry->second.target];
+    TargetState &target = this->targets[entry->second.target];
     target.load.progress(entry->second.slot, tokens);
     if (!entry->second.isProbe || !target.isPresent)
         return;
@@ -492,7 +398,7 @@
     const auto entry = this->runs.find(run);
     if (entry == this->runs.end())
         return;
-    Target &target = this->targets[entry->second.target];
+    TargetState &target = this->targets[entry->second.target];
     const bool isProbe = entry->second.isProbe;
     target.load.finish(entry->second.slot);
     this->runs.erase(entry);
@@ -517,9 +423,9 @@
 {
     constexpr size_t NodeBytes = 4 * sizeof(void *);
     size_t bytes = sizeof(*this) + this->prefixes.byteSize();
-    for (const Target &target : this->targets)
-        bytes += sizeof(Target) - sizeof(TargetLoad) + target.load.byteSize() + target.settings.id.size() +
-                 sizeof(std::string) + NodeBytes + 2 * sizeof(uint32_t);
+    for (const TargetState &target : this->targets)
+        bytes += sizeof(TargetState) - sizeof(TargetLoad) + target.load.byteSize() +
+                 target.settings.id.size() + sizeof(std::string) + NodeBytes + 2 * sizeof(uint32_t);
     return bytes + this->runs.size() * (sizeof(Run) + sizeof(RunId) + NodeBytes);
 }
 
--- a/src/librouting/targetselector.h
+++ b/src/librouting/targetselector.h
@@ -6,7 +6,9 @@
 #include "librouting/outlierdetector.h"
 #include "librouting/prefixindex.h"
 #include "librouting/target.h"
-#include "librouting/targetload.h"
+#include "librouting/targetgroups.h"
+#include "librouting/targetscorer.h"
+#include "librouting/targetstate.h"
 
 #include <cstddef>
 #include <map>
@@ -24,8 +26,6 @@
     std::string ownDomain{};
     /// FleetRule::stallWeight: 0 keeps the most memory free, 100 the least.
     uint32_t stallWeight = 50;
-    /// Entries of the whole fleet, this one included; scales the guess of what peers start unseen.
-    uint32_t entryCount = 9;
     OutlierOptions outliers{};
 };
 
@@ -36,7 +36,10 @@
 class TargetSelector
 {
 public:
+    /// `lengths` must outlive the selector.
     TargetSelector(SelectorOptions options, const LengthEstimator &lengths);
+    TargetSelector(const TargetSelector &) = delete;
+    TargetSelector &operator=(const TargetSelector &) = delete;
 
     void setOptions(SelectorOptions options);
 
@@ -80,21 +83,6 @@
     size_t byteSize() const;
 
 private:
-    struct Target
-    {
-        TargetSettings settings;
-        TargetLoad load;
-        /// This target's part of ownTotal.
-        TargetLoad::Forecast counted{};
-        bool isPresent = false;
-        bool isLeaving = false;
-        TimePoint since{};
-        /// End of the time for which the target is kept free for a suspect.
-        std::optional<TimePoint> reservedUntil;
-        uint64_t cacheIncarnation = 0;
-        uint64_t cacheSequence = 0;
-    };
-
     struct Run
     {
         uint32_t target = 0;
@@ -103,60 +91,36 @@
         bool isProbe = false;
     };
 
-    /// Live targets of one model or service: those of the own failure domain first.
-    struct Group
-    {
-        std::vector<uint32_t> own;
-        std::vector<uint32_t> other;
-        size_t listed = 0;
-    };
-
-    struct Candidate
-    {
-        uint32_t target = 0;
-        double load = 0;
-        double score = 0;
-        double cachedShare = 0;
-        bool hasHeadroom = false;
-    };
-
-    Target *find(std::string_view id);
+    TargetState *find(std::string_view id);
     void rebuildGroups();
-    const Group *groupOf(const SelectRequest &request) const;
     bool isUsable(uint32_t target, const SelectRequest &request, TimePoint now) const;
     std::vector<uint32_t> sample(const std::vector<uint32_t> &targets, const SelectRequest &request,
                                  TimePoint now, Random &random) const;
-    std::optional<Candidate> bestOf(const std::vector<uint32_t> &targets, const SelectRequest &request,
-                                    const TargetLoad::Forecast &forecast, TimePoint now, Random &random);
-    void addHolders(std::vector<Candidate> &candidates, const std::vector<uint32_t> &list,
+    std::optional<TargetScorer::Candidate> bestOf(const std::vector<uint32_t> &targets,
+                                                  const SelectRequest &request,
+                                                  const TargetLoad::Forecast &forecast, TimePoint now,
+                                                  Random &random);
+    void addHolders(std::vector<TargetScorer::Candidate> &candidates, const std::vector<uint32_t> &list,
                     const SelectRequest &request, const TargetLoad::Forecast &forecast, TimePoint now);
-    std::optional<Candidate> firstWithHeadroom(const std::vector<uint32_t> &list,
-                                               const SelectRequest &request,
-                                               const TargetLoad::Forecast &forecast, TimePoint now,
-                                               Random &random);
-    double countLoad(const Target &target, TimePoint now) const;
-    double ramp(const Target &target, TimePoint now) const;
-    Candidate evaluate(uint32_t target, const SelectRequest &request, const TargetLoad::Forecast &forecast,
-                       TimePoint now);
-    double memoryPeak(Target &target, const TargetLoad::Forecast &request, TimePoint now);
-    double headroomLimit(const SelectRequest &request, double ownPeak) const;
-    double growthOfOthers(size_t horizon) const;
-    Result<Choice, NoTarget> selectAlone(const Group &group, const SelectRequest &request, TimePoint now);
-    NoTarget explain(const Group &group, const SelectRequest &request, TimePoint now) const;
-    Choice toChoice(const Candidate &candidate, const SelectRequest &request) const;
+    std::optional<TargetScorer::Candidate> firstWithHeadroom(const std::vector<uint32_t> &list,
+                                                             const SelectRequest &request,
+                                                             const TargetLoad::Forecast &forecast,
+                                                             TimePoint now, Random &random);
+    Result<Choice, NoTarget> selectAlone(const TargetGroups::Group &group, const SelectRequest &request,
+                                         TimePoint now);
+    NoTarget explain(const TargetGroups::Group &group, const SelectRequest &request, TimePoint now) const;
+    Choice toChoice(const TargetScorer::Candidate &candidate, const SelectRequest &request) const;
 
     SelectorOptions options;
     const LengthEstimator &lengths;
     OutlierDetector outliers;
     PrefixIndex prefixes;
-    std::vector<Target> targets;
+    TargetScorer scorer;
+    std::vector<TargetState> targets;
     std::map<std::string, uint32_t, std::less<>> targetsById;
-    std::map<std::string, Group, std::less<>> modelGroups;
-    std::map<std::string, Group, std::less<>> serviceGroups;
+    TargetGroups groups;
     std::map<std::string, uint32_t, std::less<>> peerIds;
     std::unordered_map<RunId, Run> runs;
-    /// Forecast of all own runs together; its growth stands for that of other entries' runs.
-    TargetLoad::Forecast ownTotal{};
     RunId nextRun = 1;
 };
 
