--- a/src/librouting/targetload.cpp
+++ b/src/librouting/targetload.cpp
@@ -9,6 +9,8 @@
 
 constexpr double ReportHalfLifeSeconds = 2;
 constexpr Duration PeerUseLifetime = std::chrono::seconds{5};
+// Two report intervals of the engines.
+constexpr Duration QueueingLifetime = std::chrono::seconds{1};
 constexpr Duration ForecastInterval = std::chrono::milliseconds{100};
 
 double faded(double value, Duration age)
@@ -92,16 +94,6 @@
     return true;
 }
 
-uint32_t TargetLoad::startedSinceReport() const
-{
-    if (this->ownCount == 0)
-        return 0;
-    return static_cast<uint32_t>(
-            std::count_if(this->runs.begin(), this->runs.end(), [this](const OwnRun &run) {
-                return run.isUsed && (!this->receivedAt || run.startedAt > this->reportTime);
-            }));
-}
-
 void TargetLoad::applyPeerUse(uint32_t peer, const TargetUse &use, TimePoint now)
 {
     const PeerUse next{peer, use.inFlight, static_cast<float>(use.memory), use.isReserved, now};
@@ -148,6 +140,17 @@
     return std::max(gossiped, blended);
 }
 
+double TargetLoad::memoryTotal(double configured) const
+{
+    const bool isReported = this->receivedAt && this->report.memoryTotal > 0;
+    return isReported ? std::min(configured, this->report.memoryTotal) : configured;
+}
+
+bool TargetLoad::isQueueing(TimePoint now) const
+{
+    return this->receivedAt && this->report.waiting > 0 && now - this->reportTime < QueueingLifetime;
+}
+
 bool TargetLoad::isReservedByPeer(TimePoint now) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(), [now](const PeerUse &peer) {
--- a/src/librouting/targetload.h
+++ b/src/librouting/targetload.h
@@ -39,8 +39,8 @@
     /// Requests of other entries, from the last report and gossip.
     double otherInFlight(TimePoint now) const;
     double otherMemory(TimePoint now) const;
-    /// Own runs that the last report cannot include yet.
-    uint32_t startedSinceReport() const;
+    /// Whether requests waited inside the engine at the last report, if that is recent.
+    bool isQueueing(TimePoint now) const;
     bool isReservedByPeer(TimePoint now) const;
 
     /// Memory that one request is expected to hold after each horizon.
@@ -50,7 +50,8 @@
 
     /// Recent preemptions on the target, fading with the reports' half-life.
     double preemptionLevel(TimePoint now) const;
-    std::optional<TimePoint> reportReceivedAt() const { return this->receivedAt; }
+    /// Memory by the last report if that is less than configured; an engine may have lost some to adapters.
+    double memoryTotal(double configured) const;
 
     size_t byteSize() const;
 
