--- /dev/null
+++ b/tests/scenario/world.cpp
@@ -0,0 +1,192 @@
+#include "world.h"
+
+#include "tokens.h"
+
+#include "libcore/core.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace eelgrasslift::scenario {
+
+using nlohmann::json;
+
+namespace {
+
+ClientRequest toRequest(const json &arguments)
+{
+    ClientRequest request;
+    request.address = arguments.at("address");
+    request.method = arguments.value("method", "GET");
+    request.path = arguments.value("path", "/");
+    request.body = arguments.value("body", "");
+    request.timeout = std::chrono::milliseconds{arguments.value("timeout_ms", int64_t{30'000})};
+    if (arguments.contains("headers")) {
+        for (const auto &[name, value] : arguments.at("headers").items())
+            request.headers.emplace_back(name, value);
+    }
+    return request;
+}
+
+json toResult(const ClientAnswer &answer)
+{
+    json result{{"status", answer.status}, {"headers", answer.headers}, {"body", answer.body}};
+    if (!answer.error.empty())
+        result["error"] = answer.error;
+    return result;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+World::World(std::string folder)
+    : folder(std::move(folder))
+{
+    this->addProcessSteps();
+    this->addLinkSteps();
+    this->addCallerSteps();
+    this->addDataSteps();
+}
+
+json World::spawn(const json &arguments)
+{
+    ProcessSpec spec;
+    spec.name = arguments.at("name");
+    spec.arguments = arguments.at("args").get<std::vector<std::string>>();
+    if (arguments.contains("env"))
+        spec.environment = arguments.at("env").get<std::map<std::string, std::string>>();
+    spec.logPath = this->folder + "/" + spec.name + ".log";
+    this->processes.push_back(std::make_unique<Process>(spec));
+    this->links.setProcess(this->processes.back()->pid(), spec.name);
+    return this->processes.size() - 1;
+}
+
+Process &World::process(const json &arguments)
+{
+    return *this->processes.at(arguments.at("process").get<size_t>());
+}
+
+EventStream &World::stream(const json &arguments)
+{
+    return *this->streams.at(arguments.at("stream").get<size_t>());
+}
+
+void World::addProcessSteps()
+{
+    this->table["spawn"] = [this](const json &arguments) { return this->spawn(arguments); };
+    this->table["listening"] = [this](const json &arguments) -> json {
+        const auto address = this->process(arguments).listeningAddress(arguments.value("port", ""));
+        return address ? json(*address) : json(nullptr);
+    };
+    this->table["signal"] = [this](const json &arguments) -> json {
+        this->process(arguments).signal(arguments.at("number"));
+        return nullptr;
+    };
+    this->table["exit_code"] = [this](const json &arguments) -> json {
+        const auto code = this->process(arguments).exitCode();
+        return code ? json(*code) : json(nullptr);
+    };
+    this->table["output"] = [this](const json &arguments) -> json {
+        return this->process(arguments).output();
+    };
+}
+
+void World::addLinkSteps()
+{
+    this->table["relay"] = [this](const json &arguments) -> json {
+        return this->relays.open(arguments.at("name"));
+    };
+    this->table["relay_target"] = [this](const json &arguments) -> json {
+        this->relays.setTarget(arguments.at("relay"), arguments.at("target"));
+        return nullptr;
+    };
+    this->table["cut"] = [this](const json &arguments) -> json {
+        this->links.cut(arguments.at("from"), arguments.at("to"));
+        return nullptr;
+    };
+    this->table["heal"] = [this](const json &arguments) -> json {
+        this->links.heal(arguments.at("from"), arguments.at("to"));
+        return nullptr;
+    };
+    this->table["resume_links"] = [this](const json &) -> json {
+        this->relays.resume();
+        return nullptr;
+    };
+}
+
+void World::addCallerSteps()
+{
+    this->table["request"] = [](const json &arguments) { return toResult(sendRequest(toRequest(arguments))); };
+    this->table["open_stream"] = [this](const json &arguments) -> json {
+        this->streams.push_back(std::make_unique<EventStream>(toRequest(arguments)));
+        return this->streams.size() - 1;
+    };
+    this->table["stream_state"] = [this](const json &arguments) {
+        EventStream &stream = this->stream(arguments);
+        const bool isEnded = stream.isEnded(); // before the count, so that an ended count is final
+        json result = toResult(stream.answer());
+        result["count"] = stream.eventCount();
+        result["ended"] = isEnded;
+        return result;
+    };
+    this->table["stream_events"] = [this](const json &arguments) {
+        json events = json::array();
+        for (const StreamEvent &event : this->stream(arguments).events(arguments.value("from", size_t{0})))
+            events.push_back({{"id", event.id}, {"type", event.type}, {"data", event.data}, {"at", event.receivedAt}});
+        return events;
+    };
+    this->table["close_stream"] = [this](const json &arguments) -> json {
+        this->stream(arguments).close();
+        return nullptr;
+    };
+}
+
+void World::addDataSteps()
+{
+    this->table["encode"] = [](const json &arguments) -> json { return arguments.dump(); };
+    this->table["decode"] = [](const json &arguments) {
+        json value = json::parse(arguments.get<std::string>(), nullptr, false);
+        return value.is_discarded() ? json(nullptr) : value;
+    };
+    this->table["now"] = [](const json &) -> json { return monotonicMilliseconds(); };
+    this->table["pause"] = [](const json &arguments) -> json {
+        std::this_thread::sleep_for(std::chrono::milliseconds{arguments.at("ms").get<int64_t>()});
+        return nullptr;
+    };
+    this->table["digest"] = [](const json &arguments) -> json {
+        return standins::promptDigest(arguments.get<std::string>());
+    };
+    this->table["sha256"] = [](const json &arguments) -> json {
+        return toHex(sha256(arguments.get<std::string>()));
+    };
+    this->table["uuid"] = [random = std::make_shared<Random>(systemSeed())](const json &) -> json {
+        const auto now = std::chrono::system_clock::now();
+        return makeUuidV7(std::chrono::time_point_cast<std::chrono::milliseconds>(now), *random);
+    };
+    this->table["folder"] = [this](const json &) -> json { return this->folder; };
+    this->table["read_file"] = [](const json &arguments) -> json { return readFile(arguments); };
+    this->table["write_file"] = [](const json &arguments) -> json {
+        std::ofstream(arguments.at("path").get<std::string>()) << arguments.at("text").get<std::string>();
+        return nullptr;
+    };
+    this->table["make_folder"] = [](const json &arguments) -> json {
+        return std::filesystem::create_directories(arguments.get<std::string>());
+    };
+    this->table["remove_data"] = [this](const json &arguments) -> json {
+        const std::string path = arguments;
+        // Only data folders of this scenario are ever removed.
+        if (!path.starts_with(this->folder + "/"))
+            throw std::runtime_error("not a folder of this scenario: " + path);
+        return std::filesystem::remove_all(path);
+    };
+}
+
+} // namespace eelgrasslift::scenario
