--- a/tests/scenario/httpclient.cpp
+++ b/tests/scenario/httpclient.cpp
@@ -42,7 +42,8 @@
     nlohmann::json result = nlohmann::json::object();
     for (const auto &field : fields) {
         std::string name(field.name_string());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
         result[name] = std::string(field.value());
     }
     return result;
--- a/tests/scenario/httpclient.h
+++ b/tests/scenario/httpclient.h
@@ -26,7 +26,7 @@
 
 struct ClientAnswer
 {
-    int status = 0; // 0: no answer, see error
+    int status = 0;                                    // 0: no answer, see error
     nlohmann::json headers = nlohmann::json::object(); // names in lower case
     std::string body;
     std::string error;
--- a/tests/scenario/luajson.cpp
+++ b/tests/scenario/luajson.cpp
@@ -71,7 +71,8 @@
         lua_checkstack(lua, 8);
         return tableToJson(lua, lua_absindex(lua, index));
     default:
-        throw std::runtime_error(std::string("a step cannot take a ") + lua_typename(lua, lua_type(lua, index)));
+        throw std::runtime_error(std::string("a step cannot take a ") +
+                                 lua_typename(lua, lua_type(lua, index)));
     }
 }
 
--- a/tests/scenario/process.h
+++ b/tests/scenario/process.h
@@ -15,7 +15,7 @@
 struct ProcessSpec
 {
     std::string name;
-    std::vector<std::string> arguments; // the first one is the program
+    std::vector<std::string> arguments;             // the first one is the program
     std::map<std::string, std::string> environment; // added to the runner's own
     std::string logPath;
 };
--- a/tests/scenario/relay.cpp
+++ b/tests/scenario/relay.cpp
@@ -31,7 +31,8 @@
     while (std::getline(table, line)) {
         std::istringstream words(line);
         std::string slot, local, remote, state, queues, timer, retransmits, uid, timeout, inode;
-        words >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> uid >> timeout >> inode;
+        words >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> uid >> timeout >>
+                inode;
         const unsigned long localPort = std::strtoul(local.substr(local.find(':') + 1).c_str(), nullptr, 16);
         if (localPort == port && state != "0A" && inode != "0")
             return inode;
@@ -44,7 +45,8 @@
     const std::string wanted = "socket:[" + inode + "]";
     std::error_code error;
     const std::filesystem::path folder = "/proc/" + std::to_string(pid) + "/fd";
-    for (std::filesystem::directory_iterator it(folder, error), end; !error && it != end; it.increment(error)) {
+    for (std::filesystem::directory_iterator it(folder, error), end; !error && it != end;
+         it.increment(error)) {
         std::error_code linkError;
         if (std::filesystem::read_symlink(it->path(), linkError).string() == wanted)
             return true;
--- a/tests/scenario/relayconnection.cpp
+++ b/tests/scenario/relayconnection.cpp
@@ -9,8 +9,8 @@
 namespace net = boost::asio;
 using boost::system::error_code;
 
-RelayConnection::RelayConnection(LinkTable &links, Socket client, Socket target, const std::string &clientName,
-                                 const std::string &targetName)
+RelayConnection::RelayConnection(LinkTable &links, Socket client, Socket target,
+                                 const std::string &clientName, const std::string &targetName)
     : links(links)
     , pumps{Pump{std::move(client), clientName, targetName, {}, 0, {}, false},
             Pump{std::move(target), targetName, clientName, {}, 0, {}, false}}
--- a/tests/scenario/runner.cpp
+++ b/tests/scenario/runner.cpp
@@ -68,8 +68,7 @@
 {
     lua_pushcfunction(lua, addTraceback);
     const int handler = lua_gettop(lua);
-    const bool isDone =
-            luaL_loadfile(lua, path.c_str()) == LUA_OK && lua_pcall(lua, 0, 0, handler) == LUA_OK;
+    const bool isDone = luaL_loadfile(lua, path.c_str()) == LUA_OK && lua_pcall(lua, 0, 0, handler) == LUA_OK;
     if (!isDone)
         std::cerr << lua_tostring(lua, -1) << '\n';
     lua_settop(lua, 0);
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -124,7 +124,9 @@
 
 void World::addCallerSteps()
 {
-    this->table["request"] = [](const json &arguments) { return toResult(sendRequest(toRequest(arguments))); };
+    this->table["request"] = [](const json &arguments) {
+        return toResult(sendRequest(toRequest(arguments)));
+    };
     this->table["open_stream"] = [this](const json &arguments) -> json {
         this->streams.push_back(std::make_unique<EventStream>(toRequest(arguments)));
         return this->streams.size() - 1;
@@ -140,7 +142,8 @@
     this->table["stream_events"] = [this](const json &arguments) {
         json events = json::array();
         for (const StreamEvent &event : this->stream(arguments).events(arguments.value("from", size_t{0})))
-            events.push_back({{"id", event.id}, {"type", event.type}, {"data", event.data}, {"at", event.receivedAt}});
+            events.push_back(
+                    {{"id", event.id}, {"type", event.type}, {"data", event.data}, {"at", event.receivedAt}});
         return events;
     };
     this->table["close_stream"] = [this](const json &arguments) -> json {
