--- a/tests/scenario/lib/fleet.lua
+++ b/tests/scenario/lib/fleet.lua
@@ -119,9 +119,9 @@
         args = function(process)
             local args = {runner.program, "entry", "--domain", arguments.domain}
             listen_flags(args, process, {"caller", "operator", "peer"})
-            append(args, "--seeds", addresses(arguments.seeds, "peer"), "--vm-list",
-                   "http://" .. arguments.vm_list.relays[""], "--record-slot", arguments.slot or 1,
-                   "--entries-per-domain", arguments.entries_per_domain or 1)
+            local seeds = #arguments.seeds > 0 and addresses(arguments.seeds, "peer") or process.relays.peer
+            append(args, "--seeds", seeds, "--vm-list", "http://" .. arguments.vm_list.relays[""],
+                   "--record-slot", arguments.slot or 1, "--entries-per-domain", arguments.entries_per_domain or 1)
             if arguments.keeps_rules then
                 append(args, "--data", data)
             end
@@ -134,6 +134,143 @@
     return process
 end
 
+-- Fleets ----------------------------------------------------------------------------------------------------
+
+local KEYS = {planner = "scenario-planner-key", clerk = "scenario-clerk-key", cashier = "scenario-cashier-key"}
+
+--- Rules of a small fleet: accounts planner (trakiya; reports, labels), cashier (kapana; labels) and clerk
+-- (maritsa; stock). `extra` is appended.
+function fleet_rules(extra)
+    local function sha(name)
+        return runner.sha256(KEYS[name])
+    end
+    return table.concat({
+        "fleet plovdiv stall-weight=80 leave-bound=3s  # test: scenario",
+        "domain trakiya  # test: scenario",
+        "domain kapana  # test: scenario",
+        "domain maritsa  # test: scenario",
+        "model planner max-tokens=40000 memory-per-token=1  # test: scenario",
+        "class report models=planner priority=2 delivery=stream deadline=60s stall-limit=2s queue=200 restarts=2  # test: scenario",
+        "class label models=planner priority=1 delivery=whole deadline=60s stall-limit=1s queue=400 restarts=2  # test: scenario",
+        "service stock timeout=5s records=domain keep=24h  # test: scenario",
+        "route stock-shelves service=stock method=GET path=/shelves idempotent=yes  # test: scenario",
+        "targets planners match=runner-* kind=engine models=planner fencing=yes slots=16 memory=60000  # test: scenario",
+        "targets stock match=stock-* kind=service service=stock slots=64  # test: scenario",
+        "account planner key-sha256=" .. sha("planner") .. " domain=trakiya rate=500 burst=500 concurrent=200 share=3 classes=report,label services=stock  # test: scenario",
+        "account cashier key-sha256=" .. sha("cashier") .. " domain=kapana rate=500 burst=500 concurrent=200 share=2 classes=label services=stock  # test: scenario",
+        "account clerk key-sha256=" .. sha("clerk") .. " domain=maritsa rate=500 burst=500 concurrent=200 share=1 classes=label services=stock  # test: scenario",
+        "retry default budget=10% attempts=3 backoff=50ms..2s  # test: scenario",
+        "quarantine default deaths=2 hold=1h  # test: scenario",
+        "weights store rate=60 burst=10  # test: scenario",
+        extra or "",
+    }, "\n") .. "\n"
+end
+
+--- Starts stand-ins and entries that have accepted rules already, without control members.
+-- entries: per domain (1), engines (3), services (3), engine_flags, entry_flags, service_flags.
+-- Targets and entries are spread over the domains in order.
+function start_fleet(arguments)
+    arguments = arguments or {}
+    local fleet = {engines = {}, services = {}, entries = {}, controls = {}}
+    fleet.vm_list = start_standin{kind = "vmlist", name = "vm-list", flags = arguments.list_flags}
+    for i = 1, arguments.engines or 3 do
+        table.insert(fleet.engines, start_standin{kind = "engine", name = "runner-" .. i, flags = arguments.engine_flags,
+                                                  domain = DOMAINS[(i - 1) % 3 + 1]})
+    end
+    for i = 1, arguments.services or 3 do
+        table.insert(fleet.services, start_standin{kind = "service", name = "stock-" .. i, flags = arguments.service_flags,
+                                                   domain = DOMAINS[(i - 1) % 3 + 1]})
+    end
+    fleet.targets = {table.unpack(fleet.engines)}
+    table.move(fleet.services, 1, #fleet.services, #fleet.targets + 1, fleet.targets)
+    set_vms(fleet.vm_list, fleet.targets)
+    if arguments.controls then
+        start_controls(fleet, arguments)
+    end
+    start_entries(fleet, arguments)
+    return fleet
+end
+
+--- Starts three control members, one per domain, and has the rules accepted.
+function start_controls(fleet, arguments)
+    fleet.weight_store = start_standin{kind = "weightstore", name = "weight-store"}
+    init_control("control-1")
+    for i, domain in ipairs(DOMAINS) do
+        table.insert(fleet.controls, start_control{name = "control-" .. i, domain = domain, vm_list = fleet.vm_list,
+                                                   weight_store = fleet.weight_store, join = {fleet.controls[1]}})
+    end
+    await_voters(fleet.controls, 3)
+    apply_rules(fleet.controls, fleet_rules(arguments.extra_rules))
+end
+
+function start_entries(fleet, arguments)
+    local per_domain = arguments.entries or 1
+    local seeds = {table.unpack(fleet.controls)}
+    for i, domain in ipairs(DOMAINS) do
+        for slot = 1, per_domain do
+            local name = string.format("entry-%d-%d", i, slot)
+            if not arguments.controls then
+                runner.write_accepted_rules{folder = runner.folder() .. "/data-" .. name, version = 1,
+                                            text = fleet_rules(arguments.extra_rules)}
+            end
+            local entry = start_entry{name = name, domain = domain, slot = slot, entries_per_domain = per_domain,
+                                      seeds = seeds, vm_list = fleet.vm_list, flags = arguments.entry_flags,
+                                      keeps_rules = true}
+            table.insert(fleet.entries, entry)
+            seeds = #fleet.controls > 0 and fleet.controls or {fleet.entries[1]}
+        end
+    end
+    for _, entry in ipairs(fleet.entries) do
+        await_rules(entry, 1)
+        await_targets(entry, fleet.targets)
+        await_records(entry, #fleet.entries)
+    end
+end
+
+--- Opens a streamed completion at an entry. options: class, headers, key (name of the account), body.
+function complete(entry, prompt, options)
+    options = options or {}
+    local headers = options.headers or {}
+    headers.Authorization = "Bearer " .. KEYS[options.key or "planner"]
+    local body = {model = "planner", prompt = prompt, class = options.class or "report", stream = true}
+    return stream{address = entry.ports.caller, path = "/v1/completions", headers = headers, body = body}
+end
+
+--- Continues an interrupted stream at another entry, as a caller with Last-Event-ID does.
+function resume(entry, prompt, last_id, options)
+    options = options or {}
+    options.headers = {["Last-Event-ID"] = last_id}
+    return complete(entry, prompt, options)
+end
+
+--- Completes a prompt that is delivered as a whole.
+function complete_whole(entry, prompt, options)
+    options = options or {}
+    return request{address = entry.ports.caller, method = "POST", path = "/v1/completions",
+                   timeout_ms = options.timeout_ms or 60000,
+                   headers = {Authorization = "Bearer " .. KEYS[options.key or "planner"]},
+                   body = {model = "planner", prompt = prompt, class = options.class or "label"}}
+end
+
+--- Reserves a tray through an entry with an Idempotency-Key.
+function reserve(entry, key, body, options)
+    options = options or {}
+    return request{address = entry.ports.caller, method = "POST", path = "/services/stock/reservations",
+                   timeout_ms = 60000, body = body,
+                   headers = {Authorization = "Bearer " .. KEYS[options.key or "clerk"], ["Idempotency-Key"] = key}}
+end
+
+--- The engine that runs a prompt now.
+function engine_of(fleet, prompt)
+    return eventually("an engine runs " .. prompt, function()
+        for _, engine in ipairs(fleet.engines) do
+            if not exit_code(engine) and runs_of(prompt, {engine}) > 0 then
+                return engine
+            end
+        end
+    end)
+end
+
 -- Operator commands and observation -------------------------------------------------------------------------
 
 --- Runs the program to its end and returns code and output.
@@ -189,6 +326,27 @@
     end)
 end
 
+--- Waits until the entry keeps idempotency records of its domain and knows all entries.
+function await_records(entry, entries)
+    eventually(entry.name .. " keeps records", function()
+        local state = state_of(entry)
+        local known = 0
+        for _, peer in ipairs(state and state.peers or {}) do
+            known = known + (peer.is_entry and 1 or 0)
+        end
+        return state and state.records.registered, state and runner.encode(state.records) .. " peers " .. known
+    end)
+end
+
+--- Waits until the given number of control members vote.
+function await_voters(controls, count)
+    eventually(count .. " voting control members", function()
+        local result = command(controls, "members", "--json")
+        local members = result.code == 0 and runner.decode(result.output)
+        return members and select(2, result.output:gsub("voter", "")) >= count, result.output
+    end)
+end
+
 --- Waits until the entry knows each of the stand-ins as a live target.
 function await_targets(entry, standins)
     eventually(entry.name .. " knows its targets", function()
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -3,6 +3,7 @@
 #include "tokens.h"
 
 #include "libcore/core.h"
+#include "libwire/wire.h"
 
 #include <filesystem>
 #include <fstream>
@@ -45,6 +46,22 @@
     return text.str();
 }
 
+/// Writes the file in which an entry keeps its last accepted rules, so that entries can be tested without
+/// control members.
+void writeAcceptedRules(const std::string &folder, const std::string &text, uint64_t version)
+{
+    wire::RulesDocument document;
+    document.mutable_header()->set_cluster_id(std::string(16, 'c'));
+    document.mutable_header()->set_version(version);
+    document.set_author("scenario");
+    document.set_text(text);
+    const std::string payload = document.SerializeAsString();
+    const Sha256 digest = sha256(payload);
+    std::filesystem::create_directories(folder);
+    std::ofstream(folder + "/accepted-rules", std::ios::binary) << std::string(digest.begin(), digest.end())
+                                                                << payload;
+}
+
 } // namespace
 
 World::World(std::string folder)
@@ -180,6 +197,10 @@
         std::ofstream(arguments.at("path").get<std::string>()) << arguments.at("text").get<std::string>();
         return nullptr;
     };
+    this->table["write_accepted_rules"] = [](const json &arguments) -> json {
+        writeAcceptedRules(arguments.at("folder"), arguments.at("text"), arguments.at("version"));
+        return nullptr;
+    };
     this->table["make_folder"] = [](const json &arguments) -> json {
         return std::filesystem::create_directories(arguments.get<std::string>());
     };
