--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -113,6 +113,7 @@
         return session->respond(leavingReply());
     if (this->faults.refuseCount > 0) {
         --this->faults.refuseCount;
+        this->journal.write({{"event", "refused"}, {"request_id", body->value("request_id", std::string{})}});
         return session->respond(leavingReply());
     }
     const auto model = body->value("model", std::string{});
@@ -158,7 +159,7 @@
     entry["refused"] = isRefused;
     this->orders.push_back(entry);
     entry["event"] = "order";
-    this->journal.write(entry);
+    this->journal.write(std::move(entry));
     if (isRefused)
         return session->respond(jsonReply(409, {{"error", "stale fence"}, {"fence", this->greatestFence}}));
     this->greatestFence = std::max(this->greatestFence, fence);
--- a/standins/standin.cpp
+++ b/standins/standin.cpp
@@ -42,11 +42,13 @@
         this->file.open(path, std::ios::app);
 }
 
-void Journal::write(const nlohmann::json &entry)
+void Journal::write(nlohmann::json entry)
 {
-    if (this->file.is_open())
-        this->file << entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n'
-                   << std::flush;
+    if (!this->file.is_open())
+        return;
+    entry["at_ms"] = unixMilliseconds();
+    this->file << entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n'
+               << std::flush;
 }
 
 int64_t unixMilliseconds()
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -22,7 +22,7 @@
 {
 public:
     explicit Journal(const std::string &path);
-    void write(const nlohmann::json &entry);
+    void write(nlohmann::json entry); // adds the time as at_ms
 
 private:
     std::ofstream file;
--- a/tests/scenario/lib/checks.lua
+++ b/tests/scenario/lib/checks.lua
@@ -75,6 +75,16 @@
     return entries
 end
 
+function journal_events(standin, event)
+    local found = {}
+    for _, entry in ipairs(journal(standin)) do
+        if entry.event == event then
+            table.insert(found, entry)
+        end
+    end
+    return found
+end
+
 --- Number of runs over the given stand-ins whose prompt, body, request id or idempotency key is or contains
 -- the key.
 function runs_of(key, standins)
@@ -90,3 +100,16 @@
     end
     return count
 end
+
+--- Checks that an interrupted stream says so: the tokens are in order from `from` on, an error event tells
+-- that the answer is incomplete and how many tokens were delivered, and no end is claimed.
+function check_incomplete(caller, prompt, from)
+    await_end(caller)
+    local answer = read_answer(caller)
+    check_tokens(answer.tokens, prompt, from or 0)
+    expect(not answer.is_complete, "an interrupted answer must not be called complete")
+    expect(answer.error, "an interrupted answer must end with an error event")
+    expect_equal(answer.error.outcome, "incomplete", "outcome of an interrupted answer")
+    expect_equal(answer.error.delivered, (from or 0) + #answer.tokens, "number of delivered tokens in the error")
+    return answer
+end
--- a/tests/scenario/lib/fleet.lua
+++ b/tests/scenario/lib/fleet.lua
@@ -227,11 +227,16 @@
     end
 end
 
+--- Authorization header of an account.
+function authorization(account)
+    return "Bearer " .. KEYS[account]
+end
+
 --- Opens a streamed completion at an entry. options: class, headers, key (name of the account), body.
 function complete(entry, prompt, options)
     options = options or {}
     local headers = options.headers or {}
-    headers.Authorization = "Bearer " .. KEYS[options.key or "planner"]
+    headers.Authorization = authorization(options.key or "planner")
     local body = {model = "planner", prompt = prompt, class = options.class or "report", stream = true}
     return stream{address = entry.ports.caller, path = "/v1/completions", headers = headers, body = body}
 end
@@ -248,7 +253,7 @@
     options = options or {}
     return request{address = entry.ports.caller, method = "POST", path = "/v1/completions",
                    timeout_ms = options.timeout_ms or 60000,
-                   headers = {Authorization = "Bearer " .. KEYS[options.key or "planner"]},
+                   headers = {Authorization = authorization(options.key or "planner")},
                    body = {model = "planner", prompt = prompt, class = options.class or "label"}}
 end
 
@@ -257,7 +262,7 @@
     options = options or {}
     return request{address = entry.ports.caller, method = "POST", path = "/services/stock/reservations",
                    timeout_ms = 60000, body = body,
-                   headers = {Authorization = "Bearer " .. KEYS[options.key or "clerk"], ["Idempotency-Key"] = key}}
+                   headers = {Authorization = authorization(options.key or "clerk"), ["Idempotency-Key"] = key}}
 end
 
 --- The engine that runs a prompt now.
--- a/tests/scenario/lib/steps.lua
+++ b/tests/scenario/lib/steps.lua
@@ -81,6 +81,11 @@
     return start(process.spec)
 end
 
+--- The latest process with this name.
+function find_process(name)
+    return processes[name]
+end
+
 function output(process)
     return runner.output{process = process.id}
 end
--- /dev/null
+++ b/tests/scenario/linkstall.lua
@@ -0,0 +1,34 @@
+-- Guards against streams that hang, repeat or lose tokens, or run twice, when a connection to an engine stalls,
+-- breaks or carries wrong tokens.
+
+local fleet = start_fleet{engine_flags = {"--token-ms", "5"}}
+
+local function with_fault(name, document)
+    local prompt = name .. " words=600"
+    local caller = complete(fleet.entries[1], prompt)
+    await_events(caller, 10)
+    fault(engine_of(fleet, prompt), document)
+    check_complete(caller, prompt, 600)
+    expect_equal(runs_of(prompt, fleet.engines), 1, "runs of " .. prompt)
+    report("%s: complete, from one run", name)
+end
+
+with_fault("stall", {fault = "stall", ms = 120000})
+with_fault("close", {fault = "close"})
+with_fault("foreign", {fault = "foreign", count = 3})
+with_fault("duplicate", {fault = "duplicate", count = 3})
+with_fault("skip", {fault = "skip", count = 1})
+
+-- The link between entry and engine loses everything until the engine has finished the generation.
+local prompt = "cut words=600"
+local caller = complete(fleet.entries[2], prompt)
+await_events(caller, 10)
+local engine = engine_of(fleet, prompt)
+cut({fleet.entries[2]}, {engine})
+eventually("the engine has finished behind the cut", function()
+    return standin_runs(engine).running == 0
+end)
+heal({fleet.entries[2]}, {engine})
+check_complete(caller, prompt, 600)
+expect_equal(runs_of(prompt, fleet.engines), 1, "runs of " .. prompt)
+report("cut link: complete after it was healed")
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -177,6 +177,10 @@
         return value.is_discarded() ? json(nullptr) : value;
     };
     this->table["now"] = [](const json &) -> json { return monotonicMilliseconds(); };
+    this->table["unix_now"] = [](const json &) -> json {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    };
     this->table["pause"] = [](const json &arguments) -> json {
         std::this_thread::sleep_for(std::chrono::milliseconds{arguments.at("ms").get<int64_t>()});
         return nullptr;
