--- a/tests/routing/test_limits.cpp
+++ b/tests/routing/test_limits.cpp
@@ -138,6 +138,32 @@
     CHECK(most >= static_cast<int>(concurrent) / 2);
 }
 
+// Guards against a burst that an entry saves up at a part of the rate which it did not hold at the time.
+TEST_CASE("A part that grows does not count for the past, and small changes are not told")
+{
+    AccountLimiter limiter;
+    const std::vector<std::string> peers{"entry-2"};
+    limiter.setPeers(peers, Start);
+    limiter.setAccount("kiosk", {.rate = 10, .burst = 100, .concurrent = 1000}, Start);
+    const auto admitMany = [&](int count, TimePoint now) {
+        int admitted = 0;
+        for (int i = 0; i < count; ++i)
+            admitted += std::holds_alternative<Admitted>(limiter.admit("kiosk", now)) ? 1 : 0;
+        return admitted;
+    };
+    const std::vector<AccountUsage> busy{{"kiosk", 1000, 0}};
+    limiter.applyPeerUsage("entry-2", busy, Start + 1s);
+    admitMany(100, Start + 1s);
+    limiter.applyPeerUsage("entry-2", {}, Start + 60s);
+    CHECK(admitMany(100, Start + 60s) <= 2);
+
+    const double told = limiter.usage(Start + 60s).front().demand;
+    admitMany(1, Start + 60s);
+    CHECK(limiter.usage(Start + 60s).front().demand == told);
+    admitMany(100, Start + 60s);
+    CHECK(limiter.usage(Start + 60s).front().demand > told);
+}
+
 // Guards against refusals without a cause that the caller can act on.
 TEST_CASE("Refusals of the limiter are typed and say when to retry")
 {
