--- a/src/eelgrasslift/entrydump.cpp
+++ b/src/eelgrasslift/entrydump.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-std::string_view stateName(TargetState state)
+std::string_view stateName(TargetAvailability state)
 {
     switch (state) {
-    case TargetState::Live:
+    case TargetAvailability::Live:
         return "live";
-    case TargetState::Leaving:
+    case TargetAvailability::Leaving:
         return "leaving";
-    case TargetState::Unreachable:
+    case TargetAvailability::Unreachable:
         return "unreachable";
     }
     return "unreachable";
--- a/src/eelgrasslift/placement.cpp
+++ b/src/eelgrasslift/placement.cpp
@@ -72,7 +72,7 @@
         this->queue.setShare(name, rule.share);
     std::vector<DirectoryAction> actions;
     for (const auto &[id, entry] : this->directory.targets()) {
-        if (entry.state == TargetState::Live)
+        if (entry.state == TargetAvailability::Live)
             actions.emplace_back(TargetBecameLive{id});
     }
     this->handle(actions, now);
--- a/src/libcluster/targetdirectory.cpp
+++ b/src/libcluster/targetdirectory.cpp
@@ -33,8 +33,8 @@
             ++entry;
             continue;
         }
-        if (entry->second.state != TargetState::Leaving)
-            actions.emplace_back(TargetStopsNewWork{entry->first, TargetState::Leaving});
+        if (entry->second.state != TargetAvailability::Leaving)
+            actions.emplace_back(TargetStopsNewWork{entry->first, TargetAvailability::Leaving});
         entry = this->entries.erase(entry);
     }
     for (const auto &[id, vm] : this->listed)
@@ -44,23 +44,23 @@
 
 void TargetDirectory::applyListed(const ListedVm &vm, std::vector<DirectoryAction> &actions)
 {
-    const auto [entry, isNew] = this->entries.try_emplace(vm.id, TargetEntry{vm, TargetState::Live, 0});
+    const auto [entry, isNew] = this->entries.try_emplace(vm.id, TargetEntry{vm, TargetAvailability::Live, 0});
     TargetEntry &known = entry->second;
     if (isNew && !vm.isLeaving) {
         actions.emplace_back(TargetBecameLive{vm.id});
         return;
     }
     // A new address means a replaced VM; it is reached only after a probe.
-    if (known.vm.address != vm.address && known.state == TargetState::Live) {
-        known.state = TargetState::Unreachable;
-        actions.emplace_back(TargetStopsNewWork{vm.id, TargetState::Unreachable});
+    if (known.vm.address != vm.address && known.state == TargetAvailability::Live) {
+        known.state = TargetAvailability::Unreachable;
+        actions.emplace_back(TargetStopsNewWork{vm.id, TargetAvailability::Unreachable});
     }
     known.vm = vm;
     if (!vm.isLeaving)
         return;
-    if (known.state != TargetState::Leaving || isNew)
-        actions.emplace_back(TargetStopsNewWork{vm.id, TargetState::Leaving});
-    known.state = TargetState::Leaving;
+    if (known.state != TargetAvailability::Leaving || isNew)
+        actions.emplace_back(TargetStopsNewWork{vm.id, TargetAvailability::Leaving});
+    known.state = TargetAvailability::Leaving;
     known.evidenceVersion = this->newestVersion;
 }
 
@@ -70,38 +70,38 @@
     if (entry == this->entries.end())
         return {};
     TargetEntry &known = entry->second;
-    if (known.state == TargetState::Leaving) {
+    if (known.state == TargetAvailability::Leaving) {
         known.evidenceVersion = std::max(known.evidenceVersion, evidenceVersion);
         return {};
     }
     // A newer list has already shown the target as live since the evidence.
     if (evidenceVersion < this->newestVersion && known.evidenceVersion >= evidenceVersion)
         return {};
-    known.state = TargetState::Leaving;
+    known.state = TargetAvailability::Leaving;
     known.evidenceVersion = evidenceVersion;
-    return {TargetStopsNewWork{std::string(target), TargetState::Leaving}};
+    return {TargetStopsNewWork{std::string(target), TargetAvailability::Leaving}};
 }
 
 std::vector<DirectoryAction> TargetDirectory::connectionFailed(std::string_view target)
 {
     const auto entry = this->entries.find(target);
-    if (entry == this->entries.end() || entry->second.state != TargetState::Live)
+    if (entry == this->entries.end() || entry->second.state != TargetAvailability::Live)
         return {};
-    entry->second.state = TargetState::Unreachable;
-    return {TargetStopsNewWork{std::string(target), TargetState::Unreachable}};
+    entry->second.state = TargetAvailability::Unreachable;
+    return {TargetStopsNewWork{std::string(target), TargetAvailability::Unreachable}};
 }
 
 std::vector<DirectoryAction> TargetDirectory::probeSucceeded(std::string_view target)
 {
     const auto entry = this->entries.find(target);
-    if (entry == this->entries.end() || entry->second.state == TargetState::Live)
+    if (entry == this->entries.end() || entry->second.state == TargetAvailability::Live)
         return {};
     TargetEntry &known = entry->second;
-    const bool isStillLeaving = known.state == TargetState::Leaving &&
+    const bool isStillLeaving = known.state == TargetAvailability::Leaving &&
                                 (known.vm.isLeaving || this->newestVersion <= known.evidenceVersion);
     if (isStillLeaving)
         return {};
-    known.state = TargetState::Live;
+    known.state = TargetAvailability::Live;
     return {TargetBecameLive{std::string(target)}};
 }
 
@@ -109,9 +109,9 @@
 {
     std::vector<TargetEntry> result;
     for (const auto &[id, entry] : this->entries) {
-        const bool isShownLiveAgain = entry.state == TargetState::Leaving && !entry.vm.isLeaving &&
+        const bool isShownLiveAgain = entry.state == TargetAvailability::Leaving && !entry.vm.isLeaving &&
                                       this->newestVersion > entry.evidenceVersion;
-        if (entry.state == TargetState::Unreachable || isShownLiveAgain)
+        if (entry.state == TargetAvailability::Unreachable || isShownLiveAgain)
             result.push_back(entry);
     }
     return result;
@@ -121,7 +121,7 @@
 {
     std::vector<TargetEntry> result;
     for (const auto &[id, entry] : this->entries) {
-        if (entry.state == TargetState::Leaving)
+        if (entry.state == TargetAvailability::Leaving)
             result.push_back(entry);
     }
     return result;
--- a/src/libcluster/targetdirectory.h
+++ b/src/libcluster/targetdirectory.h
@@ -54,7 +54,7 @@
 using DirectoryEvent =
         std::variant<VmListReceived, RefusalSeen, LeavingReported, ConnectionFailed, ProbeSucceeded>;
 
-enum class TargetState {
+enum class TargetAvailability {
     Live,
     /// No new work; streams in flight go on.
     Leaving,
@@ -65,7 +65,7 @@
 struct TargetEntry
 {
     ListedVm vm;
-    TargetState state = TargetState::Live;
+    TargetAvailability state = TargetAvailability::Live;
     /// List version known when the evidence of leaving was seen. Only a newer list can reinstate the target.
     uint64_t evidenceVersion = 0;
 };
@@ -78,7 +78,7 @@
 struct TargetStopsNewWork
 {
     std::string target;
-    TargetState state = TargetState::Leaving;
+    TargetAvailability state = TargetAvailability::Leaving;
 };
 
 using DirectoryAction = std::variant<TargetBecameLive, TargetStopsNewWork>;
--- a/tests/cluster/test_targetdirectory.cpp
+++ b/tests/cluster/test_targetdirectory.cpp
@@ -10,7 +10,7 @@
 {
     const char *name;
     std::vector<DirectoryEvent> events;
-    std::optional<TargetState> expected; // nothing: the target is not in the directory
+    std::optional<TargetAvailability> expected; // nothing: the target is not in the directory
 };
 
 VmListReceived list(uint64_t version, bool isLeaving)
@@ -18,7 +18,7 @@
     return VmListReceived{version, {ListedVm{"runner-1", "127.0.0.1:9001", "trakiya", isLeaving}}};
 }
 
-std::optional<TargetState> finalState(const Case &testCase)
+std::optional<TargetAvailability> finalState(const Case &testCase)
 {
     TargetDirectory directory;
     for (const DirectoryEvent &event : testCase.events)
@@ -36,30 +36,30 @@
 {
     const std::string target = "runner-1";
     const auto testCase = GENERATE_COPY(values<Case>({
-            {"listed as live", {list(1, false)}, TargetState::Live},
-            {"listed as leaving", {list(1, false), list(2, true)}, TargetState::Leaving},
-            {"older list after a newer one", {list(2, true), list(1, false)}, TargetState::Leaving},
+            {"listed as live", {list(1, false)}, TargetAvailability::Live},
+            {"listed as leaving", {list(1, false), list(2, true)}, TargetAvailability::Leaving},
+            {"older list after a newer one", {list(2, true), list(1, false)}, TargetAvailability::Leaving},
             {"same list again after a refusal",
              {list(1, false), RefusalSeen{target}, list(1, false)},
-             TargetState::Leaving},
+             TargetAvailability::Leaving},
             {"same list and a probe after a refusal",
              {list(1, false), RefusalSeen{target}, list(1, false), ProbeSucceeded{target}},
-             TargetState::Leaving},
+             TargetAvailability::Leaving},
             {"newer list without a probe",
              {list(1, false), RefusalSeen{target}, list(2, false)},
-             TargetState::Leaving},
+             TargetAvailability::Leaving},
             {"newer list and a probe",
              {list(1, false), RefusalSeen{target}, list(2, false), ProbeSucceeded{target}},
-             TargetState::Live},
-            {"report of another entry", {list(1, false), LeavingReported{target, 1}}, TargetState::Leaving},
+             TargetAvailability::Live},
+            {"report of another entry", {list(1, false), LeavingReported{target, 1}}, TargetAvailability::Leaving},
             {"old report again after reinstatement",
              {list(1, false), LeavingReported{target, 1}, list(2, false), ProbeSucceeded{target},
               LeavingReported{target, 1}},
-             TargetState::Live},
-            {"connection failure", {list(1, false), ConnectionFailed{target}}, TargetState::Unreachable},
+             TargetAvailability::Live},
+            {"connection failure", {list(1, false), ConnectionFailed{target}}, TargetAvailability::Unreachable},
             {"connection failure, then a probe",
              {list(1, false), ConnectionFailed{target}, ProbeSucceeded{target}},
-             TargetState::Live},
+             TargetAvailability::Live},
             {"no longer listed", {list(1, false), VmListReceived{2, {}}}, std::nullopt},
     }));
     INFO(testCase.name);
