serving: fault matrix for requests without a key

Cause: at most one send of a request without a key was covered by table tests only. Change: all pairs of faults for requests without a key; each retry of a caller counts as a request of its own.

--- a/tests/serving/servicefleet.cpp
+++ b/tests/serving/servicefleet.cpp
@@ -14,6 +14,7 @@
 
 constexpr size_t SlotsPerDomain = 3;
 constexpr int UnansweredTries = 100;
+constexpr int KeylessBase = 1000;
 
 std::shared_ptr<const AcceptedRules> makeRules(ServiceFleet::Topology topology, bool isMoving)
 {
@@ -332,10 +333,11 @@
     settings.claim.outcomeTimeout = 1s;
     settings.claim.resolveTimeout = 3s;
     Call &call = process->calls[request];
-    call.key = key;
+    call.key = this->options.hasKeys ? key : KeylessBase + request;
     call.request = request;
     call.triesLeft = triesLeft;
-    call.state = std::make_unique<ServiceCall>(settings, std::move(claim));
+    call.state = std::make_unique<ServiceCall>(
+            settings, this->options.hasKeys ? std::optional{std::move(claim)} : std::nullopt);
     this->at(6s, [=, this] {
         Call &late = process->calls.at(request);
         if (late.isReplied || late.isCallerGone)
--- a/tests/serving/servicefleet.h
+++ b/tests/serving/servicefleet.h
@@ -66,6 +66,8 @@
         /// The entries have read all records of their predecessors, so that keys of any kind can be claimed.
         bool isFull = true;
         bool usesUuidKeys = true;
+        /// Without keys each retry of a caller is a request of its own.
+        bool hasKeys = true;
     };
 
     explicit ServiceFleet(Options options);
--- a/tests/serving/test_servicematrix.cpp
+++ b/tests/serving/test_servicematrix.cpp
@@ -134,6 +134,31 @@
     CHECK(tally.cells == Singles * Singles);
 }
 
+// Guards against a request without a key that is sent twice or wrongly called not-run.
+TEST_CASE("Requests without a key run at most once for every pair of faults", "[contract]")
+{
+    Tally tally;
+    constexpr int Singles = FaultCount * StepCount;
+    for (int number = 0; number < Singles * Singles; ++number) {
+        const Fault first = static_cast<Fault>(number / Singles / StepCount);
+        const Fault second = static_cast<Fault>(number % Singles / StepCount);
+        const Step firstStep = static_cast<Step>(number / Singles % StepCount);
+        const Step secondStep = static_cast<Step>(number % StepCount);
+        ServiceFleet fleet{{static_cast<uint64_t>(number) + 1, Topology::Domain, true, true, false}};
+        fleet.arm(first, firstStep, false);
+        fleet.arm(second, secondStep, secondStep < firstStep);
+        fleet.submit(0, 1, 3);
+        fleet.run(30s);
+        tally.add(fleet);
+        const std::string violation = fleet.violation();
+        if (!violation.empty())
+            FAIL_CHECK(name(first) << " at " << name(firstStep) << ", " << name(second) << " at "
+                                   << name(secondStep) << ": " << violation);
+    }
+    tally.print("pairs of service faults without a key");
+    CHECK(tally.cells == Singles * Singles);
+}
+
 // Guards against schedules that nobody thought of. EELGRASSLIFT_SEED replays one seed.
 TEST_CASE("Contract holds for random schedules of service faults", "[contract]")
 {
