Repeat an interrupted initialisation and bound retained log bytes

A crash during the first start left a folder without an identity, which no later start accepted. A marker file now tells such leftovers from a member's data. A hundred retained entries can hold 100 MiB of rule files; 4 MiB of them stay in memory now. IPv6 peers are addressed with gRPC's ipv6 scheme. test-consensus and test-program are green.

--- a/src/eelgrasslift/consensuspeers.cpp
+++ b/src/eelgrasslift/consensuspeers.cpp
@@ -26,7 +26,8 @@
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectBackoffMaxMs);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+    const std::string scheme = address.starts_with('[') ? "ipv6:" : "ipv4:";
+    return grpc::CreateCustomChannel(scheme + address, grpc::InsecureChannelCredentials(), arguments);
 }
 
 } // namespace
--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -135,11 +135,15 @@
     std::filesystem::create_directories(folder, error);
     if (!std::filesystem::is_directory(folder, error))
         return StorageError{StorageErrorKind::FolderMissing, folder, "cannot be created"};
-    if (!std::filesystem::is_empty(folder, error))
+    // The marker shows that files without an identity are left over from a crash in here, not from a member.
+    const std::filesystem::path marker = folder / "initialising";
+    const bool isInterrupted = std::filesystem::exists(marker, error) && !isInitialised(folder);
+    if (!isInterrupted && !std::filesystem::is_empty(folder, error))
         return StorageError{StorageErrorKind::FolderNotEmpty, folder,
                             "a new member needs an empty data folder"};
-    // The identity comes last: without it the folder does not count as initialised.
-    FileOutcome failed = replaceFile(folder / "log-1", records, syncFileDescriptor);
+    FileOutcome failed = replaceFile(marker, {}, syncFileDescriptor);
+    if (!failed)
+        failed = replaceFile(folder / "log-1", records, syncFileDescriptor);
     if (!failed)
         failed =
                 replaceFile(folder / "synced", std::string(SlotSize, '\0') + encodeSlot(1, 1, records.size()),
@@ -148,6 +152,7 @@
         failed = replaceFile(folder / "identity", encodeIdentity(identity), syncFileDescriptor);
     if (failed)
         return toStorageError(*failed);
+    std::filesystem::remove(marker, error);
     return std::nullopt;
 }
 
--- a/src/libconsensus/raftlog.cpp
+++ b/src/libconsensus/raftlog.cpp
@@ -10,7 +10,7 @@
     : memberships{MembershipAt{}}
 {
     if (recovered.snapshot)
-        this->setSnapshot(recovered.snapshot, 0);
+        this->setSnapshot(recovered.snapshot, 0, 0);
     for (const LogEntry &entry : recovered.entries)
         this->append(entry);
 }
@@ -80,11 +80,18 @@
     return snapshot;
 }
 
-void RaftLog::setSnapshot(SnapshotPointer snapshot, size_t retainedEntries)
+void RaftLog::setSnapshot(SnapshotPointer snapshot, size_t retainedEntries, size_t retainedBytes)
 {
     if (this->termAt(snapshot->index) == snapshot->term) {
-        const LogIndex retained = std::min<LogIndex>(retainedEntries, snapshot->index);
-        this->compactTo(std::max(this->baseIndex, snapshot->index - retained));
+        LogIndex base = snapshot->index;
+        size_t bytes = 0;
+        while (base > this->baseIndex && snapshot->index - base < retainedEntries) {
+            bytes += this->at(base).payload.size();
+            if (bytes > retainedBytes)
+                break;
+            --base;
+        }
+        this->compactTo(base);
     } else {
         this->entries.clear();
         this->baseIndex = snapshot->index;
--- a/src/libconsensus/raftlog.h
+++ b/src/libconsensus/raftlog.h
@@ -41,8 +41,9 @@
     /// A snapshot of the own state at index, with the membership that was in force there.
     SnapshotPointer makeSnapshot(LogIndex index, std::string data) const;
 
-    /// Takes over the snapshot; drops all entries unless the log contains the snapshot's last entry.
-    void setSnapshot(SnapshotPointer snapshot, size_t retainedEntries);
+    /// Takes over the snapshot. If the log contains its last entry, entries up to there stay in memory within
+    /// both limits, and all later ones; otherwise all are dropped.
+    void setSnapshot(SnapshotPointer snapshot, size_t retainedEntries, size_t retainedBytes);
 
 private:
     struct MembershipAt
--- a/src/libconsensus/raftnode.h
+++ b/src/libconsensus/raftnode.h
@@ -23,6 +23,7 @@
     size_t snapshotBytes = size_t{4} << 20;
     /// Entries before a snapshot that stay in memory for members slightly behind.
     size_t retainedEntries = 100;
+    size_t retainedBytes = size_t{4} << 20;
     size_t snapshotChunkBytes = size_t{64} << 10;
     size_t maxAppendBytes = size_t{256} << 10;
     size_t maxCommandBytes = size_t{2} << 20;
--- a/src/libconsensus/raftnode_snapshot.cpp
+++ b/src/libconsensus/raftnode_snapshot.cpp
@@ -24,7 +24,7 @@
     if (event.index <= this->raftLog.snapshotIndex() || event.index > this->committed)
         return;
     const SnapshotPointer snapshot = this->raftLog.makeSnapshot(event.index, event.data);
-    this->raftLog.setSnapshot(snapshot, this->settings.retainedEntries);
+    this->raftLog.setSnapshot(snapshot, this->settings.retainedEntries, this->settings.retainedBytes);
     this->actions.emplace_back(
             StoreSnapshot{snapshot, this->hardState, this->raftLog.entriesFrom(event.index + 1, SIZE_MAX)});
     this->needsSync = true;
@@ -77,7 +77,7 @@
                                                                     chunk.membershipIndex, chunk.membership,
                                                                     std::move(this->incoming->data)});
     this->incoming.reset();
-    this->raftLog.setSnapshot(snapshot, 0);
+    this->raftLog.setSnapshot(snapshot, 0, 0);
     this->committed = snapshot->index;
     this->actions.emplace_back(StoreSnapshot{snapshot, this->hardState,
                                              this->raftLog.entriesFrom(snapshot->index + 1, SIZE_MAX)});
--- a/tests/consensus/test_filelogstorage.cpp
+++ b/tests/consensus/test_filelogstorage.cpp
@@ -202,6 +202,19 @@
     CHECK(std::get<StorageError>(second).kind == StorageErrorKind::FolderNotEmpty);
 }
 
+// Guards against a member that never starts again because a crash interrupted its first start.
+TEST_CASE("An interrupted initialisation is repeated, leftovers without its marker are not touched")
+{
+    const TemporaryFolder folder;
+    appendBytes(folder.path / "log-1", "torn");
+    Random random{4};
+    CHECK(std::holds_alternative<StorageError>(prepareJoiningMember(folder.path, random)));
+    appendBytes(folder.path / "initialising", "");
+    CHECK(std::holds_alternative<Identity>(prepareJoiningMember(folder.path, random)));
+    CHECK(openStorage(folder.path)->recovered().entries.empty());
+    CHECK(std::holds_alternative<StorageError>(prepareJoiningMember(folder.path, random)));
+}
+
 // Guards against equal ids of clusters or members that are initialised independently.
 TEST_CASE("Every initialisation draws new ids and a joining member learns its cluster")
 {
