--- a/bench/commands.h
+++ b/bench/commands.h
@@ -25,5 +25,6 @@
 int compare(const CompareOptions &options);
 int tradeoff(const CompareOptions &options);
 int slopes(uint64_t seed);
+int limits(uint64_t seed);
 
 } // namespace eelgrasslift::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -26,11 +26,15 @@
     tradeoffCommand->add_option("--weights", options.weights, "Values of stall-weight");
     CLI::App *slopesCommand = app.add_subcommand("slopes", "Cost per decision and bytes per object by size");
     slopesCommand->add_option("--seed", options.seed, "Seed");
+    CLI::App *limitsCommand = app.add_subcommand("limits", "Error of the accounts' limits over nine entries");
+    limitsCommand->add_option("--seed", options.seed, "Seed");
     CLI11_PARSE(app, argc, argv);
 
     if (*compareCommand)
         return compare(options);
     if (*tradeoffCommand)
         return tradeoff(options);
+    if (*limitsCommand)
+        return limits(options.seed);
     return slopes(options.seed);
 }
