--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -28,6 +28,8 @@
     slopesCommand->add_option("--seed", options.seed, "Seed");
     CLI::App *gossipCommand = app.add_subcommand("gossip", "Cost and spread of gossip by fleet size");
     gossipCommand->add_option("--seed", options.seed, "Seed");
+    CLI::App *limitsCommand = app.add_subcommand("limits", "Error of the accounts' limits over nine entries");
+    limitsCommand->add_option("--seed", options.seed, "Seed");
     CLI11_PARSE(app, argc, argv);
 
     if (*compareCommand)
@@ -36,5 +38,7 @@
         return tradeoff(options);
     if (*gossipCommand)
         return gossipSlopes(options.seed);
+    if (*limitsCommand)
+        return limits(options.seed);
     return slopes(options.seed);
 }
