--- a/src/libcontrol/orderreconciler.cpp
+++ b/src/libcontrol/orderreconciler.cpp
@@ -34,7 +34,7 @@
 
 bool OrderReconciler::authorize(const LoadOrder &order, bool hasLease, TimePoint now) const
 {
-    if (!this->isLeader || !hasLease || now >= order.deadline)
+    if (!hasLease || now >= order.deadline)
         return false;
     const auto found = this->table.find(order.target);
     if (found == this->table.end() || found->second.phase != Phase::Sending ||
@@ -126,10 +126,6 @@
     Target *target = this->find(event.target, Phase::Fencing);
     if (target == nullptr)
         return;
-    if (!this->checksFencing(event.target) && now < this->safeFrom) {
-        wait(*target, this->safeFrom);
-        return;
-    }
     target->phase = Phase::Sending;
     target->fence = event.fence;
     target->isUnconfirmed = true;
