--- a/src/eelgrasslift/main.cpp
+++ b/src/eelgrasslift/main.cpp
@@ -1,3 +1,4 @@
+#include "eelgrasslift/admincommands.h"
 #include "eelgrasslift/entryprocess.h"
 #include "eelgrasslift/entrysettings.h"
 #include "eelgrasslift/logging.h"
@@ -31,10 +32,13 @@
     EntrySettings entrySettings;
     CLI::App &entry = *app.add_subcommand("entry", "Serve callers on an entry VM");
     addEntryOptions(entry, entrySettings);
+    ControlCommands controlCommands(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
         return app.exit(error) == 0 ? 0 : ExitUsage;
     }
+    if (const auto exitCode = controlCommands.run())
+        return *exitCode;
     return runEntryCommand(entrySettings);
 }
--- a/src/libcontrol/controlstate.cpp
+++ b/src/libcontrol/controlstate.cpp
@@ -64,12 +64,12 @@
 
 std::string ControlState::takeSnapshot() const
 {
-    return encodeSnapshot(this->data);
+    return encodeTables(this->data);
 }
 
 bool ControlState::installSnapshot(std::string_view bytes)
 {
-    auto tables = decodeSnapshot(bytes);
+    auto tables = decodeTables(bytes);
     if (!tables)
         return false;
     this->data = std::move(*tables);
--- a/src/libcontrol/controltables.cpp
+++ b/src/libcontrol/controltables.cpp
@@ -122,7 +122,7 @@
 
 } // namespace
 
-std::string encodeSnapshot(const ControlTables &tables)
+std::string encodeTables(const ControlTables &tables)
 {
     wire::ControlSnapshot message;
     message.set_format(SnapshotFormat);
@@ -133,7 +133,7 @@
     return message.SerializeAsString();
 }
 
-std::optional<ControlTables> decodeSnapshot(std::string_view bytes)
+std::optional<ControlTables> decodeTables(std::string_view bytes)
 {
     wire::ControlSnapshot message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
--- a/src/libcontrol/controltables.h
+++ b/src/libcontrol/controltables.h
@@ -73,9 +73,9 @@
 };
 
 /// Equal tables give equal bytes.
-std::string encodeSnapshot(const ControlTables &tables);
+std::string encodeTables(const ControlTables &tables);
 
 /// Nothing if the bytes are no snapshot of a known format.
-std::optional<ControlTables> decodeSnapshot(std::string_view bytes);
+std::optional<ControlTables> decodeTables(std::string_view bytes);
 
 } // namespace eelgrasslift
--- a/src/librules/ruleerror.cpp
+++ b/src/librules/ruleerror.cpp
@@ -15,10 +15,10 @@
 
 std::string codeName(RuleErrorCode code)
 {
-    static constexpr std::array Names{"too-large",     "not-text",       "missing-origin", "missing-name",
-                                      "unknown-kind",  "unknown-key",    "missing-key",    "duplicate",
-                                      "bad-value",     "out-of-range",   "unknown-name",   "contradiction",
-                                      "unsafe-change", "too-many-errors"};
+    static constexpr std::array Names{"too-large",     "not-text",        "missing-origin", "missing-name",
+                                      "unknown-kind",  "unknown-key",     "missing-key",    "duplicate",
+                                      "bad-value",     "out-of-range",    "unknown-name",   "contradiction",
+                                      "unsafe-change", "too-many-errors", "no-rules"};
     return Names.at(static_cast<size_t>(code));
 }
 
--- a/src/librules/ruleerror.h
+++ b/src/librules/ruleerror.h
@@ -21,6 +21,7 @@
     Contradiction,
     UnsafeChange,
     TooManyErrors,
+    NoRules,
 };
 
 /// A fault in a rule file. Line and column count from 1; the column counts characters, not bytes.
--- a/src/librules/rulesparser.cpp
+++ b/src/librules/rulesparser.cpp
@@ -49,6 +49,9 @@
             line.remove_suffix(1);
         this->readLine(line, ++number);
     }
+    // An empty file is most likely a failed copy; accepting it would remove every account.
+    if (this->ruleCount == 0 && this->errors.isEmpty())
+        this->errors.add(RuleErrorCode::NoRules, 1, 1, "the file has no rules", "domain trakiya  # who: why");
     if (this->ruleCount > MaxRules) {
         this->errors.add(RuleErrorCode::TooLarge, number, 1,
                          "the file has " + std::to_string(this->ruleCount) + " rules, at most " +
--- a/tests/rules/test_rulesparser.cpp
+++ b/tests/rules/test_rulesparser.cpp
@@ -141,6 +141,8 @@
 {
     CHECK(errorsOf(std::string(MaxRuleFileBytes + 1, '#')).at(0).code == RuleErrorCode::TooLarge);
     CHECK(errorsOf(std::string(MaxRuleFileBytes, '#')).at(0).code == RuleErrorCode::TooLarge); // line length
+    CHECK(errorsOf("").at(0).code == RuleErrorCode::NoRules);
+    CHECK(errorsOf("# only free text\n\n").at(0).code == RuleErrorCode::NoRules);
     std::string many;
     for (size_t i = 0; i <= MaxRules; ++i)
         many += "domain d" + std::to_string(i) + " # a: b\n";
