entry: bring suspects' marks to all entries before victims are told

Cause: gossip alone breaks the bound on deaths: a caller that resends at once meets an entry that does not know the suspect yet (found by the serving tests' random schedules). Figures: none on real processes yet.

--- a/src/eelgrasslift/completionsession.cpp
+++ b/src/eelgrasslift/completionsession.cpp
@@ -356,7 +356,13 @@
     const ProbeResult probe = co_await probeTarget(this->endpoints[target]);
     if (probe != ProbeResult::Refused)
         co_return StreamConnectionLost{connection, mayRetry};
-    this->context.control.post([&state = this->context.state, target] { state.targetDied(target); });
+    // The other entries know the suspects before a victim is restarted or its caller can send it again.
+    const auto reportDeath = [&context = this->context, target](std::function<void(bool)> done) {
+        context.control.post([&context, target, done = std::move(done)] {
+            context.state.targetDied(target, [done] { done(true); });
+        });
+    };
+    co_await awaitCallback<bool>(reportDeath);
     co_return StreamTargetDied{target, mayRetry};
 }
 
--- a/src/eelgrasslift/entrystate.cpp
+++ b/src/eelgrasslift/entrystate.cpp
@@ -60,37 +60,6 @@
     return options;
 }
 
-wire::ReserveVerdict toWire(AloneVerdict verdict)
-{
-    switch (verdict) {
-    case AloneVerdict::Granted:
-        return wire::RESERVED;
-    case AloneVerdict::Busy:
-        return wire::BUSY;
-    case AloneVerdict::Held:
-        return wire::HELD_BY_OTHER;
-    case AloneVerdict::Quarantined:
-        return wire::QUARANTINED;
-    }
-    return wire::HELD_BY_OTHER;
-}
-
-std::optional<AloneVerdict> fromWire(wire::ReserveVerdict verdict)
-{
-    switch (verdict) {
-    case wire::RESERVED:
-        return AloneVerdict::Granted;
-    case wire::BUSY:
-        return AloneVerdict::Busy;
-    case wire::HELD_BY_OTHER:
-        return AloneVerdict::Held;
-    case wire::QUARANTINED:
-        return AloneVerdict::Quarantined;
-    default:
-        return std::nullopt;
-    }
-}
-
 wire::RecordReply abstain()
 {
     wire::RecordReply reply;
@@ -100,16 +69,6 @@
 
 } // namespace
 
-/// One reservation of a target for a suspect's run.
-struct EntryState::Isolation
-{
-    AloneClaim claim;
-    AloneRequest request;
-    RunId run = 0;
-    PlacementCallback done;
-    bool isEnded = false;
-};
-
 EntryState::EntryState(const EntrySettings &entrySettings, const Endpoint &peerAddress,
                        ControlThread &controlThread, EntryMetrics &entryMetrics, uint64_t seed)
     : settings(entrySettings)
@@ -125,15 +84,9 @@
                     replicaSettings(entrySettings, this->gossip.self()))
     , drain(drainSettings(entrySettings))
 {
-    this->placementQueue.setIsolation(
-            [this](const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done) {
-                this->isolate(fingerprint, target, run, std::move(done));
-            },
-            [this](RunId run) { this->endIsolation(run); });
+    this->setUpIsolation();
 }
 
-EntryState::~EntryState() = default;
-
 void EntryState::start()
 {
     const TimePoint now = monotonicNow();
@@ -174,8 +127,10 @@
 
 void EntryState::tick(TimePoint now)
 {
-    for (auto &[run, isolation] : std::map(this->isolations))
-        this->carryOut(isolation, isolation->claim.tick(currentInstant()));
+    this->tickIsolations();
+    this->finishDeathNotices(now);
+    if (this->recordService.replica().isReplaced() && !std::exchange(this->isSlotLossLogged, true))
+        logError("record-slot-taken", {{"slot", this->recordService.replica().identity().slot}});
     this->placementQueue.dispatch(currentInstant());
     this->updateDrain();
     this->updateMetrics(now);
@@ -353,126 +308,6 @@
     this->placementQueue.dispatch(currentInstant());
 }
 
-void EntryState::targetDied(const std::string &target)
-{
-    // A process that was frozen must notice lost isolations before the death is counted.
-    for (auto &[run, isolation] : std::map(this->isolations))
-        this->carryOut(isolation, isolation->claim.tick(currentInstant()));
-    const std::vector<QuarantineMark> marks = this->crashQuarantine.targetDied(target, currentInstant());
-    this->handleDirectory(ConnectionFailed{target});
-    if (marks.empty())
-        return;
-    this->metrics.targetDeaths.Increment();
-    logWarning("target-died", {{"target", target}, {"suspects", std::to_string(marks.size())}});
-    // The next periodic round is up to 500 ms away; suspects are spread at once.
-    this->gossipTick(monotonicNow());
-}
-
-void EntryState::isolate(const Sha256 &fingerprint, const std::string &target, RunId run,
-                         PlacementCallback done)
-{
-    const RulesSnapshot current = this->rules();
-    AloneRequest request;
-    request.fingerprint = fingerprint;
-    request.target = target;
-    request.claimId = toHex(fingerprint).substr(0, 16) + "-" + std::to_string(this->random.next());
-    for (const QuarantineMark &mark : this->crashQuarantine.marks(currentInstant())) {
-        if (mark.fingerprint == fingerprint)
-            request.mark = mark;
-    }
-    std::set<std::string> live{this->gossip.self().id()};
-    std::set<std::string> owners;
-    const std::string ownerDomain = this->gossip.self().domain();
-    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
-        if (peer.is_entry())
-            live.insert(peer.id());
-    }
-    // The fingerprint's hash names the owner domain, so that all entries agree on it.
-    std::string owner = ownerDomain;
-    if (current && !current->rules.domains.empty()) {
-        const size_t index = fingerprint[0] % current->rules.domains.size();
-        owner = std::next(current->rules.domains.begin(), static_cast<std::ptrdiff_t>(index))->first;
-    }
-    for (const wire::PeerInfo &holder : this->gossip.slotHolders(owner)) {
-        if (live.contains(holder.id()))
-            owners.insert(holder.id());
-    }
-    auto isolation = std::make_shared<Isolation>(Isolation{
-            AloneClaim(request, live, owners, this->settings.entriesPerDomain, AloneClaimSettings{}), request,
-            run, std::move(done), false});
-    this->isolations.emplace(run, isolation);
-    this->carryOut(isolation, isolation->claim.start(currentInstant()));
-}
-
-void EntryState::carryOut(const std::shared_ptr<Isolation> &isolation,
-                          const std::vector<AloneAction> &actions)
-{
-    for (const AloneAction &action : actions) {
-        match(
-                action, [&](const SendAloneRequest &message) { this->sendReserve(isolation, message); },
-                [&](const SendAloneRelease &message) {
-                    if (message.entry == this->gossip.self().id()) {
-                        this->crashQuarantine.release(message.claimId);
-                        return;
-                    }
-                    wire::ReleaseRequest request;
-                    request.set_claim_id(message.claimId);
-                    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
-                        if (peer.id() == message.entry)
-                            this->peers.release(peer.address(), request, [](const auto &) {});
-                    }
-                },
-                [&](const AloneGranted &) {
-                    if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
-                        done(Placed{isolation->request.target, {}, isolation->run});
-                },
-                [&](const AloneRefused &refused) {
-                    const PlacementFailure failure = refused.isQuarantined ? PlacementFailure::Quarantined
-                                                                           : PlacementFailure::SuspectBusy;
-                    if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
-                        done(PlacementRefused{failure, std::chrono::seconds{5}});
-                },
-                [&](const AloneLost &) { this->crashQuarantine.lostIsolation(isolation->run); });
-    }
-}
-
-void EntryState::sendReserve(const std::shared_ptr<Isolation> &isolation, const SendAloneRequest &message)
-{
-    if (message.entry == this->gossip.self().id()) {
-        this->control.post([this, isolation, message] {
-            const AloneReply reply = this->crashQuarantine.reserve(message.request, currentInstant());
-            this->carryOut(isolation,
-                           isolation->claim.replied(message.entry, reply.verdict, currentInstant()));
-        });
-        return;
-    }
-    wire::ReserveRequest request;
-    request.set_fingerprint(
-            std::string(message.request.fingerprint.begin(), message.request.fingerprint.end()));
-    request.set_target(message.request.target);
-    request.set_claim_id(message.request.claimId);
-    *request.mutable_mark() = eelgrasslift::toWire(message.request.mark);
-    for (const wire::PeerInfo &peer : this->gossip.livePeers(monotonicNow())) {
-        if (peer.id() != message.entry)
-            continue;
-        this->peers.reserve(peer.address(), request, [this, isolation, message](const auto &answer) {
-            const auto verdict = answer ? fromWire(answer->verdict()) : std::nullopt;
-            if (!verdict)
-                return;
-            if (const auto mark = eelgrasslift::fromWire(answer->mark()))
-                this->crashQuarantine.merge(*mark, currentInstant());
-            this->carryOut(isolation, isolation->claim.replied(message.entry, *verdict, currentInstant()));
-        });
-    }
-}
-
-void EntryState::endIsolation(RunId run)
-{
-    const auto node = this->isolations.extract(run);
-    if (!node.empty())
-        this->carryOut(node.mapped(), node.mapped()->claim.end());
-}
-
 void EntryState::terminate()
 {
     this->carryOut(this->drain.terminate(monotonicNow()));
@@ -537,24 +372,4 @@
             this->recordService.replica().readRecords(eelgrasslift::fromWire(request), currentInstant()));
 }
 
-wire::ReserveReply EntryState::reserve(const wire::ReserveRequest &request)
-{
-    wire::ReserveReply reply;
-    const auto fingerprint = digestFromWire(request.fingerprint());
-    const auto mark = eelgrasslift::fromWire(request.mark());
-    if (!fingerprint || !mark)
-        return reply;
-    const AloneReply result = this->crashQuarantine.reserve(
-            AloneRequest{*fingerprint, request.target(), request.claim_id(), *mark}, currentInstant());
-    reply.set_verdict(toWire(result.verdict));
-    *reply.mutable_mark() = eelgrasslift::toWire(result.mark);
-    return reply;
-}
-
-wire::ReleaseReply EntryState::release(const wire::ReleaseRequest &request)
-{
-    this->crashQuarantine.release(request.claim_id());
-    return {};
-}
-
 } // namespace eelgrasslift
--- a/src/eelgrasslift/entrystate.h
+++ b/src/eelgrasslift/entrystate.h
@@ -62,8 +62,9 @@
     /// Feeds the directory and carries out what it decides.
     void handleDirectory(const DirectoryEvent &event);
 
-    /// Evidence that the target's process died: marks suspects and spreads them.
-    void targetDied(const std::string &target);
+    /// Evidence that the target's process died: marks suspects and brings the marks to all live entries. done runs
+    /// when the victims may be restarted or their callers told.
+    void targetDied(const std::string &target, std::function<void()> done);
 
     // Shutdown.
     void terminate();
@@ -80,9 +81,11 @@
     wire::ReadRecordsReply readRecords(const wire::ReadRecordsRequest &request) override;
     wire::ReserveReply reserve(const wire::ReserveRequest &request) override;
     wire::ReleaseReply release(const wire::ReleaseRequest &request) override;
+    wire::MarkReply mark(const wire::MarkRequest &request) override;
 
 private:
     struct Isolation;
+    struct DeathNotice;
 
     void tick(TimePoint now);
     void gossipTick(TimePoint now);
@@ -93,10 +96,15 @@
     void loadKeptRules();
     void updateDrain();
     void carryOut(const std::vector<DrainAction> &actions);
+    void setUpIsolation();
     void isolate(const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done);
     void carryOut(const std::shared_ptr<Isolation> &isolation, const std::vector<AloneAction> &actions);
     void sendReserve(const std::shared_ptr<Isolation> &isolation, const SendAloneRequest &message);
     void endIsolation(RunId run);
+    void tickIsolations();
+    void sendMarks(const std::string &target);
+    void finishDeathNotices(TimePoint now);
+    std::map<std::string, std::string> liveEntryAddresses() const;
     void updateMetrics(TimePoint now);
 
     const EntrySettings &settings;
@@ -117,6 +125,9 @@
     std::atomic<bool> accepting{true};
     size_t inFlight = 0;
     std::map<RunId, std::shared_ptr<Isolation>> isolations;
+    /// By target.
+    std::map<std::string, std::shared_ptr<DeathNotice>> deathNotices;
+    bool isSlotLossLogged = false;
     std::function<void(DrainAction)> drainCallback;
     std::vector<TimerService::Subscription> subscriptions;
 };
--- a/src/eelgrasslift/peerclient.h
+++ b/src/eelgrasslift/peerclient.h
@@ -38,6 +38,7 @@
                  Callback<wire::ReserveReply> done);
     void release(const std::string &address, const wire::ReleaseRequest &request,
                  Callback<wire::ReleaseReply> done);
+    void mark(const std::string &address, const wire::MarkRequest &request, Callback<wire::MarkReply> done);
 
 private:
     struct Implementation;
--- a/src/eelgrasslift/peerservice.cpp
+++ b/src/eelgrasslift/peerservice.cpp
@@ -59,6 +59,12 @@
         return this->serve(context, request, reply, &PeerHandler::release);
     }
 
+    grpc::ServerUnaryReactor *Mark(grpc::CallbackServerContext *context, const wire::MarkRequest *request,
+                                   wire::MarkReply *reply) override
+    {
+        return this->serve(context, request, reply, &PeerHandler::mark);
+    }
+
 private:
     template <typename Request, typename Reply>
     grpc::ServerUnaryReactor *serve(grpc::CallbackServerContext *context, const Request *request,
@@ -108,6 +114,11 @@
     return {};
 }
 
+wire::MarkReply PeerHandler::mark(const wire::MarkRequest & /*request*/)
+{
+    return {};
+}
+
 std::unique_ptr<grpc::Service> makePeerService(ControlThread &control, PeerHandler &handler)
 {
     return std::make_unique<PeerService>(control, handler);
--- a/src/eelgrasslift/peerservice.h
+++ b/src/eelgrasslift/peerservice.h
@@ -24,6 +24,7 @@
     virtual wire::ReadRecordsReply readRecords(const wire::ReadRecordsRequest &request);
     virtual wire::ReserveReply reserve(const wire::ReserveRequest &request);
     virtual wire::ReleaseReply release(const wire::ReleaseRequest &request);
+    virtual wire::MarkReply mark(const wire::MarkRequest &request);
 };
 
 /// The gRPC service Peer. handler and control must outlive the server that the service is registered with.
--- a/src/eelgrasslift/recordservice.cpp
+++ b/src/eelgrasslift/recordservice.cpp
@@ -77,8 +77,8 @@
 
 bool RecordService::isOwnSlot(const SlotId &slot) const
 {
-    const auto holder = this->holderOf(slot);
-    return holder && holder->id() == this->gossip.self().id();
+    // Also when a successor is known: only the local replica can say that it was replaced.
+    return slot == this->records.identity().slot;
 }
 
 void RecordService::send(const SendClaim &message, ReplyCallback done)
--- a/src/eelgrasslift/targetpoller.cpp
+++ b/src/eelgrasslift/targetpoller.cpp
@@ -175,7 +175,7 @@
     if (!isNew && known->second != report.incarnation) {
         // The engine was restarted between two polls.
         known->second = report.incarnation;
-        this->context.state.targetDied(target);
+        this->context.state.targetDied(target, [] {});
     }
     this->context.state.placement().selector().applyReport(target, report, monotonicNow());
     this->context.state.placement().dispatch(currentInstant());
