Take semicolons out of test names

Cause: CMake splits a test name at a semicolon into two entries, which match no test case and pass. Change: two names. No check changed. Conclusion: both cases now run under CTest.

--- a/tests/routing/test_targetselector.cpp
+++ b/tests/routing/test_targetselector.cpp
@@ -127,7 +127,7 @@
 
 // Guards against a request that returns to the target on which it just failed, and against work for a target
 // that leaves (G5).
-TEST_CASE("Excluded and leaving targets get nothing; a reinstated one ramps up")
+TEST_CASE("Excluded and leaving targets get nothing and a reinstated one ramps up")
 {
     Fixture fixture;
     fixture.add("a1", "a");
@@ -209,7 +209,7 @@
 }
 
 // Guards against decisions on reports that describe a state long gone, or that arrive out of order.
-TEST_CASE("A stale load report loses its weight; old and repeated reports are dropped")
+TEST_CASE("A stale load report loses its weight, old and repeated reports are dropped")
 {
     Fixture fixture;
     fixture.add("a1", "a");
