--- a/tests/control/test_controlstate.cpp
+++ b/tests/control/test_controlstate.cpp
@@ -199,6 +199,8 @@
     state.apply(at(101, RecordAction{"elena", "test"}));
     CHECK(state.tables().marks.empty());
     CHECK(state.tables().audit.back().author == "elena");
+    // A new leader whose clock is behind does not bring back time, and with it a mark that has ended.
+    CHECK(std::holds_alternative<Refused>(state.apply(at(50, AddQuarantine{print, 2, until, "gossip"}))));
 }
 
 // Guards against more loads than the weight store allows, and against one load that is charged twice.
