Parse the VM list in one place; tell a refused attempt from an unknown generation

Cause: the VM list's parser stood twice (entry poller, order executor); a 404 on a new attempt (model not loaded) was taken for an unknown generation and spent restarts. Seen in a trial: a label needed three attempts. Change: vmlist.h; only a resume takes 404 and 410 as an unknown generation.

--- a/src/eelgrasslift/engineconnection.cpp
+++ b/src/eelgrasslift/engineconnection.cpp
@@ -62,12 +62,12 @@
     return std::pair{std::string(id.substr(0, colon)), index};
 }
 
-EngineEnd refusalOf(const http::response_header<> &header)
+EngineEnd refusalOf(const http::response_header<> &header, bool isResume)
 {
     if (header.find("X-Leaving") != header.end())
         return EngineEnd::Leaving;
     const unsigned status = header.result_int();
-    if (status == 404 || status == 410)
+    if (isResume && (status == 404 || status == 410))
         return EngineEnd::UnknownGeneration;
     return EngineEnd::Refused;
 }
@@ -145,7 +145,7 @@
     if (error)
         co_return EngineEnd::Lost;
     if (parser.get().result_int() != 200)
-        co_return refusalOf(parser.get().base());
+        co_return refusalOf(parser.get().base(), this->isResume);
 
     const auto generationHeader = parser.get().find("X-Generation-Id");
     if (generationHeader != parser.get().end())
--- a/src/eelgrasslift/orderexecutor.cpp
+++ b/src/eelgrasslift/orderexecutor.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrasslift/httpclient.h"
 #include "eelgrasslift/logging.h"
+#include "eelgrasslift/vmlist.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -217,22 +218,18 @@
 
 void OrderExecutor::listReceived(std::string_view body)
 {
-    const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-    if (!document.is_object() || !document.contains("vms") || !document["vms"].is_array())
-        return;
-    const auto version = document.find("version");
-    if (version == document.end() || !version->is_number_unsigned() ||
-        version->get<uint64_t>() < this->listVersion)
+    const auto list = parseVmList(body);
+    if (!list || list->version < this->listVersion)
         return;
-    this->listVersion = version->get<uint64_t>();
+    this->listVersion = list->version;
     LiveTargets live;
     this->endpoints.clear();
-    for (const nlohmann::json &vm : document["vms"]) {
-        const auto endpoint = vm.is_object() ? parseEndpoint(textField(vm, "address")) : std::nullopt;
-        if (!endpoint || textField(vm, "state") == "leaving")
+    for (const ListedVm &vm : list->vms) {
+        const auto endpoint = parseEndpoint(vm.address);
+        if (!endpoint || vm.isLeaving)
             continue;
-        this->endpoints[textField(vm, "id")] = *endpoint;
-        live.targets.insert(textField(vm, "id"));
+        this->endpoints[vm.id] = *endpoint;
+        live.targets.insert(vm.id);
     }
     this->feed(live);
 }
