--- a/src/eelgrasslift/completionsession.cpp
+++ b/src/eelgrasslift/completionsession.cpp
@@ -325,45 +325,38 @@
         this->context.control.post([&state, target] { state.handleDirectory(ConnectionFailed{target}); });
     if (end != EngineEnd::UnknownGeneration)
         this->excludedTargets.push_back(target);
+    const bool isConnected = end == EngineEnd::Lost
+            || (end == EngineEnd::NotConnected && !this->stream->position().generation.empty());
+    if (isConnected && co_await this->isTargetDead(target)) {
+        // The dead target's load is gone with it, so a restart adds none: the class's restarts limit it, not the
+        // retry budget, which one death with many neighbours would use up.
+        this->events.push(StreamTargetDied{target, true});
+        co_return;
+    }
     const bool mayRetry = co_await this->waitForRetry();
-    switch (end) {
-    case EngineEnd::Leaving:
-    case EngineEnd::Refused:
-        this->events.push(AttemptRefused{connection, mayRetry});
-        break;
-    case EngineEnd::UnknownGeneration:
+    if (isConnected)
+        this->events.push(StreamConnectionLost{connection, mayRetry});
+    else if (end == EngineEnd::UnknownGeneration)
         this->events.push(ResumeRefused{connection, mayRetry});
-        break;
-    case EngineEnd::Failed:
+    else if (end == EngineEnd::Failed)
         this->events.push(EngineFailed{connection, mayRetry});
-        break;
-    case EngineEnd::NotConnected:
-        if (this->stream->position().generation.empty()) {
-            this->events.push(AttemptRefused{connection, mayRetry});
-            break;
-        }
-        [[fallthrough]];
-    case EngineEnd::Lost:
-        this->events.push(co_await this->classifyLoss(connection, target, mayRetry));
-        break;
-    }
+    else
+        this->events.push(AttemptRefused{connection, mayRetry});
 }
 
 /// Tells a dead target, whose generations are gone, from a broken link, behind which they go on.
-asio::awaitable<StreamEvent> CompletionSession::classifyLoss(uint32_t connection, std::string target,
-                                                             bool mayRetry)
+asio::awaitable<bool> CompletionSession::isTargetDead(std::string target)
 {
     const ProbeResult probe = co_await probeTarget(this->endpoints[target]);
     if (probe != ProbeResult::Refused)
-        co_return StreamConnectionLost{connection, mayRetry};
+        co_return false;
     // The other entries know the suspects before a victim is restarted or its caller can send it again.
     const auto reportDeath = [&context = this->context, target](std::function<void(bool)> done) {
         context.control.post([&context, target, done = std::move(done)] {
             context.state.targetDied(target, [done] { done(true); });
         });
     };
-    co_await awaitCallback<bool>(reportDeath);
-    co_return StreamTargetDied{target, mayRetry};
+    co_return co_await awaitCallback<bool>(reportDeath);
 }
 
 void CompletionSession::on(const OpenResume &action)
--- a/src/eelgrasslift/completionsession.h
+++ b/src/eelgrasslift/completionsession.h
@@ -73,7 +73,7 @@
                     const std::string &target);
     void engineReported(uint32_t connection, const std::string &target, const EngineReport &report);
     boost::asio::awaitable<void> engineEnded(uint32_t connection, std::string target, EngineEnd end);
-    boost::asio::awaitable<StreamEvent> classifyLoss(uint32_t connection, std::string target, bool mayRetry);
+    boost::asio::awaitable<bool> isTargetDead(std::string target);
     boost::asio::awaitable<bool> waitForRetry();
     boost::asio::awaitable<void> resumeLater(OpenResume action);
     void closeEngine(uint32_t connection);
--- a/tests/scenario/lib/fleet.lua
+++ b/tests/scenario/lib/fleet.lua
@@ -76,11 +76,17 @@
 -- join (list of members). The data folder is kept over restarts.
 function start_control(arguments)
     local data = runner.folder() .. "/data-" .. arguments.name
+    local is_initialised = false
     local process = start{
         name = arguments.name,
         ports = {"operator", "peer"},
         env = SECRETS,
         args = function(process)
+            if arguments.init and not is_initialised then
+                is_initialised = true
+                local result = run_program("control-init", "--data", data, "--peer-listen", process.relays.peer)
+                expect_equal(result.code, 0, "exit code of control-init: " .. result.output)
+            end
             local args = {runner.program, "control", "--data", data, "--domain", arguments.domain}
             listen_flags(args, process, {"operator", "peer"})
             append(args, "--advertise-operator", process.relays.operator)
@@ -102,13 +108,6 @@
     return process
 end
 
---- Creates the identity of a new cluster in the data folder of the member with this name.
-function init_control(name)
-    local data = runner.folder() .. "/data-" .. name
-    local result = run_program("control-init", "--data", data)
-    expect_equal(result.code, 0, "exit code of control-init: " .. result.output)
-end
-
 --- Starts an entry: name, domain, slot, entries_per_domain, seeds (processes), vm_list, flags, keeps_rules.
 function start_entry(arguments)
     local data = runner.folder() .. "/data-" .. arguments.name
@@ -194,10 +193,10 @@
 --- Starts three control members, one per domain, and has the rules accepted.
 function start_controls(fleet, arguments)
     fleet.weight_store = start_standin{kind = "weightstore", name = "weight-store"}
-    init_control("control-1")
     for i, domain in ipairs(DOMAINS) do
         table.insert(fleet.controls, start_control{name = "control-" .. i, domain = domain, vm_list = fleet.vm_list,
-                                                   weight_store = fleet.weight_store, join = {fleet.controls[1]}})
+                                                   weight_store = fleet.weight_store, init = i == 1,
+                                                   join = {fleet.controls[1]}})
     end
     await_voters(fleet.controls, 3)
     apply_rules(fleet.controls, fleet_rules(arguments.extra_rules))
