--- a/bench/gossipslopes.cpp
+++ b/bench/gossipslopes.cpp
@@ -31,7 +31,8 @@
 class GossipFleet
 {
 public:
-    GossipFleet(uint32_t size, uint64_t seed) : random(seed)
+    GossipFleet(uint32_t size, uint64_t seed)
+        : random(seed)
     {
         const uint32_t domains = std::min(MaxDomains, std::max(3U, size / 3));
         for (uint32_t i = 0; i < size; ++i) {
@@ -117,7 +118,8 @@
             const auto replies = receiver.handle(DigestReceived{this->transfer(send->digest)}, this->now);
             for (const GossipAction &reply : replies) {
                 if (const auto *delta = std::get_if<ReplyDelta>(&reply))
-                    this->carryOut(sender, sender.handle(DeltaReceived{this->transfer(delta->delta)}, this->now));
+                    this->carryOut(sender,
+                                   sender.handle(DeltaReceived{this->transfer(delta->delta)}, this->now));
             }
             this->carryOut(receiver, replies);
         }
--- a/src/eelgrasslift/completionsession.cpp
+++ b/src/eelgrasslift/completionsession.cpp
@@ -325,11 +325,11 @@
         this->context.control.post([&state, target] { state.handleDirectory(ConnectionFailed{target}); });
     if (end != EngineEnd::UnknownGeneration)
         this->excludedTargets.push_back(target);
-    const bool isConnected = end == EngineEnd::Lost
-            || (end == EngineEnd::NotConnected && !this->stream->position().generation.empty());
+    const bool isConnected = end == EngineEnd::Lost ||
+                             (end == EngineEnd::NotConnected && !this->stream->position().generation.empty());
     if (isConnected && co_await this->isTargetDead(target)) {
-        // The dead target's load is gone with it, so a restart adds none: the class's restarts limit it, not the
-        // retry budget, which one death with many neighbours would use up.
+        // The dead target's load is gone with it, so a restart adds none: the class's restarts limit it, not
+        // the retry budget, which one death with many neighbours would use up.
         this->events.push(StreamTargetDied{target, true});
         co_return;
     }
--- a/src/eelgrasslift/controlcore.cpp
+++ b/src/eelgrasslift/controlcore.cpp
@@ -43,9 +43,13 @@
 
 Result<std::unique_ptr<ControlCore>, StorageError> ControlCore::open(ControlThread &control,
                                                                      const ControlSettings &settings,
-                                                                     const Endpoint &peer,
-                                                                     const Endpoint &operators)
+                                                                     const Endpoint &peerListen,
+                                                                     const Endpoint &operatorListen)
 {
+    const bool hasPeerAddress = settings.advertisePeer.port != 0;
+    const bool hasOperatorAddress = settings.advertiseOperator.port != 0;
+    const Endpoint &peer = hasPeerAddress ? settings.advertisePeer : peerListen;
+    const Endpoint &operators = hasOperatorAddress ? settings.advertiseOperator : operatorListen;
     std::unique_ptr<ControlCore> core(new ControlCore(control, settings));
     auto replica = Replicator::open(control.context(), core->machine, replicatorSettings(settings, peer));
     if (auto *error = std::get_if<StorageError>(&replica))
--- a/src/eelgrasslift/controlprocess.cpp
+++ b/src/eelgrasslift/controlprocess.cpp
@@ -34,8 +34,7 @@
 public:
     ControlProcess(const ControlSettings &controlSettings, ControlThread &controlThread,
                    std::unique_ptr<ControlCore> controlCore, const Endpoint &peer, const Endpoint &operators)
-        : settings(controlSettings)
-        , control(controlThread)
+        : control(controlThread)
         , core(std::move(controlCore))
         , executor(this->control, *this->core, controlSettings)
         , admin(this->control, *this->core, controlSettings.adminKey)
@@ -132,7 +131,6 @@
         logInfo("control-stopped");
     }
 
-    const ControlSettings &settings;
     ControlThread &control;
     std::unique_ptr<ControlCore> core;
     OrderExecutor executor;
--- a/src/eelgrasslift/controlsettings.cpp
+++ b/src/eelgrasslift/controlsettings.cpp
@@ -25,6 +25,10 @@
     addEndpointOption(app, "--operator-listen", settings.operatorListen,
                       "Address for health, metrics, state and the admin API")
             ->required();
+    addEndpointOption(app, "--advertise-peer", settings.advertisePeer,
+                      "Address under which other processes reach --peer-listen, if it differs");
+    addEndpointOption(app, "--advertise-operator", settings.advertiseOperator,
+                      "Address under which operators reach --operator-listen, if it differs");
     addEndpointsOption(app, "--join", settings.join, "Peer addresses of the cluster that a new member joins");
     addEndpointsOption(app, "--seeds", settings.seeds, "Peer addresses of some entry processes");
     addUrlOption(app, "--vm-list", settings.vmList,
--- a/src/eelgrasslift/controlsettings.h
+++ b/src/eelgrasslift/controlsettings.h
@@ -14,6 +14,9 @@
     std::string dataFolder;
     Endpoint operatorListen{"127.0.0.1", 8091};
     Endpoint peerListen{"127.0.0.1", 8092};
+    /// Addresses that other processes use instead of the ones listened on; port 0: none.
+    Endpoint advertisePeer;
+    Endpoint advertiseOperator;
     /// Peer addresses of members of the cluster that a new member joins.
     std::vector<Endpoint> join;
     /// Peer addresses for gossip, in addition to the members.
--- a/src/eelgrasslift/entrystate.cpp
+++ b/src/eelgrasslift/entrystate.cpp
@@ -299,7 +299,8 @@
                 [](const TargetStopsNewWork &stopped) {
                     logInfo("target-stops-new-work",
                             {{"target", stopped.target},
-                             {"cause", stopped.state == TargetAvailability::Leaving ? "leaving" : "unreachable"}});
+                             {"cause",
+                              stopped.state == TargetAvailability::Leaving ? "leaving" : "unreachable"}});
                 });
     }
     if (actions.empty())
--- a/src/eelgrasslift/entrystate.h
+++ b/src/eelgrasslift/entrystate.h
@@ -62,8 +62,8 @@
     /// Feeds the directory and carries out what it decides.
     void handleDirectory(const DirectoryEvent &event);
 
-    /// Evidence that the target's process died: marks suspects and brings the marks to all live entries. done runs
-    /// when the victims may be restarted or their callers told.
+    /// Evidence that the target's process died: marks suspects and brings the marks to all live entries. done
+    /// runs when the victims may be restarted or their callers told.
     void targetDied(const std::string &target, std::function<void()> done);
 
     // Shutdown.
--- a/src/eelgrasslift/peerclient.cpp
+++ b/src/eelgrasslift/peerclient.cpp
@@ -171,7 +171,8 @@
     });
 }
 
-void PeerClient::mark(const std::string &address, const wire::MarkRequest &request, Callback<wire::MarkReply> done)
+void PeerClient::mark(const std::string &address, const wire::MarkRequest &request,
+                      Callback<wire::MarkReply> done)
 {
     wire::Peer::Stub &stub = this->implementation->stubOf(address);
     this->implementation->call(request, RecordDeadline, std::move(done),
--- a/src/libcluster/targetdirectory.cpp
+++ b/src/libcluster/targetdirectory.cpp
@@ -44,7 +44,8 @@
 
 void TargetDirectory::applyListed(const ListedVm &vm, std::vector<DirectoryAction> &actions)
 {
-    const auto [entry, isNew] = this->entries.try_emplace(vm.id, TargetEntry{vm, TargetAvailability::Live, 0});
+    const auto [entry, isNew] =
+            this->entries.try_emplace(vm.id, TargetEntry{vm, TargetAvailability::Live, 0});
     TargetEntry &known = entry->second;
     if (isNew && !vm.isLeaving) {
         actions.emplace_back(TargetBecameLive{vm.id});
--- a/tests/cluster/test_gossipnode.cpp
+++ b/tests/cluster/test_gossipnode.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr uint32_t DomainCount = 4;
+constexpr uint32_t LargeFleetDomainCount = 16;
 
 std::shared_ptr<const wire::RulesDocument> rulesOf(const std::string &cluster, uint64_t version)
 {
@@ -29,16 +30,16 @@
 class Fleet
 {
 public:
-    explicit Fleet(uint32_t size, uint64_t seed = 1)
+    explicit Fleet(uint32_t size, uint32_t domains = DomainCount, uint64_t seed = 1)
         : random(seed)
     {
         for (uint32_t i = 0; i < size; ++i) {
             wire::PeerInfo info;
             info.set_id(std::to_string(i));
             info.set_address(std::to_string(i));
-            info.set_domain("domain-" + std::to_string(i % DomainCount));
+            info.set_domain("domain-" + std::to_string(i % domains));
             info.set_is_entry(true);
-            info.set_record_slot(i / DomainCount + 1);
+            info.set_record_slot(i / domains + 1);
             info.set_incarnation(1);
             GossipSettings settings;
             settings.seeds = {"0", "1", "2"};
@@ -103,6 +104,29 @@
     CHECK(fleet.countAtVersion(1) == size);
 }
 
+// Guards against live processes that are taken for dead because digests carry too few heartbeats.
+TEST_CASE("Every live peer of the own failure domain stays known")
+{
+    const auto size = GENERATE(9U, 100U, 400U);
+    Fleet fleet(size, LargeFleetDomainCount);
+    fleet.run(60);
+    INFO("nodes: " << size);
+    size_t missing = 0;
+    for (int round = 0; round < 20; ++round) {
+        fleet.run(1);
+        for (const auto &node : fleet.nodes) {
+            size_t known = 1;
+            for (const wire::PeerInfo &peer : node->livePeers(fleet.now))
+                known += peer.domain() == node->self().domain() ? 1 : 0;
+            size_t expected = 0;
+            for (const auto &other : fleet.nodes)
+                expected += other->self().domain() == node->self().domain() ? 1 : 0;
+            missing += expected - known;
+        }
+    }
+    CHECK(missing == 0);
+}
+
 // Guards against rules that go back to an older version, or to those of another cluster.
 TEST_CASE("A node adopts only newer rules of its own cluster")
 {
--- a/tests/scenario/lib/fleet.lua
+++ b/tests/scenario/lib/fleet.lua
@@ -317,7 +317,7 @@
     runner.write_file{path = path, text = text}
     local flags = {...}
     return eventually("acceptance of rules", function()
-        local result = command(controls, "apply", path, table.unpack(flags))
+        local result = command(controls, "apply", path, "--author", "scenario", table.unpack(flags))
         -- 4: no leader can be reached yet.
         expect(result.code == 0 or result.code == 4, "apply: " .. result.code .. " " .. result.output)
         return result.code == 0 and result, result.output
