--- a/src/eelgrasslift/logging.h
+++ b/src/eelgrasslift/logging.h
@@ -16,6 +16,13 @@
 void setUpLogging(LogFormat format, std::string_view level, std::string_view process,
                   std::string_view domain);
 
+/// Structured lines on standard output through a bounded queue: a reader that stops never blocks the process,
+/// and the oldest lines are dropped.
+void setUpServiceLogging(std::string_view process, std::string_view domain);
+
+/// Writes what is queued.
+void shutDownLogging();
+
 using LogField = std::pair<std::string_view, std::string>;
 
 /// Writes one log line: an event name in kebab case and its fields.
--- a/src/eelgrasslift/main.cpp
+++ b/src/eelgrasslift/main.cpp
@@ -2,9 +2,14 @@
 #include "eelgrasslift/entryprocess.h"
 #include "eelgrasslift/entrysettings.h"
 #include "eelgrasslift/logging.h"
+#include "gateway/coordinatorprocess.h"
+#include "gateway/gatewayprocess.h"
+#include "platform/platform.h"
 
 #include <CLI/CLI.hpp>
 
+#include <cstdlib>
+
 using namespace eelgrasslift;
 
 namespace {
@@ -23,6 +28,26 @@
     return runEntry(settings);
 }
 
+/// Runs a process of the users' platform, whose settings file the environment names.
+template <typename Run>
+int runOnPlatform(std::string_view process, Run run)
+{
+    const char *path = std::getenv(platform::SettingsVariable);
+    const auto settings = platform::readNodeFile(path != nullptr ? path : "");
+    const auto *node = std::get_if<NodeSettings>(&settings);
+    setUpServiceLogging(process, node != nullptr ? node->domain : std::string{});
+    if (node == nullptr) {
+        logError("settings-unusable", {{"cause", describe(std::get<SettingsError>(settings))},
+                                       {"variable", platform::SettingsVariable}});
+        return ExitUsage;
+    }
+    const platform::PlatformFormat format;
+    const int code = run(*node, format, [path] { return platform::readNodeFile(path); });
+    shutDownLogging();
+    // Suspended coroutines refer to each other and to what is destroyed before them.
+    std::_Exit(code);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -33,6 +58,9 @@
     CLI::App &entry = *app.add_subcommand("entry", "Serve callers on an entry VM");
     addEntryOptions(entry, entrySettings);
     ControlCommands controlCommands(app);
+    const CLI::App &gateway = *app.add_subcommand("gateway", "Serve callers on an entry VM of the users' platform");
+    const CLI::App &coordinator =
+            *app.add_subcommand("coordinator", "Hold configuration and fleet state on a VM with a disk");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
@@ -40,5 +68,11 @@
     }
     if (const auto exitCode = controlCommands.run())
         return *exitCode;
+    if (gateway.parsed())
+        return runOnPlatform("gateway", runGateway);
+    if (coordinator.parsed())
+        return runOnPlatform("coordinator", [](const NodeSettings &settings, const WireFormat &format, const auto &) {
+            return runCoordinator(settings, format);
+        });
     return runEntryCommand(entrySettings);
 }
--- /dev/null
+++ b/src/gateway/callerlink.cpp
@@ -0,0 +1,74 @@
+#include "gateway/callerlink.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// A caller that takes no bytes for this long is gone.
+constexpr Duration WriteTimeout = std::chrono::seconds{10};
+
+} // namespace
+
+asio::awaitable<bool> CallerLink::send(HttpResponse response)
+{
+    this->begun = true;
+    response.keep_alive(this->isKept);
+    boost::system::error_code error;
+    this->stream.expires_after(WriteTimeout);
+    co_await http::async_write(this->stream, response, asio::redirect_error(asio::use_awaitable, error));
+    this->isKept = this->isKept && !error && !response.need_eof();
+    co_return !error;
+}
+
+asio::awaitable<bool> CallerLink::beginStream(ResponseHeader header)
+{
+    this->begun = true;
+    http::response<http::empty_body> response(std::move(header));
+    response.erase(http::field::content_length);
+    response.chunked(true);
+    response.keep_alive(this->isKept);
+    http::response_serializer<http::empty_body> serializer(response);
+    boost::system::error_code error;
+    this->stream.expires_after(WriteTimeout);
+    co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<bool> CallerLink::sendPart(std::string_view bytes)
+{
+    boost::system::error_code error;
+    this->stream.expires_after(WriteTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
+    co_await asio::async_write(this->stream, chunk, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<bool> CallerLink::endStream()
+{
+    boost::system::error_code error;
+    this->stream.expires_after(WriteTimeout);
+    const auto chunk = http::make_chunk_last();
+    co_await asio::async_write(this->stream, chunk, asio::redirect_error(asio::use_awaitable, error));
+    this->isKept = this->isKept && !error;
+    co_return !error;
+}
+
+void CallerLink::abort()
+{
+    this->isKept = false;
+    boost::system::error_code ignored;
+    this->stream.socket().close(ignored);
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/connectionpool.cpp
@@ -0,0 +1,142 @@
+#include "gateway/connectionpool.h"
+
+#include "gateway/clock.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr size_t MaxIdlePerRunner = 4;
+
+// Runners that state no idle timeout keep connections for at least this long.
+constexpr Duration DefaultIdleTime = std::chrono::milliseconds{900};
+
+// A request must arrive before the runner closes: one way to the runner with a busy link.
+constexpr Duration IdleMargin = std::chrono::milliseconds{400};
+constexpr Duration LongestIdleTime = std::chrono::seconds{10};
+
+// Unacknowledged bytes end a connection after this time, so that a silent path is noticed.
+constexpr unsigned UserTimeoutMs = 3000;
+
+constexpr size_t MaxCallAnswerBytes = size_t{4} << 20;
+
+} // namespace
+
+asio::awaitable<RunnerConnectionPointer> ConnectionPool::connect(std::string address, Duration timeout)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        co_return nullptr;
+    auto connection = std::make_shared<RunnerConnection>(this->executor);
+    connection->address = std::move(address);
+    const bool isConnected = co_await connectTo(connection->stream, *endpoint, timeout);
+    if (!isConnected)
+        co_return nullptr;
+    setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
+               sizeof UserTimeoutMs);
+    co_return connection;
+}
+
+asio::awaitable<RunnerConnectionPointer> ConnectionPool::acquire(std::string address, Duration timeout)
+{
+    if (RunnerConnectionPointer connection = this->takeIdle(address))
+        co_return connection;
+    RunnerConnectionPointer connection = co_await this->connect(std::move(address), timeout);
+    co_return connection;
+}
+
+RunnerConnectionPointer ConnectionPool::takeIdle(std::string_view address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end())
+        return nullptr;
+    while (!found->second.empty()) {
+        RunnerConnectionPointer connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (steadyNow() < connection->idleUntil && isSilent(*connection)) {
+            connection->isReused = true;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+bool ConnectionPool::isSilent(RunnerConnection &connection)
+{
+    char byte = 0;
+    const auto received =
+            ::recv(connection.stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void ConnectionPool::release(const RunnerConnectionPointer &connection, const RunnerAnswer &answer)
+{
+    if (answer.isClosing || connection->buffer.size() > 0 || !isSilent(*connection))
+        return;
+    const Duration kept = answer.keepAlive ? std::min<Duration>(*answer.keepAlive, LongestIdleTime)
+                                           : DefaultIdleTime;
+    if (kept <= IdleMargin)
+        return;
+    connection->idleUntil = steadyNow() + kept - IdleMargin;
+    connection->stream.expires_never();
+    auto &connections = this->idle[connection->address];
+    connections.push_back(connection);
+    if (connections.size() > MaxIdlePerRunner)
+        connections.pop_front();
+}
+
+void ConnectionPool::dropIdle(std::string_view address)
+{
+    if (const auto found = this->idle.find(address); found != this->idle.end())
+        this->idle.erase(found);
+}
+
+asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::call(std::string address, OutgoingCall call,
+                                                                        Duration timeout)
+{
+    const TimePoint deadline = steadyNow() + timeout;
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        co_return HttpFailure::NotConnected;
+    for (;;) {
+        RunnerConnectionPointer connection = co_await this->acquire(address, deadline - steadyNow());
+        if (!connection)
+            co_return HttpFailure::NotConnected;
+        HttpRequest request = makeRequest(call.method, *endpoint, call.target, call.body);
+        boost::system::error_code error;
+        connection->stream.expires_after(std::max(deadline - steadyNow(), Duration{1}));
+        co_await http::async_write(connection->stream, request,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(MaxCallAnswerBytes);
+        if (!error)
+            co_await http::async_read(connection->stream, connection->buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        if (error == beast::error::timeout)
+            co_return HttpFailure::TimedOut;
+        if (error && connection->isReused && call.method == "GET" && steadyNow() < deadline)
+            continue;
+        if (error)
+            co_return HttpFailure::Broken;
+        RunnerAnswer answer;
+        answer.isClosing = !parser.keep_alive();
+        this->release(connection, answer);
+        co_return parser.release();
+    }
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/coordinator.cpp
@@ -0,0 +1,304 @@
+#include "gateway/coordinator.h"
+
+#include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
+#include "gateway/httpservice.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// A gateway waits this long for news; its next call tells its load and shows that the lead is alive.
+constexpr Duration ExchangeWait = std::chrono::milliseconds{300};
+constexpr Duration GatewayTimeout = std::chrono::seconds{5};
+constexpr Duration LeadershipCheckInterval = std::chrono::milliseconds{100};
+// Bounds a proposal whose outcome stays open, below the operator's own patience for large bodies.
+constexpr size_t MaxConfigBytes = size_t{5} << 20;
+
+std::string withPort(const std::string &address, uint16_t port)
+{
+    const auto endpoint = parseEndpoint(address);
+    return endpoint ? Endpoint{endpoint->address, port}.toString() : std::string{};
+}
+
+template <typename Start>
+asio::awaitable<Result<LogIndex, ProposalError>> awaitIndex(asio::io_context &io, Start start)
+{
+    auto initiate = [&io, start = std::move(start)](auto handler) mutable {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        start([&io, shared](Result<LogIndex, ProposalError> result) {
+            asio::post(io, [shared, result = std::move(result)]() mutable { (*shared)(std::move(result)); });
+        });
+    };
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Result<LogIndex, ProposalError>)>(
+            std::move(initiate), asio::use_awaitable);
+}
+
+std::optional<StorageError> prepareFolder(const NodeSettings &settings, const std::string &ownAddress)
+{
+    if (isInitialised(settings.dataFolder) || !settings.isFirstStart)
+        return std::nullopt;
+    std::vector<std::string> founders;
+    for (const Endpoint &seed : settings.seeds)
+        founders.push_back(
+                Endpoint{seed.address, static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset)}
+                        .toString());
+    if (std::find(founders.begin(), founders.end(), ownAddress) == founders.end())
+        return std::nullopt;
+    auto founded = foundCluster(settings.dataFolder, founders, ownAddress);
+    if (auto *error = std::get_if<StorageError>(&founded))
+        return std::move(*error);
+    logInfo("cluster-founded", {{"members", std::to_string(founders.size())}});
+    return std::nullopt;
+}
+
+} // namespace
+
+Coordinator::Coordinator(asio::io_context &context, const NodeSettings &nodeSettings, const WireFormat &wireFormat)
+    : io(context)
+    , settings(nodeSettings)
+    , format(wireFormat)
+    , connections(context.get_executor())
+    , news(context)
+    , leadershipTimer(context)
+{
+    this->news.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+Result<std::unique_ptr<Coordinator>, StorageError>
+Coordinator::open(asio::io_context &io, const NodeSettings &settings, const WireFormat &format)
+{
+    std::unique_ptr<Coordinator> coordinator(new Coordinator(io, settings, format));
+    const auto consensusPort = static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset);
+    const std::string ownAddress = Endpoint{settings.ip, consensusPort}.toString();
+    if (auto error = prepareFolder(settings, ownAddress))
+        return std::move(*error);
+    ReplicatorSettings replication;
+    replication.dataFolder = settings.dataFolder;
+    replication.address = ownAddress;
+    replication.raft.maxVoters = size_t{settings.toleratedLosses} * 2 + 1;
+    replication.raft.maxCommandBytes = MaxConfigBytes;
+    for (const Endpoint &seed : settings.seeds) {
+        const std::string address = Endpoint{seed.address, consensusPort}.toString();
+        if (address != ownAddress)
+            replication.joinAddresses.push_back(address);
+    }
+    auto opened = Replicator::open(io, coordinator->store, std::move(replication));
+    if (auto *error = std::get_if<StorageError>(&opened))
+        return std::move(*error);
+    coordinator->replica = std::move(std::get<std::unique_ptr<Replicator>>(opened));
+    if (settings.fleetList)
+        coordinator->fleet = std::make_unique<FleetReader>(io, format, coordinator->connections,
+                                                           FleetReaderSettings{*settings.fleetList});
+    return coordinator;
+}
+
+void Coordinator::start()
+{
+    this->store.onChange([this] {
+        const auto config = this->format.decodeConfig(this->store.body());
+        if (const auto *error = std::get_if<ConfigError>(&config)) {
+            logError("stored-configuration-unreadable", {{"cause", describe(*error)}});
+        } else if (this->fleet) {
+            std::set<std::string> engines;
+            for (const Service &service : std::get<ServingConfig>(config).services) {
+                if (service.engine)
+                    engines.insert(service.name);
+            }
+            this->fleet->setEngineServices(std::move(engines));
+        }
+        this->wakeWaiters();
+    });
+    if (this->fleet)
+        this->fleet->onUpdate([this](bool isUrgent) { this->fleetUpdated(isUrgent); });
+    this->replica->onChange([this] { this->wakeWaiters(); });
+    this->replica->start();
+    this->followLeadership();
+}
+
+void Coordinator::stop()
+{
+    this->leadershipTimer.cancel();
+    this->replica->stop();
+}
+
+void Coordinator::followLeadership()
+{
+    if (this->fleet)
+        this->fleet->setActive(this->replica->status().hasLease);
+    this->leadershipTimer.expires_after(LeadershipCheckInterval);
+    this->leadershipTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            this->followLeadership();
+    });
+}
+
+void Coordinator::fleetUpdated(bool isUrgent)
+{
+    ++this->fleetNumber;
+    this->encodedFleet = encodeFleet(this->fleet->entries());
+    if (isUrgent)
+        this->wakeWaiters();
+}
+
+void Coordinator::wakeWaiters()
+{
+    this->news.cancel();
+}
+
+asio::awaitable<HttpResponse> Coordinator::handleOperator(HttpRequest request)
+{
+    if (this->format.isConfigWrite(request))
+        co_return co_await this->writeConfig(std::move(request.body()));
+    if (this->format.isConfigRead(request))
+        co_return co_await this->readConfig();
+    co_return makeResponse(404, R"({"error":"no such call"})");
+}
+
+HttpResponse Coordinator::refuseWithoutLead(const ProposalError &error, std::string_view call) const
+{
+    const std::string leader = this->replica->leaderAddress();
+    const RaftStatus status = this->replica->status();
+    logInfo("operator-call-refused", {{"call", std::string(call)},
+                                      {"cause", std::string(raft::toString(error.kind))},
+                                      {"leader", leader},
+                                      {"term", std::to_string(status.term)}});
+    if (error.kind == raft::RequestErrorKind::NotLeader && !leader.empty() && this->settings.operatorListen) {
+        HttpResponse response = makeResponse(307, R"({"error":"another member leads"})");
+        const std::string address = withPort(leader, this->settings.operatorListen->port);
+        response.set(http::field::location, "http://" + address + "/v1/config");
+        return response;
+    }
+    return makeResponse(503, R"({"error":"no lead at this member"})");
+}
+
+asio::awaitable<HttpResponse> Coordinator::writeConfig(std::string body)
+{
+    const auto decoded = this->format.decodeConfig(body);
+    if (const auto *error = std::get_if<ConfigError>(&decoded)) {
+        logWarning("configuration-refused", {{"cause", describe(*error)}, {"bytes", std::to_string(body.size())}});
+        co_return makeResponse(400, R"({"error":"invalid configuration"})");
+    }
+    const uint64_t version = std::get<ServingConfig>(decoded).version;
+    const bool isNewer = version > this->store.version();
+    const auto start = [this, &body, version, isNewer](Replicator::IndexCallback callback) {
+        // A version that is overtaken changes nothing; the lead still has to be certain before it says so.
+        if (isNewer)
+            this->replica->propose(ConfigStore::encode(version, body), std::move(callback));
+        else
+            this->replica->confirmLeadership(std::move(callback));
+    };
+    auto result = co_await awaitIndex(this->io, start);
+    if (const auto *error = std::get_if<ProposalError>(&result))
+        co_return this->refuseWithoutLead(*error, "write");
+    logInfo("configuration-acknowledged", {{"version", std::to_string(version)},
+                                           {"in_force", std::to_string(this->store.version())},
+                                           {"index", std::to_string(std::get<LogIndex>(result))}});
+    co_return makeResponse(200, R"({"version":)" + std::to_string(version) + "}");
+}
+
+asio::awaitable<HttpResponse> Coordinator::readConfig()
+{
+    const auto start = [this](Replicator::IndexCallback callback) {
+        this->replica->confirmLeadership(std::move(callback));
+    };
+    auto result = co_await awaitIndex(this->io, start);
+    if (const auto *error = std::get_if<ProposalError>(&result))
+        co_return this->refuseWithoutLead(*error, "read");
+    // The lease is asked again at the moment of the answer: this process may have been suspended meanwhile.
+    if (!this->replica->status().hasLease)
+        co_return makeResponse(503, R"({"error":"the lead may have ended"})");
+    if (this->store.version() == 0)
+        co_return makeResponse(503, R"({"error":"no configuration yet"})");
+    co_return makeResponse(200, this->store.body());
+}
+
+bool Coordinator::hasNews(const GatewayStatus &gateway) const
+{
+    if (this->store.version() > gateway.configVersion)
+        return true;
+    const Term term = this->replica->status().term;
+    return this->fleet && this->fleet->hasList() && gateway.fleetTerm != term;
+}
+
+asio::awaitable<HttpResponse> Coordinator::handleExchange(HttpRequest request)
+{
+    auto decoded = decodeGatewayStatus(request.body());
+    if (const auto *error = std::get_if<ExchangeError>(&decoded)) {
+        logWarning("exchange-unreadable", {{"cause", error->detail}});
+        co_return makeResponse(400);
+    }
+    const auto gateway = std::move(std::get<GatewayStatus>(decoded));
+    if (!this->replica->status().hasLease) {
+        HttpResponse response = makeResponse(503);
+        const std::string leader = this->replica->leaderAddress();
+        const auto port = static_cast<uint16_t>(this->settings.firstInternalPort + ExchangePortOffset);
+        if (!leader.empty())
+            response.set(http::field::location, withPort(leader, port));
+        co_return response;
+    }
+    this->gateways[gateway.gateway] = GatewayRecord{gateway.loads, steadyNow()};
+    if (!this->hasNews(gateway)) {
+        boost::system::error_code ignored;
+        asio::steady_timer timeout(this->io, ExchangeWait);
+        timeout.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                this->news.cancel_one();
+        });
+        co_await this->news.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        timeout.cancel();
+    }
+    if (!this->replica->status().hasLease)
+        co_return makeResponse(503);
+    const CoordinatorStatus status = this->statusFor(gateway);
+    const bool hasNewFleet = this->fleet && this->fleet->hasList() &&
+                             (status.fleetNumber != gateway.fleetNumber || status.fleetTerm != gateway.fleetTerm);
+    co_return makeResponse(200, encodeStatus(status, hasNewFleet ? std::string_view(this->encodedFleet)
+                                                                 : std::string_view{}));
+}
+
+CoordinatorStatus Coordinator::statusFor(const GatewayStatus &gateway)
+{
+    this->forgetSilentGateways();
+    CoordinatorStatus status;
+    const RaftStatus raftStatus = this->replica->status();
+    const auto port = static_cast<uint16_t>(this->settings.firstInternalPort + ExchangePortOffset);
+    for (const RaftMemberStatus &member : raftStatus.members)
+        status.coordinators.push_back(withPort(member.address, port));
+    status.gatewayCount = static_cast<uint32_t>(this->gateways.size());
+    if (this->store.version() > gateway.configVersion)
+        status.config = this->store.body();
+    status.fleetNumber = this->fleetNumber;
+    status.fleetTerm = raftStatus.term;
+    status.otherLoads = this->loadsOfOthers(gateway.gateway);
+    return status;
+}
+
+std::map<std::string, RunnerLoad, std::less<>> Coordinator::loadsOfOthers(std::string_view gateway) const
+{
+    std::map<std::string, RunnerLoad, std::less<>> total;
+    for (const auto &[name, record] : this->gateways) {
+        if (name == gateway)
+            continue;
+        for (const auto &[id, load] : record.loads)
+            total[id] += load;
+    }
+    return total;
+}
+
+void Coordinator::forgetSilentGateways()
+{
+    const TimePoint limit = steadyNow() - GatewayTimeout;
+    std::erase_if(this->gateways, [&](const auto &entry) { return entry.second.heardAt < limit; });
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/coordinator.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gateway/configstore.h"
+#include "gateway/exchange.h"
+#include "gateway/fleetreader.h"
+#include "gateway/nodesettings.h"
+
+namespace eelgrasslift {
+
+/// Ports of the processes' own exchange, counted from the first internal port.
+constexpr uint16_t ConsensusPortOffset = 0;
+constexpr uint16_t ExchangePortOffset = 1;
+
+/// State and calls of one control member. All functions run on the control-state thread.
+class Coordinator
+{
+public:
+    static Result<std::unique_ptr<Coordinator>, StorageError>
+    open(boost::asio::io_context &io, const NodeSettings &settings, const WireFormat &format);
+
+    void start();
+    void stop();
+
+    /// Calls of operators.
+    boost::asio::awaitable<HttpResponse> handleOperator(HttpRequest request);
+    /// Calls of gateways.
+    boost::asio::awaitable<HttpResponse> handleExchange(HttpRequest request);
+
+    Replicator &replicator() { return *this->replica; }
+
+private:
+    struct GatewayRecord
+    {
+        std::map<std::string, RunnerLoad, std::less<>> loads;
+        TimePoint heardAt{};
+    };
+
+    Coordinator(boost::asio::io_context &io, const NodeSettings &settings, const WireFormat &format);
+
+    boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
+    boost::asio::awaitable<HttpResponse> readConfig();
+    HttpResponse refuseWithoutLead(const ProposalError &error, std::string_view call) const;
+    void followLeadership();
+    void fleetUpdated(bool isUrgent);
+    void wakeWaiters();
+    CoordinatorStatus statusFor(const GatewayStatus &gateway);
+    bool hasNews(const GatewayStatus &gateway) const;
+    std::map<std::string, RunnerLoad, std::less<>> loadsOfOthers(std::string_view gateway) const;
+    void forgetSilentGateways();
+
+    boost::asio::io_context &io;
+    NodeSettings settings;
+    const WireFormat &format;
+    ConfigStore store;
+    std::unique_ptr<Replicator> replica;
+    ConnectionPool connections;
+    std::unique_ptr<FleetReader> fleet;
+    /// Cancelled when there is news for waiting gateways.
+    boost::asio::steady_timer news;
+    boost::asio::steady_timer leadershipTimer;
+    std::map<std::string, GatewayRecord, std::less<>> gateways;
+    uint64_t fleetNumber = 0;
+    std::string encodedFleet;
+};
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/coordinatorlink.cpp
@@ -0,0 +1,192 @@
+#include "gateway/coordinatorlink.h"
+
+#include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
+#include "gateway/coordinator.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The lead answers within its wait of 300 ms; a frozen one is given up soon after.
+constexpr Duration ExchangeTimeout = std::chrono::milliseconds{700};
+constexpr Duration PauseAfterFailure = std::chrono::milliseconds{60};
+constexpr Duration LongestPause = std::chrono::milliseconds{250};
+
+// Without the lead for this long the gateway asks the platform itself; longer than an election.
+constexpr Duration ContactTimeout = std::chrono::milliseconds{1500};
+constexpr Duration WatchInterval = std::chrono::milliseconds{250};
+
+// Part of the platform's rate that gateways without a lead may use together.
+constexpr double OwnListShare = 0.4;
+constexpr Duration ShortestOwnListInterval = std::chrono::milliseconds{600};
+
+FleetReaderSettings ownReaderSettings(const NodeSettings &settings)
+{
+    FleetReaderSettings result;
+    result.list = settings.fleetList.value_or(Endpoint{});
+    result.listInterval = ShortestOwnListInterval;
+    result.reportInterval = std::chrono::milliseconds{500};
+    return result;
+}
+
+} // namespace
+
+CoordinatorLink::CoordinatorLink(GatewayState &state, SettingsSource source)
+    : gateway(state)
+    , reload(std::move(source))
+    , connections(state.io.get_executor())
+    , ownReader(state.io, state.format, state.connections, ownReaderSettings(state.settings))
+    , watchTimer(state.io)
+{
+    this->useSeeds(state.settings.seeds);
+}
+
+void CoordinatorLink::useSeeds(const std::vector<Endpoint> &seeds)
+{
+    const auto port = static_cast<uint16_t>(this->gateway.settings.firstInternalPort + ExchangePortOffset);
+    for (const Endpoint &seed : seeds) {
+        std::string address = Endpoint{seed.address, port}.toString();
+        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) == this->coordinators.end())
+            this->coordinators.push_back(std::move(address));
+    }
+}
+
+void CoordinatorLink::start()
+{
+    this->startedAt = steadyNow();
+    this->current = this->gateway.random.below(std::max<size_t>(this->coordinators.size(), 1));
+    this->ownReader.onUpdate([this](bool) {
+        if (!this->hasContact)
+            this->gateway.adoptFleet(this->ownReader.entries());
+    });
+    asio::co_spawn(this->gateway.io, this->exchangeForever(), asio::detached);
+    this->watchContact();
+}
+
+void CoordinatorLink::watchContact()
+{
+    const TimePoint now = steadyNow();
+    const bool isInContact = now - this->lastContact.value_or(this->startedAt) < ContactTimeout;
+    if (isInContact != this->hasContact) {
+        this->hasContact = isInContact;
+        logInfo(isInContact ? "lead-regained" : "lead-lost",
+                {{"config", this->gateway.routes() ? std::to_string(this->gateway.routes()->version()) : "none"},
+                 {"last_contact_ms",
+                  this->lastContact ? std::to_string(toMilliseconds(now - *this->lastContact)) : "never"}});
+    }
+    if (this->gateway.settings.fleetList) {
+        const double share = this->gateway.settings.fleetCallsPerSecond * OwnListShare;
+        this->ownReader.setListInterval(
+                std::max(ShortestOwnListInterval, fromSeconds(this->gatewayCount / std::max(share, 0.1))));
+        if (this->gateway.routes()) {
+            std::set<std::string> engines;
+            for (const Service &service : this->gateway.routes()->config().services) {
+                if (service.engine)
+                    engines.insert(service.name);
+            }
+            this->ownReader.setEngineServices(std::move(engines));
+        }
+        this->ownReader.setActive(!isInContact);
+    }
+    this->watchTimer.expires_after(WatchInterval);
+    this->watchTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            this->watchContact();
+    });
+}
+
+asio::awaitable<void> CoordinatorLink::exchangeForever()
+{
+    boost::system::error_code ignored;
+    asio::steady_timer pause(this->gateway.io);
+    for (;;) {
+        bool isDone = false;
+        if (!this->coordinators.empty()) {
+            const std::string address = this->coordinators[this->current % this->coordinators.size()];
+            isDone = co_await this->exchangeOnce(address);
+        }
+        if (isDone) {
+            this->failures = 0;
+            continue;
+        }
+        ++this->failures;
+        if (this->failures % (this->coordinators.size() + 1) == 0) {
+            const auto settings = this->reload();
+            if (const auto *fresh = std::get_if<NodeSettings>(&settings))
+                this->useSeeds(fresh->seeds);
+        }
+        pause.expires_after(std::min<Duration>(PauseAfterFailure * this->failures, LongestPause));
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<bool> CoordinatorLink::exchangeOnce(std::string address)
+{
+    GatewayStatus status;
+    status.gateway = this->gateway.settings.name;
+    status.configVersion = this->gateway.routes() ? this->gateway.routes()->version() : 0;
+    status.fleetNumber = this->fleetNumber;
+    status.fleetTerm = this->fleetTerm;
+    status.loads = this->gateway.ownLoads();
+    OutgoingCall call{"POST", "/exchange", encodeStatus(status)};
+    auto result = co_await this->connections.call(address, std::move(call), ExchangeTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr && response->result_int() == 200) {
+        auto decoded = decodeCoordinatorStatus(response->body());
+        if (auto *answer = std::get_if<CoordinatorStatus>(&decoded)) {
+            this->adopt(std::move(*answer));
+            co_return true;
+        }
+        logWarning("exchange-unreadable", {{"from", address}, {"cause", std::get<ExchangeError>(decoded).detail}});
+    }
+    if (response == nullptr)
+        this->connections.dropIdle(address);
+    const auto leader = response == nullptr ? boost::beast::string_view{}
+                                            : (*response)[boost::beast::http::field::location];
+    const auto known = std::find(this->coordinators.begin(), this->coordinators.end(),
+                                 std::string_view(leader.data(), leader.size()));
+    if (!leader.empty() && known != this->coordinators.end())
+        this->current = static_cast<size_t>(known - this->coordinators.begin());
+    else if (!leader.empty()) {
+        this->coordinators.emplace_back(leader);
+        this->current = this->coordinators.size() - 1;
+    } else {
+        ++this->current;
+    }
+    co_return false;
+}
+
+void CoordinatorLink::adopt(CoordinatorStatus status)
+{
+    this->lastContact = steadyNow();
+    this->gatewayCount = std::max<uint32_t>(status.gatewayCount, 1);
+    this->gateway.budget.setGatewayCount(this->gatewayCount);
+    const std::string currentAddress = this->coordinators[this->current % this->coordinators.size()];
+    for (std::string &address : status.coordinators) {
+        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) == this->coordinators.end())
+            this->coordinators.push_back(std::move(address));
+    }
+    this->current = static_cast<size_t>(
+            std::find(this->coordinators.begin(), this->coordinators.end(), currentAddress) -
+            this->coordinators.begin());
+    if (status.config)
+        this->gateway.adoptConfig(*status.config);
+    if (status.fleet) {
+        this->fleetNumber = status.fleetNumber;
+        this->fleetTerm = status.fleetTerm;
+        this->gateway.adoptFleet(*status.fleet);
+    }
+    this->gateway.runners.setOtherLoad(status.otherLoads);
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/fleetreader.cpp
@@ -0,0 +1,165 @@
+#include "gateway/fleetreader.h"
+
+#include "eelgrasslift/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration ListTimeout = std::chrono::milliseconds{1500};
+constexpr Duration ReportTimeout = std::chrono::milliseconds{600};
+
+// A list longer than this many pages is taken as an error of the other side.
+constexpr int MaxPages = 100;
+
+} // namespace
+
+FleetReader::FleetReader(asio::io_context &context, const WireFormat &wireFormat, ConnectionPool &pool,
+                         FleetReaderSettings readerSettings)
+    : io(context)
+    , format(wireFormat)
+    , connections(pool)
+    , settings(std::move(readerSettings))
+    , listTimer(context)
+    , reportTimer(context)
+{}
+
+void FleetReader::setActive(bool isActive)
+{
+    if (this->active == isActive)
+        return;
+    this->active = isActive;
+    logInfo(isActive ? "fleet-reading-started" : "fleet-reading-stopped");
+    if (!isActive) {
+        this->listCount = 0;
+        return;
+    }
+    this->listTimer.cancel();
+    if (!this->isStarted) {
+        this->isStarted = true;
+        asio::co_spawn(this->io, this->readLists(), asio::detached);
+        asio::co_spawn(this->io, this->readReports(), asio::detached);
+    }
+}
+
+asio::awaitable<void> FleetReader::readLists()
+{
+    boost::system::error_code ignored;
+    for (;;) {
+        if (this->active) {
+            std::vector<RunnerEntry> entries;
+            const bool isRead = co_await this->readPages(entries);
+            if (isRead && this->active)
+                this->adopt(std::move(entries));
+        }
+        this->listTimer.expires_after(this->settings.listInterval);
+        co_await this->listTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<bool> FleetReader::readPages(std::vector<RunnerEntry> &entries)
+{
+    std::optional<std::string> token;
+    for (int page = 0; page < MaxPages; ++page) {
+        OutgoingCall call = this->format.fleetCall(token);
+        std::string address = this->settings.list.toString();
+        auto result = co_await this->connections.call(std::move(address), std::move(call), ListTimeout);
+        const auto *response = std::get_if<HttpResponse>(&result);
+        if (response == nullptr || response->result_int() != 200) {
+            logWarning("fleet-list-failed",
+                       {{"cause", response == nullptr ? std::string(toString(std::get<HttpFailure>(result)))
+                                                      : std::to_string(response->result_int())}});
+            co_return false;
+        }
+        auto decoded = this->format.decodeFleet(response->body());
+        if (const auto *error = std::get_if<DecodeError>(&decoded)) {
+            logWarning("fleet-list-unreadable", {{"subject", error->subject}});
+            co_return false;
+        }
+        auto &part = std::get<FleetPage>(decoded);
+        if (part.unreadable > 0)
+            logWarning("fleet-entries-skipped", {{"count", std::to_string(part.unreadable)}});
+        std::move(part.entries.begin(), part.entries.end(), std::back_inserter(entries));
+        token = part.nextToken;
+        if (!token)
+            co_return true;
+    }
+    co_return false;
+}
+
+void FleetReader::adopt(std::vector<RunnerEntry> entries)
+{
+    ++this->listCount;
+    bool isUrgent = entries.size() != this->current.size();
+    for (RunnerEntry &entry : entries) {
+        const auto known = std::find_if(this->current.begin(), this->current.end(),
+                                        [&](const RunnerEntry &other) { return other.id == entry.id; });
+        if (known == this->current.end()) {
+            isUrgent = true;
+            logInfo("runner-listed", {{"runner", entry.id}, {"service", entry.service}, {"address", entry.address}});
+            continue;
+        }
+        if (entry.isLeaving && !known->isLeaving) {
+            isUrgent = true;
+            logInfo("runner-leaving", {{"runner", entry.id}, {"source", "list"}});
+        }
+        if (known->startedAtMs == entry.startedAtMs)
+            entry.report = known->report;
+    }
+    this->current = std::move(entries);
+    if (this->updated)
+        this->updated(isUrgent);
+}
+
+asio::awaitable<void> FleetReader::readReports()
+{
+    boost::system::error_code ignored;
+    for (;;) {
+        this->reportTimer.expires_after(this->settings.reportInterval);
+        co_await this->reportTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!this->active)
+            continue;
+        for (const RunnerEntry &entry : this->current) {
+            if (this->engineServices.contains(entry.service))
+                asio::co_spawn(this->io, this->readReport(entry.id, entry.address), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> FleetReader::readReport(std::string id, std::string address)
+{
+    OutgoingCall call = this->format.reportCall();
+    auto result = co_await this->connections.call(std::move(address), std::move(call), ReportTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr || response->result_int() != 200)
+        co_return;
+    auto decoded = this->format.decodeReport(response->body());
+    if (const auto *error = std::get_if<DecodeError>(&decoded)) {
+        logWarning("runner-report-unreadable", {{"runner", id}, {"subject", error->subject}});
+        co_return;
+    }
+    const auto entry = std::find_if(this->current.begin(), this->current.end(),
+                                    [&](const RunnerEntry &other) { return other.id == id; });
+    if (entry == this->current.end())
+        co_return;
+    const auto &report = std::get<RunnerReport>(decoded);
+    const bool wasLeaving = entry->isLeaving || (entry->report && entry->report->isLeaving);
+    entry->report = report;
+    const bool isUrgent = report.isLeaving && !wasLeaving;
+    if (isUrgent)
+        logInfo("runner-leaving",
+                {{"runner", id},
+                 {"source", "report"},
+                 {"leaves_ms", report.leavesIn ? std::to_string(toMilliseconds(*report.leavesIn)) : "unknown"}});
+    if (this->updated && isUrgent)
+        this->updated(true);
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/gatewaystate.cpp
@@ -0,0 +1,132 @@
+#include "gateway/gatewaystate.h"
+
+#include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
+#include "gateway/streamsession.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A leaving runner that does not say when it ends is treated as gone after this time.
+constexpr Duration AssumedNotice = std::chrono::milliseconds{1200};
+
+} // namespace
+
+GatewayState::GatewayState(asio::io_context &context, const NodeSettings &nodeSettings, const WireFormat &wireFormat)
+    : io(context)
+    , settings(nodeSettings)
+    , format(wireFormat)
+    , connections(context.get_executor())
+    , budget({nodeSettings.repeatRatio, nodeSettings.repeatExtra, nodeSettings.repeatWindow})
+    , capacity(context)
+{
+    this->capacity.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+bool GatewayState::adoptConfig(std::string_view body)
+{
+    auto decoded = this->format.decodeConfig(body);
+    if (const auto *error = std::get_if<ConfigError>(&decoded)) {
+        logError("configuration-unreadable", {{"cause", describe(*error)}});
+        return false;
+    }
+    auto &config = std::get<ServingConfig>(decoded);
+    if (this->currentRoutes && config.version <= this->currentRoutes->version())
+        return false;
+    const uint64_t version = config.version;
+    this->currentRoutes = std::make_shared<const RouteTable>(std::move(config));
+    this->metrics.configVersion.Set(static_cast<double>(version));
+    logInfo("configuration-in-force", {{"version", std::to_string(version)}});
+    return true;
+}
+
+void GatewayState::adoptFleet(std::span<const RunnerEntry> entries)
+{
+    this->runners.setFleet(entries, steadyNow());
+    this->capacityFreed();
+    this->migrateFromLeaving();
+}
+
+void GatewayState::migrateFromLeaving()
+{
+    const TimePoint now = steadyNow();
+    const std::set<StreamSession *> current = this->streams;
+    for (StreamSession *session : current) {
+        const RunnerPool::RunnerPointer runner = session->runner();
+        if (!runner || !runner->entry.isLeaving)
+            continue;
+        session->runnerLeaves(runner->leavesAt ? *runner->leavesAt - now : AssumedNotice);
+    }
+}
+
+std::map<std::string, RunnerLoad, std::less<>> GatewayState::ownLoads() const
+{
+    std::map<std::string, RunnerLoad, std::less<>> loads;
+    for (const auto &[id, runner] : this->runners.runners()) {
+        if (runner->own.runs > 0 || runner->own.finalTokens > 0)
+            loads.emplace(id, runner->own);
+    }
+    return loads;
+}
+
+asio::awaitable<void> GatewayState::waitForCapacity(Duration longest)
+{
+    boost::system::error_code ignored;
+    asio::steady_timer timeout(this->io, longest);
+    timeout.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            this->capacity.cancel();
+    });
+    co_await this->capacity.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    timeout.cancel();
+}
+
+LoadTicket::LoadTicket(RunnerPool::RunnerPointer runner, RunnerLoad amount)
+    : target(std::move(runner))
+    , load(amount)
+{
+    this->target->own += this->load;
+}
+
+LoadTicket::LoadTicket(LoadTicket &&other) noexcept
+    : target(std::exchange(other.target, nullptr))
+    , load(other.load)
+{}
+
+LoadTicket &LoadTicket::operator=(LoadTicket &&other) noexcept
+{
+    if (this != &other) {
+        this->release();
+        this->target = std::exchange(other.target, nullptr);
+        this->load = other.load;
+    }
+    return *this;
+}
+
+void LoadTicket::release()
+{
+    if (!this->target)
+        return;
+    this->target->own.runs -= this->load.runs;
+    this->target->own.finalTokens -= this->load.finalTokens;
+    this->target->own.prefillTokens -= this->load.prefillTokens;
+    this->target.reset();
+}
+
+void LoadTicket::endPrefill()
+{
+    if (!this->target)
+        return;
+    this->target->own.prefillTokens -= this->load.prefillTokens;
+    this->load.prefillTokens = 0;
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/streamsession.cpp
@@ -0,0 +1,512 @@
+#include "gateway/streamsession.h"
+
+#include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
+#include "gateway/httpservice.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr Duration ConnectTimeout = std::chrono::milliseconds{250};
+
+// A generation whose runner makes no event for this long goes on elsewhere if it can: several times the
+// longest pause on time, and below the time after which callers leave.
+constexpr Duration StallTimeout = std::chrono::milliseconds{700};
+
+// The first event of a resumable stream; of other streams nothing can be done but wait.
+constexpr double FirstEventObjectives = 1.2;
+
+// Part of the objective that a generation may wait for a runner with room.
+constexpr double QueueObjectiveShare = 0.5;
+
+// Most of a runner's memory that generations may plan for; the urgent ones go higher.
+constexpr double UrgentMemoryLimit = 0.97;
+constexpr double MemoryLimit = 0.9;
+// Copies take part of the memory only while it is not needed for generations.
+constexpr double BackupMemoryLimit = 0.7;
+
+// Generations shorter than this are not worth a copy: they end before one is complete.
+constexpr double MinimumTokensForBackup = 100;
+
+// A copy crosses the link in some hundred milliseconds; the destination may queue it behind others.
+constexpr Duration MoveTimeout = std::chrono::milliseconds{2500};
+
+// A leaving runner of which nothing else is known is gone after this time; the shortest notice on the sheets.
+constexpr Duration DefaultNotice = std::chrono::milliseconds{1000};
+
+// Most continuations of one generation, against endless circles between failing runners.
+constexpr int MaxContinuations = 12;
+constexpr size_t ReadBufferBytes = 8192;
+constexpr size_t MaxFailureBytes = 65536;
+
+} // namespace
+
+StreamSession::StreamSession(GatewayState &state, CallerLink &link, RequestContext requestContext)
+    : RequestSession(state, link, std::move(requestContext))
+    , plan(this->context.route->isIdempotent(), this->context.route->maxAttempts, this->context.deadline)
+    , migrationEnd(state.io)
+{
+    this->migrationEnd.expires_at(std::chrono::steady_clock::time_point::max());
+    this->gateway.addStream(*this);
+}
+
+StreamSession::~StreamSession()
+{
+    this->gateway.removeStream(*this);
+}
+
+double StreamSession::remainingTokens() const
+{
+    if (!this->context.caller.size)
+        return 0;
+    const EngineTraits *engine = this->context.engine();
+    const double made = static_cast<double>(this->splitter.eventCount()) * (engine ? engine->tokensPerEvent : 1);
+    // A generation past its estimate is expected to last for another part of it.
+    constexpr double OvertimeShare = 0.3;
+    return std::max(this->context.caller.size->outputTokens - made,
+                    this->context.caller.size->outputTokens * OvertimeShare);
+}
+
+RunnerLoad StreamSession::expectedLoad() const
+{
+    if (!this->context.caller.size)
+        return RunnerLoad{1, 0, 0};
+    const bool hasStarted = this->splitter.eventCount() > 0;
+    return RunnerLoad{1, this->context.caller.size->finalTokens(),
+                      hasStarted ? 0 : this->context.caller.size->promptTokens};
+}
+
+asio::awaitable<RunnerPool::RunnerPointer> StreamSession::place()
+{
+    const Route &route = *this->context.route;
+    const TimePoint latest =
+            std::min(this->context.deadline,
+                     this->context.arrived + std::chrono::duration_cast<Duration>(route.objective * QueueObjectiveShare));
+    for (;;) {
+        PlacementRequest request{this->context.service, this->gateway.settings.domain, this->context.caller.size,
+                                 &this->tried, route.priority == 0 ? UrgentMemoryLimit : MemoryLimit};
+        auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
+        if (const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed))
+            co_return *runner;
+        const bool canWait = std::get<NoRunner>(placed).reason == NoRunner::Reason::Full;
+        const Duration left = latest - steadyNow();
+        if (!canWait || left <= Duration::zero() || this->isAbandoned)
+            co_return nullptr;
+        co_await this->gateway.waitForCapacity(left);
+    }
+}
+
+asio::awaitable<void> StreamSession::run()
+{
+    const auto keepAlive = this->shared_from_this();
+    this->gateway.budget.countRequest(this->context.service, this->context.arrived);
+    std::optional<Destination> next;
+    for (int continuations = 0;;) {
+        if (!next) {
+            RunnerPool::RunnerPointer runner = co_await this->place();
+            if (this->isAbandoned) {
+                this->logEnd(499, "caller-gone");
+                co_return;
+            }
+            if (!runner) {
+                co_await this->finish(this->plan.withoutRunner(steadyNow()), "no-runner");
+                co_return;
+            }
+            next = Destination{runner, {}, "placed"};
+        }
+        const Destination destination = *next;
+        next.reset();
+        const TimePoint sentAt = steadyNow();
+        RelayResult result = co_await this->relay(destination);
+        const bool isHealthy = result.end == RelayEnd::Complete || result.end == RelayEnd::CallerGone ||
+                               destination.runner->entry.isLeaving || this->moved || this->isMigrating;
+        RunnerPool::recordSend(*destination.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
+                               steadyNow() - sentAt, steadyNow());
+        if (result.end == RelayEnd::Complete) {
+            this->logEnd(200, "complete");
+            co_return;
+        }
+        if (result.end == RelayEnd::CallerGone || this->isAbandoned) {
+            this->logEnd(499, "caller-gone");
+            this->caller.abort();
+            co_return;
+        }
+        const bool isPossible = ++continuations <= MaxContinuations && this->timeLeft() > Duration::zero();
+        if (isPossible)
+            next = co_await this->continuation(result);
+        if (this->isAbandoned) {
+            this->logEnd(499, "caller-gone");
+            this->caller.abort();
+            co_return;
+        }
+        if (next) {
+            logInfo("generation-continues", {{"request", this->context.caller.id},
+                                             {"from", destination.runner->entry.id},
+                                             {"to", next->runner->entry.id},
+                                             {"cause", std::string(result.cause)},
+                                             {"way", std::string(next->cause)},
+                                             {"events", std::to_string(this->splitter.eventCount())}});
+            continue;
+        }
+        if (this->caller.hasBegun()) {
+            this->logEnd(0, result.cause);
+            this->caller.abort();
+            co_return;
+        }
+        const NextStep step = this->plan.afterSend(result.outcome, steadyNow(), [&] {
+            return isPossible && this->gateway.budget.takeRepeat(this->context.service, steadyNow());
+        });
+        if (step == NextStep::SendAgain) {
+            this->gateway.metrics.repeats.Increment();
+            logInfo("request-repeated", {{"request", this->context.caller.id},
+                                         {"runner", destination.runner->entry.id},
+                                         {"cause", std::string(result.cause)}});
+            continue;
+        }
+        if (step == NextStep::Deliver && result.response) {
+            this->logEnd(result.response->result_int(), result.cause);
+            co_await this->caller.send(std::move(*result.response));
+            co_return;
+        }
+        co_await this->finish(step, result.cause);
+        co_return;
+    }
+}
+
+void StreamSession::chooseBackup(const RunnerPool::Runner &primary)
+{
+    this->backup.release();
+    const EngineTraits *engine = this->context.engine();
+    const bool isWorthwhile = engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
+                              this->remainingTokens() >= MinimumTokensForBackup;
+    if (!isWorthwhile)
+        return;
+    std::set<std::string> excluded{primary.entry.id};
+    const PlacementRequest request{this->context.service, this->gateway.settings.domain, this->context.caller.size,
+                                   &excluded, BackupMemoryLimit};
+    auto placed = this->gateway.runners.choose(request, engine, steadyNow(), this->gateway.random);
+    if (const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed))
+        this->backup = LoadTicket(*runner, RunnerLoad{0, this->context.caller.size->finalTokens(), 0});
+}
+
+asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
+{
+    const RunnerPool::Runner &runner = *destination.runner;
+    const bool isContinuation = !destination.continueFrom.empty();
+    this->lastRunner = runner.entry.id;
+    this->load = LoadTicket(destination.runner, this->expectedLoad());
+    this->chooseBackup(runner);
+    const RunnerConnectionPointer connection = co_await this->gateway.connections.acquire(
+            runner.entry.address, std::min(ConnectTimeout, this->timeLeft()));
+    if (!connection || this->isAbandoned)
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::NotConnected, "not-connected", std::nullopt};
+    ++this->sends;
+    this->active = connection;
+    AttemptHeaders attempt;
+    attempt.priority = this->context.route->priority;
+    if (this->backup.runner())
+        attempt.backupAddress = this->backup.runner()->entry.address;
+    attempt.continueFrom = destination.continueFrom;
+    if (this->splitter.lastId())
+        attempt.lastEventId = *this->splitter.lastId();
+    else if (this->context.caller.lastEventId)
+        attempt.lastEventId = *this->context.caller.lastEventId;
+    HttpRequest request = this->requestFor(runner, attempt);
+    boost::system::error_code error;
+    connection->stream.expires_after(std::max(this->timeLeft(), Duration{1}));
+    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
+    RelayResult result = co_await this->receive(connection, isContinuation);
+    this->active.reset();
+    this->load.release();
+    this->gateway.capacityFreed();
+    if (result.end != RelayEnd::Complete) {
+        this->splitter.dropRest();
+        boost::system::error_code ignored;
+        connection->stream.socket().close(ignored);
+    }
+    if (result.end == RelayEnd::Stalled)
+        this->gateway.connections.dropIdle(runner.entry.address);
+    co_return result;
+}
+
+asio::awaitable<StreamSession::RelayResult> StreamSession::receive(const RunnerConnectionPointer &connection,
+                                                                   bool isContinuation)
+{
+    auto parser = std::make_unique<Parser>();
+    parser->body_limit(boost::none);
+    boost::system::error_code error;
+    Duration patience = this->timeLeft();
+    if (isContinuation || this->context.route->isResumable) {
+        const Duration firstEvent = std::chrono::duration_cast<Duration>(
+                this->context.route->objective * FirstEventObjectives);
+        patience = std::min(patience, isContinuation ? StallTimeout : firstEvent);
+    }
+    connection->stream.expires_after(std::max(patience, Duration{1}));
+    co_await http::async_read_header(connection->stream, connection->buffer, *parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error == beast::error::timeout)
+        co_return RelayResult{RelayEnd::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
+    if (error)
+        co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "runner-broke-off", std::nullopt};
+    const RunnerAnswer answer = this->gateway.format.decodeAnswer(parser->get());
+    if (!answer.requestId.empty() && answer.requestId != this->context.caller.id)
+        co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "stray-answer", std::nullopt};
+    const unsigned status = parser->get().result_int();
+    if (status < 200 || status >= 300)
+        co_return co_await this->receiveFailure(connection, *parser);
+    const bool isForeign = parser->get().find(http::field::content_encoding) != parser->get().end() ||
+                           (!answer.isSealed && !isContinuation);
+    if (isForeign)
+        co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "answer-not-from-runner", std::nullopt};
+    if (!this->caller.hasBegun()) {
+        ResponseHeader header = parser->get().base();
+        for (const auto name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
+            header.erase(name);
+        const bool isSent = co_await this->caller.beginStream(std::move(header));
+        if (!isSent)
+            co_return RelayResult{RelayEnd::CallerGone, SendOutcome::Unknown, "caller-gone", std::nullopt};
+    }
+    RelayResult result = co_await this->forwardEvents(connection, *parser);
+    if (result.end == RelayEnd::Complete) {
+        RunnerAnswer end = answer;
+        end.isClosing = end.isClosing || parser->need_eof() || !parser->keep_alive();
+        this->gateway.connections.release(connection, end);
+    }
+    co_return result;
+}
+
+asio::awaitable<StreamSession::RelayResult>
+StreamSession::receiveFailure(const RunnerConnectionPointer &connection, Parser &parser)
+{
+    const RunnerAnswer answer = this->gateway.format.decodeAnswer(parser.get());
+    const unsigned status = parser.get().result_int();
+    std::string body;
+    std::array<char, ReadBufferBytes> bytes{};
+    boost::system::error_code error;
+    while (!parser.is_done() && !error && body.size() < MaxFailureBytes) {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        parser.get().body().more = true;
+        co_await http::async_read_some(connection->stream, connection->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        body.append(bytes.data(), bytes.size() - parser.get().body().size);
+    }
+    if (status == 421)
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::OtherRunner, "other-runner", std::nullopt};
+    if (answer.isNotRun)
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::RefusedByRunner, "refused-by-runner", std::nullopt};
+    const bool mustPromise = status == 503 || status == 429 || status == 408;
+    if (error || mustPromise || !parser.is_done())
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::Unknown, "refusal-without-promise", std::nullopt};
+    HttpResponse response(ResponseHeader(parser.get().base()));
+    for (const auto name : {"Connection", "Keep-Alive", "Transfer-Encoding"})
+        response.erase(name);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    co_return RelayResult{RelayEnd::Refused, status >= 500 ? SendOutcome::Failed : SendOutcome::Answered,
+                          "runner-status", std::move(response)};
+}
+
+asio::awaitable<StreamSession::RelayResult> StreamSession::forwardEvents(const RunnerConnectionPointer &connection,
+                                                                         Parser &parser)
+{
+    std::array<char, ReadBufferBytes> bytes{};
+    const bool canContinue = this->context.route->isResumable || this->backup.runner() != nullptr;
+    while (!parser.is_done()) {
+        boost::system::error_code error;
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        parser.get().body().more = true;
+        const bool hasEvents = this->splitter.eventCount() > 0;
+        const Duration patience = canContinue && hasEvents ? std::min(StallTimeout, this->timeLeft())
+                                                           : this->timeLeft();
+        connection->stream.expires_after(std::max(patience, Duration{1}));
+        co_await http::async_read_some(connection->stream, connection->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        const std::string_view read(bytes.data(), bytes.size() - parser.get().body().size);
+        const uint64_t before = this->splitter.eventCount();
+        const std::string_view events = this->splitter.feed(read);
+        if (!events.empty()) {
+            this->noteEvents(before);
+            const bool isSent = co_await this->caller.sendPart(events);
+            if (!isSent || this->isAbandoned)
+                co_return RelayResult{RelayEnd::CallerGone, SendOutcome::Unknown, "caller-gone", std::nullopt};
+        }
+        if (error == beast::error::timeout)
+            co_return RelayResult{RelayEnd::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
+        if (error)
+            co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "runner-broke-off", std::nullopt};
+    }
+    if (this->splitter.hasRest())
+        co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "event-cut-short", std::nullopt};
+    const bool isEnded = co_await this->caller.endStream();
+    co_return RelayResult{isEnded ? RelayEnd::Complete : RelayEnd::CallerGone, SendOutcome::Answered, "complete",
+                          std::nullopt};
+}
+
+void StreamSession::noteEvents(uint64_t before)
+{
+    const TimePoint now = steadyNow();
+    if (before == 0) {
+        this->load.endPrefill();
+        this->gateway.metrics.firstEventSeconds.Observe(toSeconds(now - this->context.arrived));
+    } else if (this->lastEventAt) {
+        this->gateway.metrics.pauseSeconds.Observe(toSeconds(now - *this->lastEventAt));
+    }
+    this->lastEventAt = now;
+}
+
+std::optional<StreamSession::Destination> StreamSession::backupDestination()
+{
+    const RunnerPool::RunnerPointer runner = this->backup.runner();
+    this->backup.release();
+    if (!runner)
+        return std::nullopt;
+    // The list may name a later start of the runner, which holds no copy.
+    if (this->gateway.runners.find(runner->entry.id) != runner)
+        return std::nullopt;
+    return Destination{runner,
+                       this->gateway.format.copyReference(runner->entry.address, this->context.caller.id), "backup"};
+}
+
+asio::awaitable<std::optional<StreamSession::Destination>>
+StreamSession::continuation(const RelayResult &broken)
+{
+    if (this->isMigrating) {
+        boost::system::error_code ignored;
+        co_await this->migrationEnd.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (this->moved) {
+        const std::optional<Destination> destination = std::move(this->moved);
+        this->moved.reset();
+        this->gateway.metrics.countContinuation("move", true);
+        co_return destination;
+    }
+    // A runner that refused has not begun: its memory holds nothing to go on from.
+    const bool hasBegun = this->caller.hasBegun();
+    if (!hasBegun && isCertainlyNotRun(broken.outcome)) {
+        this->tried.insert(this->lastRunner);
+        co_return std::nullopt;
+    }
+    if (!this->context.route->isResumable) {
+        auto destination = this->backupDestination();
+        this->gateway.metrics.countContinuation("backup", destination.has_value());
+        co_return destination;
+    }
+    if (!hasBegun) {
+        this->tried.insert(this->lastRunner);
+        co_return std::nullopt;
+    }
+    this->tried.insert(this->lastRunner);
+    if (!this->gateway.budget.takeRepeat(this->context.service, steadyNow()))
+        co_return std::nullopt;
+    const RunnerPool::RunnerPointer runner = co_await this->place();
+    this->gateway.metrics.countContinuation("resume", runner != nullptr);
+    if (!runner)
+        co_return std::nullopt;
+    co_return Destination{runner, {}, "resume"};
+}
+
+void StreamSession::runnerLeaves(Duration untilGone)
+{
+    const EngineTraits *engine = this->context.engine();
+    if (this->isMigrating || this->moved || !this->load.runner() || engine == nullptr)
+        return;
+    const LeavingRun run{this->remainingTokens(), this->splitter.eventCount() > 0};
+    if (planMigration(run, untilGone) == MigrationStep::Stay)
+        return;
+    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isLeaving;
+    logInfo("runner-leaves-under-generation", {{"request", this->context.caller.id},
+                                               {"runner", this->load.runner()->entry.id},
+                                               {"until_gone_ms", std::to_string(toMilliseconds(untilGone))},
+                                               {"events", std::to_string(this->splitter.eventCount())},
+                                               {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
+    if (hasBackup && run.hasFirstEvent) {
+        // Breaking off here makes the session go on from the copy.
+        if (this->active) {
+            boost::system::error_code ignored;
+            this->active->stream.socket().close(ignored);
+        }
+        return;
+    }
+    if (!engine->canMove)
+        return;
+    this->isMigrating = true;
+    asio::co_spawn(this->gateway.io, this->migrate(), asio::detached);
+}
+
+asio::awaitable<void> StreamSession::migrate()
+{
+    const auto keepAlive = this->shared_from_this();
+    const RunnerPool::RunnerPointer source = this->load.runner();
+    std::set<std::string> excluded{source->entry.id};
+    constexpr int Tries = 2;
+    for (int attempt = 0; attempt < Tries && !this->isAbandoned; ++attempt) {
+        const PlacementRequest request{this->context.service, source->entry.domain, this->context.caller.size,
+                                       &excluded, UrgentMemoryLimit};
+        auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
+        const auto *destination = std::get_if<RunnerPool::RunnerPointer>(&placed);
+        if (destination == nullptr)
+            break;
+        const RunnerPool::RunnerPointer chosen = *destination;
+        excluded.insert(chosen->entry.id);
+        const LoadTicket reserved(chosen, this->expectedLoad());
+        const bool isMoved = co_await this->moveTo(source, chosen);
+        if (isMoved)
+            break;
+    }
+    this->isMigrating = false;
+    this->migrationEnd.cancel();
+}
+
+asio::awaitable<bool> StreamSession::moveTo(RunnerPool::RunnerPointer source,
+                                            RunnerPool::RunnerPointer destination)
+{
+    const WireFormat &format = this->gateway.format;
+    for (const bool isFinal : {false, true}) {
+        const MoveOrder order{this->context.caller.id, destination->entry.address, isFinal};
+        const TimePoint started = steadyNow();
+        OutgoingCall call = format.moveCall(order);
+        auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), MoveTimeout);
+        const auto *response = std::get_if<HttpResponse>(&result);
+        const unsigned status = response == nullptr ? 0 : response->result_int();
+        logInfo("generation-copied", {{"request", this->context.caller.id},
+                                      {"from", source->entry.id},
+                                      {"to", destination->entry.id},
+                                      {"final", isFinal ? "true" : "false"},
+                                      {"status", std::to_string(status)},
+                                      {"ms", std::to_string(toMilliseconds(steadyNow() - started))}});
+        if (status != 200)
+            co_return false;
+        auto copy = format.decodeMove(response->body());
+        if (std::holds_alternative<DecodeError>(copy))
+            co_return false;
+        if (isFinal)
+            this->moved = Destination{destination,
+                                      format.copyReference(source->entry.address, std::get<CopyMade>(copy).handle),
+                                      "move"};
+    }
+    co_return true;
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/gateway/streamsession.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "gateway/requestcontext.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+
+namespace eelgrasslift {
+
+/// One stream of events. Before the first event it may be sent again as the route allows; afterwards the same
+/// generation goes on from a copy of its memory at another runner, or at the exact event if it is resumable.
+class StreamSession : public RequestSession, public std::enable_shared_from_this<StreamSession>
+{
+public:
+    StreamSession(GatewayState &gateway, CallerLink &caller, RequestContext context);
+    ~StreamSession() override;
+
+    boost::asio::awaitable<void> run() override;
+
+    /// The runner of this stream leaves after the time; decides whether the run moves, and moves it.
+    void runnerLeaves(Duration untilGone);
+
+    /// Runner at which the generation is now; nullptr between two sends.
+    const RunnerPool::RunnerPointer &runner() const { return this->load.runner(); }
+
+private:
+    enum class RelayEnd { Complete, Broken, Stalled, Refused, CallerGone };
+
+    /// Where a send goes, and from which copy it goes on.
+    struct Destination
+    {
+        RunnerPool::RunnerPointer runner;
+        std::string continueFrom;
+        std::string_view cause;
+    };
+
+    struct RelayResult
+    {
+        RelayEnd end = RelayEnd::Broken;
+        SendOutcome outcome = SendOutcome::Unknown;
+        std::string_view cause;
+        std::optional<HttpResponse> response;
+    };
+
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<RunnerPool::RunnerPointer> place();
+    boost::asio::awaitable<RelayResult> relay(Destination destination);
+    boost::asio::awaitable<RelayResult> receive(const RunnerConnectionPointer &connection, bool isContinuation);
+    boost::asio::awaitable<RelayResult> receiveFailure(const RunnerConnectionPointer &connection, Parser &parser);
+    boost::asio::awaitable<RelayResult> forwardEvents(const RunnerConnectionPointer &connection, Parser &parser);
+    boost::asio::awaitable<std::optional<Destination>> continuation(const RelayResult &broken);
+    boost::asio::awaitable<void> migrate();
+    boost::asio::awaitable<bool> moveTo(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination);
+    std::optional<Destination> backupDestination();
+    void chooseBackup(const RunnerPool::Runner &primary);
+    void noteEvents(uint64_t before);
+    RunnerLoad expectedLoad() const;
+    double remainingTokens() const;
+
+    EventSplitter splitter;
+    CallPlan plan;
+    LoadTicket load;
+    std::set<std::string> tried;
+    /// Runner that keeps a growing copy of the memory.
+    LoadTicket backup;
+    std::optional<TimePoint> lastEventAt;
+
+    bool isMigrating = false;
+    std::optional<Destination> moved;
+    boost::asio::steady_timer migrationEnd;
+};
+
+} // namespace eelgrasslift
--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -2,6 +2,7 @@
 
 #include "libconsensus/codec.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <cstring>
@@ -202,6 +203,34 @@
     return identity;
 }
 
+Result<Identity, StorageError> foundCluster(const std::filesystem::path &folder,
+                                            std::span<const std::string> founders,
+                                            const std::string &ownAddress)
+{
+    std::vector<std::string> addresses(founders.begin(), founders.end());
+    std::sort(addresses.begin(), addresses.end());
+    std::string text = "eelgrasslift cluster";
+    for (const std::string &address : addresses)
+        text += " " + address;
+    Identity identity;
+    const Sha256 clusterDigest = sha256(text);
+    std::copy_n(clusterDigest.begin(), identity.clusterId.size(), identity.clusterId.begin());
+    Membership membership;
+    for (const std::string &address : addresses) {
+        const Sha256 digest = sha256(text + " member " + address);
+        MemberId id = 0;
+        std::memcpy(&id, digest.data(), sizeof id);
+        membership.emplace(id, ClusterMember{address, true});
+        if (address == ownAddress)
+            identity.memberId = id;
+    }
+    const LogEntry first{1, 1, EntryKind::Membership, encodeMembership(membership)};
+    const std::string records = encodeHardState(HardState{1, 0}) + encodeEntries({&first, 1});
+    if (std::optional<StorageError> error = createFolder(folder, identity, records))
+        return *error;
+    return identity;
+}
+
 Result<Identity, StorageError> prepareJoiningMember(const std::filesystem::path &folder, Random &random)
 {
     const Identity identity{{}, newMemberId(random)};
--- /dev/null
+++ b/src/libgateway/callbudget.cpp
@@ -0,0 +1,41 @@
+#include "libgateway/callbudget.h"
+
+namespace eelgrasslift {
+
+namespace {
+
+void dropBefore(std::deque<TimePoint> &times, TimePoint limit)
+{
+    while (!times.empty() && times.front() < limit)
+        times.pop_front();
+}
+
+} // namespace
+
+CallBudget::Window &CallBudget::windowOf(std::string_view service, TimePoint now)
+{
+    auto found = this->windows.find(service);
+    if (found == this->windows.end())
+        found = this->windows.emplace(std::string(service), Window{}).first;
+    dropBefore(found->second.requests, now - this->settings.window);
+    dropBefore(found->second.repeats, now - this->settings.window);
+    return found->second;
+}
+
+void CallBudget::countRequest(std::string_view service, TimePoint now)
+{
+    this->windowOf(service, now).requests.push_back(now);
+}
+
+bool CallBudget::takeRepeat(std::string_view service, TimePoint now)
+{
+    Window &window = this->windowOf(service, now);
+    const double allowed = this->settings.ratio * static_cast<double>(window.requests.size()) +
+                           this->settings.extra / this->gateways;
+    if (static_cast<double>(window.repeats.size() + 1) > allowed * this->settings.usableShare)
+        return false;
+    window.repeats.push_back(now);
+    return true;
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/libgateway/callplan.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "libgateway/servingconfig.h"
+
+namespace eelgrasslift {
+
+/// How one send to a runner ended.
+enum class SendOutcome {
+    NotConnected,  ///< No byte has left: certainly not run.
+    RefusedByRunner, ///< The runner states that it has not run the request.
+    OtherRunner,   ///< Another runner has the address; not run.
+    Failed,        ///< The runner answered with a failure of its own after it ran the request.
+    Unknown,       ///< Broken, silent or unreadable after the send: it may have run.
+    Answered       ///< A complete answer of the runner.
+};
+
+constexpr bool isCertainlyNotRun(SendOutcome outcome)
+{
+    return outcome == SendOutcome::NotConnected || outcome == SendOutcome::RefusedByRunner ||
+           outcome == SendOutcome::OtherRunner;
+}
+
+/// What to do after a send ended.
+enum class NextStep {
+    Deliver,     ///< Pass the runner's answer on.
+    SendAgain,   ///< To another runner.
+    RefuseNotRun, ///< 503 with Retry-After: the request has not run and never will.
+    FailUnknown, ///< 502: nothing is promised.
+    FailTimeout  ///< 504: nothing is promised.
+};
+
+/// The sends of one request. It never lets a non-idempotent request out again once it may have run.
+class CallPlan
+{
+public:
+    CallPlan(bool isIdempotent, uint32_t maxAttempts, TimePoint deadline);
+
+    /// Decides after a send. hasBudget is asked only if a repeat is possible otherwise.
+    template <typename TakeRepeat>
+    NextStep afterSend(SendOutcome outcome, TimePoint now, TakeRepeat takeRepeat)
+    {
+        this->note(outcome);
+        if (outcome == SendOutcome::Answered)
+            return NextStep::Deliver;
+        if (this->mayRepeat(outcome, now) && takeRepeat())
+            return NextStep::SendAgain;
+        return this->giveUp(outcome, now);
+    }
+
+    /// The answer if no runner can be chosen now.
+    NextStep withoutRunner(TimePoint now) const { return this->giveUp(SendOutcome::NotConnected, now); }
+
+    bool mayHaveRun() const { return this->possibleRuns > 0; }
+    TimePoint deadline() const { return this->end; }
+
+private:
+    void note(SendOutcome outcome);
+    bool mayRepeat(SendOutcome outcome, TimePoint now) const;
+    NextStep giveUp(SendOutcome outcome, TimePoint now) const;
+
+    bool isIdempotent;
+    uint32_t maxAttempts;
+    TimePoint end;
+    /// Sends that may have run.
+    uint32_t possibleRuns = 0;
+    uint32_t sends = 0;
+};
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/libgateway/fleetview.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "libcore/core.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrasslift {
+
+/// What a runner says of its own load; some hundred milliseconds old when it arrives.
+struct RunnerReport
+{
+    uint32_t queueDepth = 0;
+    uint32_t running = 0;
+    /// Memory that cannot yield, in tokens.
+    uint64_t memoryUsed = 0;
+    uint64_t memoryTotal = 0;
+    bool isLeaving = false;
+    /// Time until the runner is gone, if it knows.
+    std::optional<Duration> leavesIn;
+};
+
+/// One runner of the platform's list, with its last report.
+struct RunnerEntry
+{
+    std::string id;
+    std::string service;
+    /// ip:port
+    std::string address;
+    std::string domain;
+    uint32_t slots = 1;
+    bool isLeaving = false;
+    /// How much longer the runner stays slow after its start.
+    Duration warmUpLeft{};
+    /// Start of the runner, Unix milliseconds; tells two starts under one id apart. 0: unknown.
+    int64_t startedAtMs = 0;
+    std::optional<RunnerReport> report;
+};
+
+/// Work in flight on one runner.
+struct RunnerLoad
+{
+    uint32_t runs = 0;
+    /// Memory in tokens that the runs will hold at their expected end.
+    double finalTokens = 0;
+    /// Prompt tokens of runs that have not produced their first event.
+    double prefillTokens = 0;
+
+    RunnerLoad &operator+=(const RunnerLoad &other)
+    {
+        this->runs += other.runs;
+        this->finalTokens += other.finalTokens;
+        this->prefillTokens += other.prefillTokens;
+        return *this;
+    }
+};
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/libgateway/gateway.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// Public header of libgateway: decisions about opaque requests that are routed by host and path.
+
+#include "libgateway/callbudget.h"
+#include "libgateway/callplan.h"
+#include "libgateway/eventsplitter.h"
+#include "libgateway/fleetview.h"
+#include "libgateway/migrationplan.h"
+#include "libgateway/routetable.h"
+#include "libgateway/runnerpool.h"
+#include "libgateway/servingconfig.h"
--- /dev/null
+++ b/src/libgateway/runnerpool.cpp
@@ -0,0 +1,161 @@
+#include "libgateway/runnerpool.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace eelgrasslift {
+
+namespace {
+
+// Prompt tokens that an engine reads per second beside its running generations; half of the sheets' rate,
+// since every other step of a busy engine decodes.
+constexpr double PrefillTokensPerSecond = 8000;
+
+// Slowdown of an engine's step by one more running generation, as a share of the bare step.
+constexpr double SlowdownPerRun = 0.017;
+
+// Cost in seconds of memory use close to the limit: preemption reads a whole prompt again.
+constexpr double MemoryPressureSeconds = 1.0;
+constexpr double MemoryPressureFrom = 0.6;
+
+// One crossing between failure domains and back.
+constexpr double CrossingSeconds = 0.003;
+
+// A runner that fails all it gets costs as much as this wait.
+constexpr double FailureSeconds = 2.0;
+constexpr double WarmUpSeconds = 0.4;
+
+// Weight of the newest send in the decaying means.
+constexpr double NewestWeight = 0.2;
+
+// After this many failures in a row a runner gets no work for a while, then one request tries it.
+constexpr uint32_t FailuresBeforeShunning = 3;
+constexpr Duration ShunFor = std::chrono::milliseconds{1500};
+
+// Assumed time of a call of a plain service until one was measured.
+constexpr double DefaultCallSeconds = 0.03;
+
+} // namespace
+
+void RunnerPool::setFleet(std::span<const RunnerEntry> entries, TimePoint now)
+{
+    std::map<std::string, RunnerPointer, std::less<>> next;
+    for (const RunnerEntry &entry : entries) {
+        auto found = this->pool.find(entry.id);
+        const bool isSame = found != this->pool.end() && found->second->entry.address == entry.address &&
+                            found->second->entry.startedAtMs == entry.startedAtMs;
+        RunnerPointer runner = isSame ? found->second : std::make_shared<Runner>();
+        const bool wasLeaving = isSame && runner->entry.isLeaving;
+        runner->entry = entry;
+        runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving);
+        runner->seenAt = now;
+        if (entry.warmUpLeft > Duration::zero())
+            runner->warmUntil = now + entry.warmUpLeft;
+        if (entry.report && entry.report->leavesIn)
+            runner->leavesAt = now + *entry.report->leavesIn;
+        next.emplace(entry.id, std::move(runner));
+    }
+    this->pool = std::move(next);
+}
+
+void RunnerPool::setOtherLoad(const std::map<std::string, RunnerLoad, std::less<>> &loads)
+{
+    for (const auto &[id, runner] : this->pool) {
+        const auto found = loads.find(id);
+        runner->others = found == loads.end() ? RunnerLoad{} : found->second;
+    }
+}
+
+void RunnerPool::markLeaving(std::string_view id)
+{
+    if (const auto found = this->pool.find(id); found != this->pool.end())
+        found->second->entry.isLeaving = true;
+}
+
+RunnerPool::RunnerPointer RunnerPool::find(std::string_view id) const
+{
+    const auto found = this->pool.find(id);
+    return found == this->pool.end() ? nullptr : found->second;
+}
+
+double RunnerPool::costOf(const Runner &runner, const PlacementRequest &request, const EngineTraits *engine,
+                          TimePoint now)
+{
+    RunnerLoad load = runner.own;
+    load += runner.others;
+    double cost = runner.failureRate * FailureSeconds;
+    if (runner.entry.domain != request.domain)
+        cost += CrossingSeconds;
+    if (now < runner.warmUntil)
+        cost += WarmUpSeconds;
+    if (!request.size || engine == nullptr) {
+        const double seconds = runner.meanSeconds > 0 ? runner.meanSeconds : DefaultCallSeconds;
+        const double occupied = static_cast<double>(load.runs) / std::max<uint32_t>(runner.entry.slots, 1);
+        return cost + seconds * (1.0 + occupied);
+    }
+    const auto capacity = static_cast<double>(engine->memoryTokens);
+    double held = load.finalTokens;
+    if (runner.entry.report)
+        held = std::max(held, static_cast<double>(runner.entry.report->memoryUsed));
+    const double used = (held + request.size->finalTokens()) / std::max(capacity, 1.0);
+    if (used > request.memoryLimit)
+        return std::numeric_limits<double>::infinity();
+    const double slowdown = 1.0 + SlowdownPerRun * load.runs;
+    cost += (load.prefillTokens + request.size->promptTokens) / PrefillTokensPerSecond * slowdown;
+    cost += slowdown - 1.0;
+    if (used > MemoryPressureFrom)
+        cost += (used - MemoryPressureFrom) / (1.0 - MemoryPressureFrom) * MemoryPressureSeconds;
+    return cost;
+}
+
+std::variant<RunnerPool::RunnerPointer, NoRunner> RunnerPool::choose(const PlacementRequest &request,
+                                                                     const EngineTraits *engine, TimePoint now,
+                                                                     Random &random) const
+{
+    std::vector<Candidate> candidates;
+    bool isAnyFull = false;
+    RunnerPointer shunned;
+    for (const auto &[id, runner] : this->pool) {
+        const bool isUsable = runner->entry.service == request.service && !runner->entry.isLeaving &&
+                              (request.excluded == nullptr || !request.excluded->contains(id));
+        if (!isUsable)
+            continue;
+        if (runner->shunnedUntil && now < *runner->shunnedUntil) {
+            shunned = runner;
+            continue;
+        }
+        const double cost = costOf(*runner, request, engine, now);
+        if (cost == std::numeric_limits<double>::infinity())
+            isAnyFull = true;
+        else
+            candidates.push_back({runner, cost});
+    }
+    if (candidates.empty()) {
+        if (!isAnyFull && shunned)
+            return shunned;
+        return NoRunner{isAnyFull ? NoRunner::Reason::Full : NoRunner::Reason::None};
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
+    // The better of two random choices among the cheaper half keeps gateways apart that see the same loads.
+    const size_t choices = std::max<size_t>((candidates.size() + 1) / 2, 1);
+    const size_t chosen = std::min(random.below(choices), random.below(choices));
+    return candidates[chosen].runner;
+}
+
+void RunnerPool::recordSend(Runner &runner, SendHealth health, Duration duration, TimePoint now)
+{
+    const bool isFailure = health == SendHealth::Failed;
+    runner.failureRate += NewestWeight * ((isFailure ? 1.0 : 0.0) - runner.failureRate);
+    if (isFailure) {
+        if (++runner.failuresInRow >= FailuresBeforeShunning)
+            runner.shunnedUntil = now + ShunFor;
+        return;
+    }
+    runner.failuresInRow = 0;
+    runner.shunnedUntil.reset();
+    const double seconds = toSeconds(duration);
+    runner.meanSeconds += NewestWeight * (seconds - runner.meanSeconds);
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/src/libgateway/runnerpool.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "libgateway/fleetview.h"
+#include "libgateway/servingconfig.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace eelgrasslift {
+
+/// What a generation is expected to need.
+struct GenerationSize
+{
+    double promptTokens = 0;
+    double outputTokens = 0;
+
+    double finalTokens() const { return this->promptTokens + this->outputTokens; }
+};
+
+/// A request that looks for a runner.
+struct PlacementRequest
+{
+    std::string_view service;
+    /// Failure domain of the gateway; runners of the same one are preferred among equals.
+    std::string_view domain;
+    /// Set for generations.
+    std::optional<GenerationSize> size;
+    /// Runners that this request has already tried, or must not use.
+    const std::set<std::string> *excluded = nullptr;
+    double memoryLimit = 1.0;
+};
+
+struct NoRunner
+{
+    enum class Reason { None, Full };
+    Reason reason = Reason::None;
+};
+
+/// How a send to a runner went, for its health.
+enum class SendHealth { Good, Failed };
+
+/// Runners that a gateway may use, with its own work in flight, the other gateways' and the runners' reports.
+///
+/// Load pattern: reports are half a second old, and every gateway sees the same idle runner. Own work counts
+/// at once and that of the others with the age of one exchange; the rest is decided by two random choices.
+class RunnerPool
+{
+public:
+    struct Runner
+    {
+        RunnerEntry entry;
+        TimePoint seenAt{};
+        TimePoint warmUntil{};
+        std::optional<TimePoint> leavesAt;
+        RunnerLoad own;
+        RunnerLoad others;
+        /// Share of recent sends that failed, decaying.
+        double failureRate = 0;
+        /// Mean time of recent calls of a plain service in seconds, decaying.
+        double meanSeconds = 0;
+        std::optional<TimePoint> shunnedUntil;
+        uint32_t failuresInRow = 0;
+    };
+    using RunnerPointer = std::shared_ptr<Runner>;
+
+    /// Replaces the list. A runner that leaves does not come back under the same start.
+    void setFleet(std::span<const RunnerEntry> entries, TimePoint now);
+    void setOtherLoad(const std::map<std::string, RunnerLoad, std::less<>> &loads);
+
+    /// The runner itself said that it is leaving.
+    void markLeaving(std::string_view id);
+
+    std::variant<RunnerPointer, NoRunner> choose(const PlacementRequest &request, const EngineTraits *engine,
+                                                 TimePoint now, Random &random) const;
+    RunnerPointer find(std::string_view id) const;
+
+    static void recordSend(Runner &runner, SendHealth health, Duration duration, TimePoint now);
+
+    const std::map<std::string, RunnerPointer, std::less<>> &runners() const { return this->pool; }
+
+private:
+    struct Candidate
+    {
+        RunnerPointer runner;
+        double cost = 0;
+    };
+
+    static double costOf(const Runner &runner, const PlacementRequest &request, const EngineTraits *engine,
+                         TimePoint now);
+
+    std::map<std::string, RunnerPointer, std::less<>> pool;
+};
+
+} // namespace eelgrasslift
