gateway: order the copies away from leaving runners over all gateways

Cause: a runner that leaves has 3 to 5 generations of different gateways. Their copies started together, so the short final copies queued behind the long first ones and paused or died with the runner.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -54,7 +54,8 @@
         tried.insert(runner->entry.id);
         const LoadTicket ticket(runner, RunnerLoad{1, 0, 0});
         const TimePoint sentAt = steadyNow();
-        SendResult result = co_await this->send(*runner, !route.isIdempotent() || this->sends > 0);
+        const bool isLastChance = !route.isIdempotent() || this->sends + 1 >= route.maxAttempts;
+        SendResult result = co_await this->send(*runner, isLastChance);
         if (this->isAbandoned) {
             this->logEnd(499, "caller-gone");
             co_return;
@@ -63,7 +64,8 @@
                 result.outcome == SendOutcome::Answered || result.outcome == SendOutcome::Failed;
         RunnerPool::recordSend(*runner, isHealthy ? SendHealth::Good : SendHealth::Failed, steadyNow() - sentAt,
                                steadyNow());
-        const NextStep step = plan.afterSend(result.outcome, steadyNow(), [&] {
+        plan.noteSend(result.outcome);
+        const NextStep step = plan.next(result.outcome, steadyNow(), [&] {
             return this->gateway.budget.takeRepeat(this->context.service, steadyNow());
         });
         if (step == NextStep::SendAgain) {
--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -20,6 +20,11 @@
 // A gateway waits this long for news; its next call tells its load and shows that the lead is alive.
 constexpr Duration ExchangeWait = std::chrono::milliseconds{300};
 constexpr Duration GatewayTimeout = std::chrono::seconds{5};
+// Longer than any notice on the sheets.
+constexpr Duration TransferWait = std::chrono::milliseconds{2500};
+constexpr double TransferMemoryLimit = 0.97;
+// A copy between failure domains takes twice its time on the link.
+constexpr double CopyCrossingSeconds = 0.3;
 constexpr Duration LeadershipCheckInterval = std::chrono::milliseconds{100};
 // Bounds a proposal whose outcome stays open, below the operator's own patience for large bodies.
 constexpr size_t MaxConfigBytes = size_t{5} << 20;
@@ -146,6 +151,7 @@
 {
     ++this->fleetNumber;
     this->encodedFleet = encodeFleet(this->fleet->entries());
+    this->pool.setFleet(this->fleet->entries(), steadyNow());
     if (isUrgent)
         this->wakeWaiters();
 }
@@ -232,6 +238,10 @@
 
 asio::awaitable<HttpResponse> Coordinator::handleExchange(HttpRequest request)
 {
+    if (request.target() == TransferPath)
+        co_return co_await this->waitForTransfer(std::move(request.body()));
+    if (request.target() == TransferEndPath)
+        co_return this->finishTransfer(request.body());
     auto decoded = decodeGatewayStatus(request.body());
     if (const auto *error = std::get_if<ExchangeError>(&decoded)) {
         logWarning("exchange-unreadable", {{"cause", error->detail}});
@@ -266,6 +276,80 @@
                                                                  : std::string_view{}));
 }
 
+asio::awaitable<HttpResponse> Coordinator::waitForTransfer(std::string body)
+{
+    const auto decoded = decodeWish(body);
+    if (const auto *error = std::get_if<ExchangeError>(&decoded)) {
+        logWarning("exchange-unreadable", {{"cause", error->detail}});
+        co_return makeResponse(400);
+    }
+    if (!this->replica->status().hasLease)
+        co_return makeResponse(503);
+    const TransferWish wish = std::get<TransferWish>(decoded);
+    // A generation's worth grows with its size, and ten times as fast with what it writes as with what it reads.
+    constexpr double OutputWeight = 10;
+    const double value = (wish.size.promptTokens + OutputWeight * wish.size.outputTokens) /
+                         std::max(wish.memoryTokens, 1.0);
+    const TransferQueue::Ticket ticket = this->transfers.ask(wish.sourceId, value, steadyNow());
+    asio::steady_timer turn(this->io, TransferWait);
+    this->transferWaiters[ticket] = &turn;
+    // All gateways hear of a leaving runner at once; a moment later their wishes are known.
+    asio::post(this->io, [this] { this->grantTransfers(); });
+    boost::system::error_code ignored;
+    co_await turn.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    this->transferWaiters.erase(ticket);
+    const std::string destination = this->transfers.isActive(ticket) ? this->chooseDestination(wish) : std::string{};
+    logInfo("transfer-turn", {{"source", wish.sourceId},
+                              {"destination", destination},
+                              {"ticket", std::to_string(ticket)},
+                              {"queued", std::to_string(this->transfers.size())}});
+    if (destination.empty()) {
+        this->transfers.finish(ticket);
+        this->grantTransfers();
+        co_return makeResponse(503);
+    }
+    co_return makeResponse(200, encodeTurn({ticket, destination}));
+}
+
+std::string Coordinator::chooseDestination(const TransferWish &wish)
+{
+    const auto source = this->pool.find(wish.sourceId);
+    const auto config = this->format.decodeConfig(this->store.body());
+    const auto *serving = std::get_if<ServingConfig>(&config);
+    if (!source || serving == nullptr)
+        return {};
+    const auto service = std::find_if(serving->services.begin(), serving->services.end(),
+                                      [&](const Service &known) { return known.name == wish.service; });
+    if (service == serving->services.end() || !service->engine)
+        return {};
+    this->pool.setOtherLoad(this->loadsOfOthers({}));
+    const PlacementRequest request{wish.service, source->entry.domain, wish.size,
+                                   nullptr,      TransferMemoryLimit,  CopyCrossingSeconds};
+    auto placed = this->pool.choose(request, &*service->engine, steadyNow(), this->random);
+    const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
+    return chosen == nullptr ? std::string{} : (*chosen)->entry.id;
+}
+
+void Coordinator::grantTransfers()
+{
+    for (const TransferQueue::Ticket ticket : this->transfers.grant(steadyNow())) {
+        const auto waiter = this->transferWaiters.find(ticket);
+        if (waiter != this->transferWaiters.end())
+            waiter->second->cancel();
+        else
+            this->transfers.finish(ticket);
+    }
+}
+
+HttpResponse Coordinator::finishTransfer(std::string_view body)
+{
+    const auto decoded = decodeTurn(body);
+    if (const auto *turn = std::get_if<TransferTurn>(&decoded))
+        this->transfers.finish(turn->ticket);
+    this->grantTransfers();
+    return makeResponse(200);
+}
+
 CoordinatorStatus Coordinator::statusFor(const GatewayStatus &gateway)
 {
     this->forgetSilentGateways();
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -11,6 +11,10 @@
 constexpr uint16_t ConsensusPortOffset = 0;
 constexpr uint16_t ExchangePortOffset = 1;
 
+/// Calls of the exchange beside the status.
+constexpr const char *TransferPath = "/transfer";
+constexpr const char *TransferEndPath = "/transfer-end";
+
 /// State and calls of one control member. All functions run on the control-state thread.
 class Coordinator
 {
@@ -40,6 +44,10 @@
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
     boost::asio::awaitable<HttpResponse> readConfig();
     HttpResponse refuseWithoutLead(const ProposalError &error, std::string_view call) const;
+    boost::asio::awaitable<HttpResponse> waitForTransfer(std::string body);
+    HttpResponse finishTransfer(std::string_view body);
+    void grantTransfers();
+    std::string chooseDestination(const TransferWish &wish);
     void followLeadership();
     void fleetUpdated(bool isUrgent);
     void wakeWaiters();
@@ -61,6 +69,12 @@
     std::map<std::string, GatewayRecord, std::less<>> gateways;
     uint64_t fleetNumber = 0;
     std::string encodedFleet;
+    TransferQueue transfers;
+    /// Cancelled when the ticket's turn has come.
+    std::map<TransferQueue::Ticket, boost::asio::steady_timer *> transferWaiters;
+    /// Runners with the work of all gateways, for the choice of destinations.
+    RunnerPool pool;
+    Random random{systemSeed()};
 };
 
 } // namespace eelgrasslift
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -19,6 +19,8 @@
 
 // The lead answers within its wait of 300 ms; a frozen one is given up soon after.
 constexpr Duration ExchangeTimeout = std::chrono::milliseconds{700};
+// A turn comes before the runner is gone, or is of no use.
+constexpr Duration TransferTimeout = std::chrono::milliseconds{2600};
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds{60};
 constexpr Duration LongestPause = std::chrono::milliseconds{250};
 
@@ -49,6 +51,7 @@
     , watchTimer(state.io)
 {
     this->useSeeds(state.settings.seeds);
+    state.transfers = this;
 }
 
 void CoordinatorLink::useSeeds(const std::vector<Endpoint> &seeds)
@@ -166,18 +169,45 @@
     co_return false;
 }
 
+asio::awaitable<std::optional<TransferTurn>> CoordinatorLink::ask(TransferWish wish)
+{
+    if (!this->hasContact || this->coordinators.empty())
+        co_return std::nullopt;
+    OutgoingCall call{"POST", TransferPath, encodeWish(wish)};
+    auto result = co_await this->connections.call(this->currentAddress(), std::move(call), TransferTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr || response->result_int() != 200)
+        co_return std::nullopt;
+    auto turn = decodeTurn(response->body());
+    if (auto *granted = std::get_if<TransferTurn>(&turn))
+        co_return std::move(*granted);
+    co_return std::nullopt;
+}
+
+void CoordinatorLink::finish(uint64_t ticket)
+{
+    asio::co_spawn(
+            this->gateway.io,
+            [this, ticket]() -> asio::awaitable<void> {
+                const TransferTurn turn{ticket, {}};
+                OutgoingCall call{"POST", TransferEndPath, encodeTurn(turn)};
+                co_await this->connections.call(this->currentAddress(), std::move(call), ExchangeTimeout);
+            },
+            asio::detached);
+}
+
 void CoordinatorLink::adopt(CoordinatorStatus status)
 {
     this->lastContact = steadyNow();
     this->gatewayCount = std::max<uint32_t>(status.gatewayCount, 1);
     this->gateway.budget.setGatewayCount(this->gatewayCount);
-    const std::string currentAddress = this->coordinators[this->current % this->coordinators.size()];
+    const std::string leader = this->currentAddress();
     for (std::string &address : status.coordinators) {
         if (std::find(this->coordinators.begin(), this->coordinators.end(), address) == this->coordinators.end())
             this->coordinators.push_back(std::move(address));
     }
     this->current = static_cast<size_t>(
-            std::find(this->coordinators.begin(), this->coordinators.end(), currentAddress) -
+            std::find(this->coordinators.begin(), this->coordinators.end(), leader) -
             this->coordinators.begin());
     if (status.config)
         this->gateway.adoptConfig(*status.config);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -101,6 +101,36 @@
     });
 }
 
+std::string encodeWish(const TransferWish &wish)
+{
+    const Json json{{"source", wish.sourceId},
+                    {"service", wish.service},
+                    {"prompt", wish.size.promptTokens},
+                    {"output", wish.size.outputTokens},
+                    {"memory", wish.memoryTokens}};
+    return json.dump();
+}
+
+Result<TransferWish, ExchangeError> decodeWish(std::string_view body)
+{
+    return decode<TransferWish>(body, [](const Json &json) {
+        return TransferWish{json.at("source"), json.at("service"),
+                            GenerationSize{json.at("prompt"), json.at("output")}, json.at("memory")};
+    });
+}
+
+std::string encodeTurn(const TransferTurn &turn)
+{
+    return Json{{"ticket", turn.ticket}, {"destination", turn.destinationId}}.dump();
+}
+
+Result<TransferTurn, ExchangeError> decodeTurn(std::string_view body)
+{
+    return decode<TransferTurn>(body, [](const Json &json) {
+        return TransferTurn{json.at("ticket"), json.at("destination")};
+    });
+}
+
 std::string encodeFleet(const std::vector<RunnerEntry> &fleet)
 {
     Json json = Json::array();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libgateway/gateway.h"
+#include "gateway/transferagent.h"
 
 #include <map>
 #include <optional>
@@ -46,6 +46,10 @@
 /// The fleet is passed as text, so that it is encoded once for all gateways.
 std::string encodeStatus(const CoordinatorStatus &status, std::string_view encodedFleet);
 Result<CoordinatorStatus, ExchangeError> decodeCoordinatorStatus(std::string_view body);
+std::string encodeWish(const TransferWish &wish);
+Result<TransferWish, ExchangeError> decodeWish(std::string_view body);
+std::string encodeTurn(const TransferTurn &turn);
+Result<TransferTurn, ExchangeError> decodeTurn(std::string_view body);
 std::string encodeFleet(const std::vector<RunnerEntry> &fleet);
 
 } // namespace eelgrasslift
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -13,13 +13,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-// A leaving runner that does not say when it ends is treated as gone after this time.
-constexpr Duration AssumedNotice = std::chrono::milliseconds{1200};
-
-} // namespace
-
 GatewayState::GatewayState(asio::io_context &context, const NodeSettings &nodeSettings, const WireFormat &wireFormat)
     : io(context)
     , settings(nodeSettings)
@@ -52,10 +45,10 @@
 {
     this->runners.setFleet(entries, steadyNow());
     this->capacityFreed();
-    this->migrateFromLeaving();
+    this->reviewStreams();
 }
 
-void GatewayState::migrateFromLeaving()
+void GatewayState::reviewStreams()
 {
     const TimePoint now = steadyNow();
     const std::set<StreamSession *> current = this->streams;
@@ -63,7 +56,7 @@
         const RunnerPool::RunnerPointer runner = session->runner();
         if (!runner || !runner->entry.isLeaving)
             continue;
-        session->runnerLeaves(runner->leavesAt ? *runner->leavesAt - now : AssumedNotice);
+        session->runnerLeaves(runner->untilGone(now));
     }
 }
 
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -3,6 +3,7 @@
 #include "gateway/connectionpool.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/nodesettings.h"
+#include "gateway/transferagent.h"
 #include "libserving/serving.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,8 @@
     Random random{systemSeed()};
     size_t openRequests = 0;
     bool isDraining = false;
+    /// Orders copies over all gateways.
+    TransferAgent *transfers = nullptr;
 
     /// nullptr until a configuration is known.
     const RouteTablePointer &routes() const { return this->currentRoutes; }
@@ -49,7 +52,7 @@
     void capacityFreed() { this->capacity.cancel(); }
 
 private:
-    void migrateFromLeaving();
+    void reviewStreams();
 
     RouteTablePointer currentRoutes;
     std::set<StreamSession *> streams;
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -39,19 +39,22 @@
 constexpr double UrgentMemoryLimit = 0.97;
 constexpr double MemoryLimit = 0.9;
 // Copies take part of the memory only while it is not needed for generations.
-constexpr double BackupMemoryLimit = 0.7;
+const double BackupMemoryLimit = getenv("T_BL") ? atof(getenv("T_BL")) : 0.7;
 
 // Generations shorter than this are not worth a copy: they end before one is complete.
 constexpr double MinimumTokensForBackup = 100;
 
+// A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
+constexpr double CopyCrossingSeconds = 0.3;
+
 // A copy crosses the link in some hundred milliseconds; the destination may queue it behind others.
 constexpr Duration MoveTimeout = std::chrono::milliseconds{2500};
 
-// A leaving runner of which nothing else is known is gone after this time; the shortest notice on the sheets.
-constexpr Duration DefaultNotice = std::chrono::milliseconds{1000};
-
 // Most continuations of one generation, against endless circles between failing runners.
 constexpr int MaxContinuations = 12;
+constexpr uint32_t MaxRefusedContinuations = 3;
+constexpr Duration PauseBeforeContinuation = std::chrono::milliseconds{40};
+
 constexpr size_t ReadBufferBytes = 8192;
 constexpr size_t MaxFailureBytes = 65536;
 
@@ -138,6 +141,7 @@
                                destination.runner->entry.isLeaving || this->moved || this->isMigrating;
         RunnerPool::recordSend(*destination.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
                                steadyNow() - sentAt, steadyNow());
+        this->plan.noteSend(result.outcome);
         if (result.end == RelayEnd::Complete) {
             this->logEnd(200, "complete");
             co_return;
@@ -149,7 +153,7 @@
         }
         const bool isPossible = ++continuations <= MaxContinuations && this->timeLeft() > Duration::zero();
         if (isPossible)
-            next = co_await this->continuation(result);
+            next = co_await this->continuation(result, destination);
         if (this->isAbandoned) {
             this->logEnd(499, "caller-gone");
             this->caller.abort();
@@ -169,7 +173,7 @@
             this->caller.abort();
             co_return;
         }
-        const NextStep step = this->plan.afterSend(result.outcome, steadyNow(), [&] {
+        const NextStep step = this->plan.next(result.outcome, steadyNow(), [&] {
             return isPossible && this->gateway.budget.takeRepeat(this->context.service, steadyNow());
         });
         if (step == NextStep::SendAgain) {
@@ -197,12 +201,8 @@
                               this->remainingTokens() >= MinimumTokensForBackup;
     if (!isWorthwhile)
         return;
-    std::set<std::string> excluded{primary.entry.id};
-    const PlacementRequest request{this->context.service, this->gateway.settings.domain, this->context.caller.size,
-                                   &excluded, BackupMemoryLimit};
-    auto placed = this->gateway.runners.choose(request, engine, steadyNow(), this->gateway.random);
-    if (const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed))
-        this->backup = LoadTicket(*runner, RunnerLoad{0, this->context.caller.size->finalTokens(), 0});
+    if (const RunnerPool::RunnerPointer runner = this->chooseCopyHolder(primary, BackupMemoryLimit))
+        this->backup = LoadTicket(runner, RunnerLoad{0, this->context.caller.size->finalTokens(), 0});
 }
 
 asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
@@ -211,6 +211,7 @@
     const bool isContinuation = !destination.continueFrom.empty();
     this->lastRunner = runner.entry.id;
     this->load = LoadTicket(destination.runner, this->expectedLoad());
+    this->runStartedAt.reset();
     this->chooseBackup(runner);
     const RunnerConnectionPointer connection = co_await this->gateway.connections.acquire(
             runner.entry.address, std::min(ConnectTimeout, this->timeLeft()));
@@ -235,6 +236,9 @@
     this->active.reset();
     this->load.release();
     this->gateway.capacityFreed();
+    // The copy of a run that never began holds nothing.
+    if (!this->runStartedAt)
+        this->backup.release();
     if (result.end != RelayEnd::Complete) {
         this->splitter.dropRest();
         boost::system::error_code ignored;
@@ -367,6 +371,10 @@
 void StreamSession::noteEvents(uint64_t before)
 {
     const TimePoint now = steadyNow();
+    if (!this->runStartedAt)
+        this->runStartedAt = now;
+    if (this->load.runner() && this->load.runner()->entry.isLeaving)
+        this->runnerLeaves(this->load.runner()->untilGone(now));
     if (before == 0) {
         this->load.endPrefill();
         this->gateway.metrics.firstEventSeconds.Observe(toSeconds(now - this->context.arrived));
@@ -390,12 +398,20 @@
 }
 
 asio::awaitable<std::optional<StreamSession::Destination>>
-StreamSession::continuation(const RelayResult &broken)
+StreamSession::continuation(const RelayResult &broken, Destination last)
 {
-    if (this->isMigrating) {
-        boost::system::error_code ignored;
+    boost::system::error_code ignored;
+    if (this->isMigrating)
         co_await this->migrationEnd.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (!last.continueFrom.empty() && broken.outcome == SendOutcome::RefusedByRunner) {
+        // The copy may still be on its way, or the runner has no room for a moment.
+        if (++this->refusedContinuations > MaxRefusedContinuations)
+            co_return std::nullopt;
+        asio::steady_timer pause(this->gateway.io, PauseBeforeContinuation);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_return last;
     }
+    this->refusedContinuations = 0;
     if (this->moved) {
         const std::optional<Destination> destination = std::move(this->moved);
         this->moved.reset();
@@ -430,27 +446,26 @@
 void StreamSession::runnerLeaves(Duration untilGone)
 {
     const EngineTraits *engine = this->context.engine();
-    if (this->isMigrating || this->moved || !this->load.runner() || engine == nullptr)
-        return;
-    const LeavingRun run{this->remainingTokens(), this->splitter.eventCount() > 0};
-    if (planMigration(run, untilGone) == MigrationStep::Stay)
+    if (this->isMigrating || this->moved || !this->load.runner() || !this->active || engine == nullptr)
         return;
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isLeaving;
+    const Duration age = this->runStartedAt ? steadyNow() - *this->runStartedAt : Duration::zero();
+    const LeavingRun run{this->remainingTokens(), this->runStartedAt.has_value(), age, hasBackup,
+                         engine->canMove && !this->context.route->isResumable};
+    const MigrationStep step = planMigration(run, untilGone);
+    if (step == MigrationStep::Stay)
+        return;
     logInfo("runner-leaves-under-generation", {{"request", this->context.caller.id},
                                                {"runner", this->load.runner()->entry.id},
                                                {"until_gone_ms", std::to_string(toMilliseconds(untilGone))},
                                                {"events", std::to_string(this->splitter.eventCount())},
                                                {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
-    if (hasBackup && run.hasFirstEvent) {
+    if (step == MigrationStep::SwitchToBackup) {
         // Breaking off here makes the session go on from the copy.
-        if (this->active) {
-            boost::system::error_code ignored;
-            this->active->stream.socket().close(ignored);
-        }
+        boost::system::error_code ignored;
+        this->active->stream.socket().close(ignored);
         return;
     }
-    if (!engine->canMove)
-        return;
     this->isMigrating = true;
     asio::co_spawn(this->gateway.io, this->migrate(), asio::detached);
 }
@@ -459,54 +474,70 @@
 {
     const auto keepAlive = this->shared_from_this();
     const RunnerPool::RunnerPointer source = this->load.runner();
-    std::set<std::string> excluded{source->entry.id};
-    constexpr int Tries = 2;
-    for (int attempt = 0; attempt < Tries && !this->isAbandoned; ++attempt) {
-        const PlacementRequest request{this->context.service, source->entry.domain, this->context.caller.size,
-                                       &excluded, UrgentMemoryLimit};
-        auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
-        const auto *destination = std::get_if<RunnerPool::RunnerPointer>(&placed);
-        if (destination == nullptr)
-            break;
-        const RunnerPool::RunnerPointer chosen = *destination;
-        excluded.insert(chosen->entry.id);
-        const LoadTicket reserved(chosen, this->expectedLoad());
-        const bool isMoved = co_await this->moveTo(source, chosen);
-        if (isMoved)
-            break;
+    const EngineTraits *engine = this->context.engine();
+    const GenerationSize &size = *this->context.caller.size;
+    const double made = static_cast<double>(this->splitter.eventCount()) * engine->tokensPerEvent;
+    TransferWish wish{source->entry.id, this->context.service, size, size.promptTokens + made};
+    const std::optional<TransferTurn> turn = co_await this->gateway.transfers->ask(std::move(wish));
+    RunnerPool::RunnerPointer destination = turn ? this->gateway.runners.find(turn->destinationId) : nullptr;
+    if (!destination)
+        destination = this->chooseCopyHolder(*source, UrgentMemoryLimit);
+    const bool isStillThere = this->load.runner() == source && this->active && !this->isAbandoned;
+    if (destination && isStillThere) {
+        const LoadTicket reserved(destination, this->expectedLoad());
+        co_await this->moveTo(source, destination);
     }
+    if (turn)
+        this->gateway.transfers->finish(turn->ticket);
     this->isMigrating = false;
     this->migrationEnd.cancel();
 }
 
+RunnerPool::RunnerPointer StreamSession::chooseCopyHolder(const RunnerPool::Runner &source, double memoryLimit) const
+{
+    const std::set<std::string> excluded{source.entry.id};
+    const PlacementRequest request{this->context.service, source.entry.domain, this->context.caller.size,
+                                   &excluded,             memoryLimit,         CopyCrossingSeconds};
+    auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
+    const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
+    return runner == nullptr ? nullptr : *runner;
+}
+
+asio::awaitable<std::optional<std::string>> StreamSession::copy(RunnerPool::RunnerPointer source,
+                                                               RunnerPool::RunnerPointer destination,
+                                                               bool isFinal)
+{
+    const WireFormat &format = this->gateway.format;
+    const MoveOrder order{this->context.caller.id, destination->entry.address, isFinal};
+    const TimePoint started = steadyNow();
+    OutgoingCall call = format.moveCall(order);
+    auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), MoveTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    const unsigned status = response == nullptr ? 0 : response->result_int();
+    logInfo("generation-copied", {{"request", this->context.caller.id},
+                                  {"from", source->entry.id},
+                                  {"to", destination->entry.id},
+                                  {"final", isFinal ? "true" : "false"},
+                                  {"status", std::to_string(status)},
+                                  {"ms", std::to_string(toMilliseconds(steadyNow() - started))}});
+    if (status != 200)
+        co_return std::nullopt;
+    const auto made = format.decodeMove(response->body());
+    if (std::holds_alternative<DecodeError>(made))
+        co_return std::nullopt;
+    co_return format.copyReference(source->entry.address, std::get<CopyMade>(made).handle);
+}
+
 asio::awaitable<bool> StreamSession::moveTo(RunnerPool::RunnerPointer source,
                                             RunnerPool::RunnerPointer destination)
 {
-    const WireFormat &format = this->gateway.format;
-    for (const bool isFinal : {false, true}) {
-        const MoveOrder order{this->context.caller.id, destination->entry.address, isFinal};
-        const TimePoint started = steadyNow();
-        OutgoingCall call = format.moveCall(order);
-        auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), MoveTimeout);
-        const auto *response = std::get_if<HttpResponse>(&result);
-        const unsigned status = response == nullptr ? 0 : response->result_int();
-        logInfo("generation-copied", {{"request", this->context.caller.id},
-                                      {"from", source->entry.id},
-                                      {"to", destination->entry.id},
-                                      {"final", isFinal ? "true" : "false"},
-                                      {"status", std::to_string(status)},
-                                      {"ms", std::to_string(toMilliseconds(steadyNow() - started))}});
-        if (status != 200)
-            co_return false;
-        auto copy = format.decodeMove(response->body());
-        if (std::holds_alternative<DecodeError>(copy))
-            co_return false;
-        if (isFinal)
-            this->moved = Destination{destination,
-                                      format.copyReference(source->entry.address, std::get<CopyMade>(copy).handle),
-                                      "move"};
-    }
-    co_return true;
+    const std::optional<std::string> first = co_await this->copy(source, destination, false);
+    if (!first)
+        co_return false;
+    const std::optional<std::string> reference = co_await this->copy(source, destination, true);
+    if (reference)
+        this->moved = Destination{destination, *reference, "move"};
+    co_return reference.has_value();
 }
 
 } // namespace eelgrasslift
--- a/src/libgateway/callplan.cpp
+++ b/src/libgateway/callplan.cpp
@@ -18,7 +18,7 @@
     , end(deadline)
 {}
 
-void CallPlan::note(SendOutcome outcome)
+void CallPlan::noteSend(SendOutcome outcome)
 {
     ++this->sends;
     if (!isCertainlyNotRun(outcome))
--- a/src/libgateway/callplan.h
+++ b/src/libgateway/callplan.h
@@ -35,11 +35,13 @@
 public:
     CallPlan(bool isIdempotent, uint32_t maxAttempts, TimePoint deadline);
 
-    /// Decides after a send. hasBudget is asked only if a repeat is possible otherwise.
+    /// To be called for every send, also for one that is followed by a continuation elsewhere.
+    void noteSend(SendOutcome outcome);
+
+    /// Decides after the last noted send. takeRepeat is asked only if a repeat is possible otherwise.
     template <typename TakeRepeat>
-    NextStep afterSend(SendOutcome outcome, TimePoint now, TakeRepeat takeRepeat)
+    NextStep next(SendOutcome outcome, TimePoint now, TakeRepeat takeRepeat) const
     {
-        this->note(outcome);
         if (outcome == SendOutcome::Answered)
             return NextStep::Deliver;
         if (this->mayRepeat(outcome, now) && takeRepeat())
@@ -54,7 +56,6 @@
     TimePoint deadline() const { return this->end; }
 
 private:
-    void note(SendOutcome outcome);
     bool mayRepeat(SendOutcome outcome, TimePoint now) const;
     NextStep giveUp(SendOutcome outcome, TimePoint now) const;
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -10,3 +10,4 @@
 #include "libgateway/routetable.h"
 #include "libgateway/runnerpool.h"
 #include "libgateway/servingconfig.h"
+#include "libgateway/transferqueue.h"
--- a/src/libgateway/migrationplan.h
+++ b/src/libgateway/migrationplan.h
@@ -9,15 +9,23 @@
 {
     /// Tokens that the generation is expected to produce from now on.
     double remainingTokens = 0;
+    /// Memory can be copied only after the first event.
     bool hasFirstEvent = false;
+    /// Time since the first event at this runner.
+    Duration age{};
+    /// A runner that stays keeps a growing copy.
+    bool hasBackup = false;
+    /// The engine can copy the memory elsewhere, and a lost run could not be repeated.
+    bool canMove = false;
 };
 
 enum class MigrationStep {
-    Stay, ///< The run ends before its runner is gone.
-    Move  ///< Copy its memory to another runner and go on there.
+    Stay,           ///< For now: the run ends in time, or its memory cannot be copied yet.
+    SwitchToBackup, ///< Go on from the copy that is there.
+    Move            ///< Copy the memory to another runner and go on there.
 };
 
-/// Decides for one run whether it moves.
+/// Decides for one run whether it moves; asked again with each event while the runner leaves.
 ///
 /// Load pattern: runners are taken away at two seconds' notice while their generations last ten.
 MigrationStep planMigration(const LeavingRun &run, Duration untilGone);
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -18,9 +18,6 @@
 constexpr double MemoryPressureSeconds = 1.0;
 constexpr double MemoryPressureFrom = 0.6;
 
-// One crossing between failure domains and back.
-constexpr double CrossingSeconds = 0.003;
-
 // A runner that fails all it gets costs as much as this wait.
 constexpr double FailureSeconds = 2.0;
 constexpr double WarmUpSeconds = 0.4;
@@ -35,8 +32,16 @@
 // Assumed time of a call of a plain service until one was measured.
 constexpr double DefaultCallSeconds = 0.03;
 
+// A leaving runner that does not say when it ends is treated as gone after this time.
+constexpr Duration AssumedNotice = std::chrono::milliseconds{1200};
+
 } // namespace
 
+Duration RunnerPool::Runner::untilGone(TimePoint now) const
+{
+    return this->leavesAt ? *this->leavesAt - now : AssumedNotice;
+}
+
 void RunnerPool::setFleet(std::span<const RunnerEntry> entries, TimePoint now)
 {
     std::map<std::string, RunnerPointer, std::less<>> next;
@@ -52,7 +57,7 @@
         if (entry.warmUpLeft > Duration::zero())
             runner->warmUntil = now + entry.warmUpLeft;
         if (entry.report && entry.report->leavesIn)
-            runner->leavesAt = now + *entry.report->leavesIn;
+            runner->leavesAt = std::min(now + *entry.report->leavesIn, runner->leavesAt.value_or(TimePoint::max()));
         next.emplace(entry.id, std::move(runner));
     }
     this->pool = std::move(next);
@@ -85,7 +90,7 @@
     load += runner.others;
     double cost = runner.failureRate * FailureSeconds;
     if (runner.entry.domain != request.domain)
-        cost += CrossingSeconds;
+        cost += request.crossingSeconds;
     if (now < runner.warmUntil)
         cost += WarmUpSeconds;
     if (!request.size || engine == nullptr) {
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -33,6 +33,8 @@
     /// Runners that this request has already tried, or must not use.
     const std::set<std::string> *excluded = nullptr;
     double memoryLimit = 1.0;
+    /// Cost in seconds of a runner in another failure domain; one crossing and back.
+    double crossingSeconds = 0.003;
 };
 
 struct NoRunner
@@ -65,6 +67,9 @@
         double meanSeconds = 0;
         std::optional<TimePoint> shunnedUntil;
         uint32_t failuresInRow = 0;
+
+        /// Time until a leaving runner is gone; a guess if it does not say.
+        Duration untilGone(TimePoint now) const;
     };
     using RunnerPointer = std::shared_ptr<Runner>;
 
