--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -14,7 +14,7 @@
     Endpoint list;
     Duration listInterval = std::chrono::milliseconds{400};
     /// Between two reports of one runner; also asked while a list call is on its way.
-    Duration reportInterval = std::chrono::milliseconds{300};
+    Duration reportInterval = std::chrono::milliseconds{200};
 };
 
 /// Reads the platform's list of runners and the reports of model runners while it is active.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -39,10 +39,11 @@
 constexpr double UrgentMemoryLimit = 0.97;
 constexpr double MemoryLimit = 0.9;
 // Copies take part of the memory only while it is not needed for generations.
-const double BackupMemoryLimit = getenv("T_BL") ? atof(getenv("T_BL")) : 0.7;
+constexpr double BackupMemoryLimit = 0.55;
 
-// Generations shorter than this are not worth a copy: they end before one is complete.
-constexpr double MinimumTokensForBackup = 100;
+// A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest ones,
+// which are the dearest to lose and the likeliest to meet a crash.
+constexpr double MinimumTokensForBackup = 600;
 
 // A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
 constexpr double CopyCrossingSeconds = 0.3;
