gateway: prefer the own failure domain, wait for the first configuration, end kept connections while draining

Change: answers given while draining end their connection; a runner of another failure domain costs as much as half a prompt's wait; requests wait 0.7 s for the first configuration; elections of coordinators after 400 to 800 ms.

--- a/src/gateway/callerlink.cpp
+++ b/src/gateway/callerlink.cpp
@@ -23,7 +23,7 @@
 asio::awaitable<bool> CallerLink::send(HttpResponse response)
 {
     this->begun = true;
-    response.keep_alive(this->isKept);
+    response.keep_alive(this->isKeptAlive());
     boost::system::error_code error;
     this->stream.expires_after(WriteTimeout);
     co_await http::async_write(this->stream, response, asio::redirect_error(asio::use_awaitable, error));
@@ -37,7 +37,7 @@
     http::response<http::empty_body> response(std::move(header));
     response.erase(http::field::content_length);
     response.chunked(true);
-    response.keep_alive(this->isKept);
+    response.keep_alive(this->isKeptAlive());
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
     this->stream.expires_after(WriteTimeout);
--- a/src/gateway/callerlink.h
+++ b/src/gateway/callerlink.h
@@ -13,8 +13,10 @@
 class CallerLink
 {
 public:
-    CallerLink(boost::beast::tcp_stream &stream, bool isKeptAlive)
+    /// While isDraining is set, answers announce the end of the connection.
+    CallerLink(boost::beast::tcp_stream &stream, bool isKeptAlive, const bool &isDraining)
         : stream(stream)
+        , isDraining(isDraining)
         , isKept(isKeptAlive)
     {}
 
@@ -29,13 +31,12 @@
     /// Ends the connection without a complete answer.
     void abort();
 
-    /// The next answer announces the end of the connection.
-    void closeAfterAnswer() { this->isKept = false; }
-    bool isKeptAlive() const { return this->isKept; }
+    bool isKeptAlive() const { return this->isKept && !this->isDraining; }
     bool hasBegun() const { return this->begun; }
 
 private:
     boost::beast::tcp_stream &stream;
+    const bool &isDraining;
     bool isKept;
     bool begun = false;
 };
--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -25,6 +25,10 @@
 // An idempotent call leaves its runner after this part of its time, while another one can still answer.
 constexpr double FirstSendShare = 0.45;
 
+// Crossing to another failure domain and back, and the risk that it is cut off: a call of the same domain is
+// preferred until its runner is about as busy as this.
+constexpr double CallCrossingSeconds = 0.02;
+
 // Answers to earlier requests that a connection may carry before the one that is waited for.
 constexpr int MaxStrayAnswers = 2;
 constexpr size_t MaxAnswerBytes = size_t{16} << 20;
@@ -43,7 +47,8 @@
     this->gateway.budget.countRequest(this->context.service, this->context.arrived);
     std::set<std::string> tried;
     for (;;) {
-        const PlacementRequest request{this->context.service, this->gateway.settings.domain, std::nullopt, &tried};
+        const PlacementRequest request{this->context.service, this->gateway.settings.domain, std::nullopt, &tried,
+                                       1.0, CallCrossingSeconds};
         auto placed = this->gateway.runners.choose(request, nullptr, steadyNow(), this->gateway.random);
         const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
         if (chosen == nullptr) {
--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -19,6 +19,11 @@
 
 // A gateway waits this long for news; its next call tells its load and shows that the lead is alive.
 constexpr Duration ExchangeWait = std::chrono::milliseconds{300};
+// Members are some milliseconds apart, and a whole system that starts again serves nothing before an election.
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds{80};
+constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds{400};
+constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds{800};
+constexpr Duration Lease = std::chrono::milliseconds{340};
 constexpr Duration GatewayTimeout = std::chrono::seconds{5};
 // Longer than any notice on the sheets.
 constexpr Duration TransferWait = std::chrono::milliseconds{2500};
@@ -90,6 +95,10 @@
     ReplicatorSettings replication;
     replication.dataFolder = settings.dataFolder;
     replication.address = ownAddress;
+    replication.raft.heartbeatInterval = HeartbeatInterval;
+    replication.raft.electionTimeoutMin = ElectionTimeoutMin;
+    replication.raft.electionTimeoutMax = ElectionTimeoutMax;
+    replication.raft.lease = Lease;
     replication.raft.maxVoters = size_t{settings.toleratedLosses} * 2 + 1;
     replication.raft.maxCommandBytes = MaxConfigBytes;
     for (const Endpoint &seed : settings.seeds) {
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -36,6 +36,9 @@
 constexpr Duration AcceptWindow = std::chrono::milliseconds{2600};
 // Left of the grace period for the last bytes and the end of the process.
 constexpr Duration GraceReserve = std::chrono::milliseconds{350};
+// Requests that reach a gateway without a configuration wait this long: below the objective of generations, and
+// shorter than callers wait for their request to be read.
+constexpr Duration StartPatience = std::chrono::milliseconds{700};
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds{50};
 
 /// A caller's connection: requests one after the other.
@@ -101,7 +104,7 @@
             co_await http::async_read(this->stream, this->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
         }
-        CallerLink link(this->stream, !error && parser.keep_alive() && !this->gateway.isDraining);
+        CallerLink link(this->stream, !error && parser.keep_alive(), this->gateway.isDraining);
         if (error) {
             co_await this->refuseUnreadable(link, error);
             co_return false;
@@ -133,6 +136,10 @@
     {
         RequestContext context;
         context.caller = this->gateway.format.decodeRequest(request);
+        // A gateway that has just started learns the configuration within an election of the coordinators.
+        const TimePoint latest = arrived + StartPatience;
+        while (!this->gateway.isServing() && steadyNow() < latest)
+            co_await this->gateway.waitForCapacity(latest - steadyNow());
         context.table = this->gateway.routes();
         context.arrived = arrived;
         const auto host = request[http::field::host];
@@ -274,8 +281,7 @@
         }
         if (!this->state.format.isReadinessCheck(request))
             co_return makeResponse(404);
-        const bool isReady = !this->state.isDraining && this->state.routes() != nullptr &&
-                             !this->state.runners.runners().empty();
+        const bool isReady = !this->state.isDraining && this->state.isServing();
         co_return makeResponse(isReady ? 200 : 503);
     }
 
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -38,6 +38,7 @@
     this->currentRoutes = std::make_shared<const RouteTable>(std::move(config));
     this->metrics.configVersion.Set(static_cast<double>(version));
     logInfo("configuration-in-force", {{"version", std::to_string(version)}});
+    this->capacityFreed();
     return true;
 }
 
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -36,6 +36,8 @@
 
     /// nullptr until a configuration is known.
     const RouteTablePointer &routes() const { return this->currentRoutes; }
+    /// Whether a configuration and some runners are known.
+    bool isServing() const { return this->currentRoutes != nullptr && !this->runners.runners().empty(); }
     /// Never goes back to an older version.
     bool adoptConfig(std::string_view body);
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -41,6 +41,9 @@
 // Copies take part of the memory only while it is not needed for generations.
 constexpr double BackupMemoryLimit = 0.55;
 
+// A stream that crosses failure domains is lost when they part; worth about the wait for half a prompt.
+constexpr double GenerationCrossingSeconds = 0.15;
+
 // A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest ones,
 // which are the dearest to lose and the likeliest to meet a crash.
 constexpr double MinimumTokensForBackup = 600;
@@ -104,7 +107,8 @@
                      this->context.arrived + std::chrono::duration_cast<Duration>(route.objective * QueueObjectiveShare));
     for (;;) {
         PlacementRequest request{this->context.service, this->gateway.settings.domain, this->context.caller.size,
-                                 &this->tried, route.priority == 0 ? UrgentMemoryLimit : MemoryLimit};
+                                 &this->tried, route.priority == 0 ? UrgentMemoryLimit : MemoryLimit,
+                                 GenerationCrossingSeconds};
         auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
         if (const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed))
             co_return *runner;
