--- /dev/null
+++ b/tests/consensus/test_founding.cpp
@@ -0,0 +1,51 @@
+#include "libconsensus/consensus.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+
+using namespace eelgrasslift;
+
+namespace {
+
+/// Folder that is removed at the end of a test.
+struct TemporaryFolder
+{
+    TemporaryFolder()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "eelgrasslift-XXXXXX").string();
+        this->path = mkdtemp(pattern.data());
+    }
+    ~TemporaryFolder() { std::filesystem::remove_all(this->path); }
+    std::filesystem::path path;
+};
+
+} // namespace
+
+// Guards against founders that form two clusters because their seed lists are ordered differently.
+TEST_CASE("Founders derive one cluster from their addresses in any order", "[founding]")
+{
+    const std::vector<std::string> order{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+    const std::vector<std::string> other{"10.0.0.3:1", "10.0.0.1:1", "10.0.0.2:1"};
+    const TemporaryFolder first;
+    const TemporaryFolder second;
+    const auto one = foundCluster(first.path / "data", order, order[0]);
+    const auto two = foundCluster(second.path / "data", other, order[1]);
+    REQUIRE(std::holds_alternative<Identity>(one));
+    REQUIRE(std::holds_alternative<Identity>(two));
+    CHECK(std::get<Identity>(one).clusterId == std::get<Identity>(two).clusterId);
+    CHECK(std::get<Identity>(one).memberId != std::get<Identity>(two).memberId);
+    const auto opened = FileLogStorage::open(first.path / "data");
+    REQUIRE(std::holds_alternative<std::unique_ptr<FileLogStorage>>(opened));
+    const RecoveredState &state = std::get<std::unique_ptr<FileLogStorage>>(opened)->recovered();
+    REQUIRE(state.entries.size() == 1);
+    CHECK(state.entries[0].kind == EntryKind::Membership);
+}
+
+TEST_CASE("Founding does not overwrite a data folder", "[founding]")
+{
+    const std::vector<std::string> founders{"10.0.0.1:1"};
+    const TemporaryFolder folder;
+    REQUIRE(std::holds_alternative<Identity>(foundCluster(folder.path / "data", founders, founders[0])));
+    CHECK(std::holds_alternative<StorageError>(foundCluster(folder.path / "data", founders, founders[0])));
+}
--- /dev/null
+++ b/tests/gateway/test_eventsplitter.cpp
@@ -0,0 +1,31 @@
+#include "libgateway/gateway.h"
+
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+
+TEST_CASE("Only whole events leave a splitter, however the bytes arrive", "[eventsplitter]")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    const size_t step = GENERATE(1, 2, 3, 7, 100);
+    EventSplitter splitter;
+    std::string out;
+    for (size_t at = 0; at < stream.size(); at += step)
+        out += splitter.feed(std::string_view(stream).substr(at, step));
+    CHECK(out == stream);
+    CHECK(splitter.eventCount() == 3);
+    CHECK(splitter.lastId() == "3");
+    CHECK_FALSE(splitter.hasRest());
+}
+
+// Guards against an event made of two runners' parts.
+TEST_CASE("The part of an event whose runner stopped is dropped", "[eventsplitter]")
+{
+    EventSplitter splitter;
+    CHECK(splitter.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(splitter.hasRest());
+    CHECK(splitter.lastId() == "1");
+    splitter.dropRest();
+    CHECK(splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(splitter.lastId() == "2");
+}
--- /dev/null
+++ b/tests/gateway/test_platform.cpp
@@ -0,0 +1,156 @@
+#include "platform/platform.h"
+
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+namespace {
+
+const platform::PlatformFormat Format;
+
+const std::string ValidConfig = R"({"version":7,"routes":[
+{"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":6000,"slo_ms":1500,"priority":0,
+ "service":"m","max_attempts":2,"public":false,"session_affinity":true,"stream_resume":true,"gap_slo_ms":180},
+{"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":800,"max_attempts":1,
+ "traffic_split":[{"service":"m","weight":90},{"service":"p","weight":10}]}],
+"services":[{"name":"m","health_path":"/health","max_conns":4,"engine":{"slots":64,"kv_capacity_tokens":34364,
+ "kv_token_bytes":262144,"moves":true,"backups":true,"stride":4}},{"name":"p"}],
+"limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})";
+
+std::string replaced(std::string text, std::string_view from, std::string_view to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("A configuration becomes routes, services and accounts", "[platform]")
+{
+    const auto decoded = Format.decodeConfig(ValidConfig);
+    REQUIRE(std::holds_alternative<ServingConfig>(decoded));
+    const auto &config = std::get<ServingConfig>(decoded);
+    CHECK(config.version == 7);
+    REQUIRE(config.routes.size() == 2);
+    CHECK(config.routes[0].kind == RouteKind::Streaming);
+    CHECK(config.routes[0].isIdempotent());
+    CHECK(config.routes[0].pauseLimit == 180ms);
+    CHECK(config.routes[1].kind == RouteKind::NonIdempotent);
+    CHECK(config.routes[1].services.size() == 2);
+    REQUIRE(config.services[0].engine);
+    CHECK(config.services[0].engine->memoryTokens == 34364);
+    CHECK_FALSE(config.services[1].engine);
+    CHECK(config.limits.maxBodyBytes == 2000);
+    CHECK(config.accounts[0].priority == 1U);
+}
+
+TEST_CASE("A configuration that cannot be read in full is refused", "[platform]")
+{
+    const auto &[name, body] = GENERATE(table<std::string, std::string>({
+            {"cut short", ValidConfig.substr(0, ValidConfig.size() / 2)},
+            {"not an object", "[]"},
+            {"no version", replaced(ValidConfig, "\"version\":7,", "")},
+            {"version as text", replaced(ValidConfig, ":7,", ":\"7\",")},
+            {"unknown kind", replaced(ValidConfig, "\"unsafe\"", "\"odd\"")},
+            {"no timeout", replaced(ValidConfig, "\"timeout_ms\":800", "\"timeout_ms\":0")},
+            {"service as number", replaced(ValidConfig, "\"service\":\"m\",\"max", "\"service\":1,\"max")},
+            {"unknown service", replaced(ValidConfig, "{\"service\":\"p\"", "{\"service\":\"q\"")},
+            {"key as number", replaced(ValidConfig, "[\"k\"]", "[1]")},
+    }));
+    INFO(name);
+    CHECK(std::holds_alternative<ConfigError>(Format.decodeConfig(body)));
+}
+
+TEST_CASE("List entries that cannot be read name no runner, the others hold", "[platform]")
+{
+    const std::string body = R"({"instances":[
+{"service":"m","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready","cold_left_ms":100,"born":5,"id":"i1"},
+{"service":"m","address":"10.0.0.9:80","zone":"z","slots":64,"state":"odd","id":"i2"},
+{"service":"m","address":7,"state":"ready","id":"i3"}, 4,
+{"service":"m","address":"10.0.0.8:80","state":"draining","id":"i4","born":"x"}],"next":"p-2"})";
+    const auto decoded = Format.decodeFleet(body);
+    REQUIRE(std::holds_alternative<FleetPage>(decoded));
+    const auto &page = std::get<FleetPage>(decoded);
+    REQUIRE(page.entries.size() == 2);
+    CHECK(page.unreadable == 3);
+    CHECK(page.entries[0].startedAtMs == 5);
+    CHECK(page.entries[0].warmUpLeft == 100ms);
+    CHECK(page.entries[1].isLeaving);
+    CHECK(page.nextToken == "p-2");
+    CHECK(std::holds_alternative<DecodeError>(Format.decodeFleet("{}")));
+}
+
+TEST_CASE("A report tells load and departure", "[platform]")
+{
+    const auto decoded = Format.decodeReport(R"({"queue_depth":1,"running":12,"kv_used":41000,"kv_total":90000,
+"state":"draining","leaves_ms":1500})");
+    REQUIRE(std::holds_alternative<RunnerReport>(decoded));
+    const auto &report = std::get<RunnerReport>(decoded);
+    CHECK(report.running == 12);
+    CHECK(report.memoryUsed == 41000);
+    CHECK(report.isLeaving);
+    CHECK(report.leavesIn == Duration(1500ms));
+    CHECK(std::holds_alternative<DecodeError>(Format.decodeReport("nonsense")));
+}
+
+TEST_CASE("What only the gateway may set is not passed on from a caller", "[platform]")
+{
+    RequestHeader header;
+    header.method(http::verb::post);
+    header.target("/a/x");
+    const std::string name = GENERATE("X-Api-Key", "X-Tenant-Id", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                                      "Kv-Fetch", "X-Request-Priority", "X-Expect-Version", "Connection");
+    header.set(name, "forged");
+    header.set("X-Attempt-Id", "id1");
+    header.set("X-Other", "kept");
+    AttemptHeaders attempt;
+    attempt.timeLeft = 1500ms;
+    attempt.runnerId = "i1";
+    attempt.account = "t";
+    Format.encodeAttempt(header, attempt);
+    CHECK(header[name] != "forged");
+    CHECK(header["X-Attempt-Id"] == "id1");
+    CHECK(header["X-Other"] == "kept");
+    CHECK(header["X-Request-Deadline"] == "1500");
+    CHECK(header["X-Expect-Instance"] == "i1");
+    CHECK(header["X-Tenant-Id"] == "t");
+}
+
+TEST_CASE("A request tells its size, key and patience", "[platform]")
+{
+    RequestHeader header;
+    header.set("X-Attempt-Id", "id1");
+    header.set("X-Request-Deadline", "39000");
+    header.set("X-Token-Usage", "1460,80");
+    header.set("X-Length-Hint", "60");
+    header.set("X-Api-Key", "k");
+    const CallerRequest request = Format.decodeRequest(header);
+    CHECK(request.patience == Duration(39s));
+    REQUIRE(request.size);
+    CHECK(request.size->promptTokens == 1460);
+    CHECK(request.size->outputTokens == 60);
+    CHECK(request.key == "k");
+}
+
+TEST_CASE("Settings are read once and checked", "[platform]")
+{
+    const std::string valid = "node_name=n\nip=10.0.0.1\nzone=z\ninternal_ports=7200,7215\nseeds=10.0.0.2:80,10.0.0.3:80\n"
+                              "listen.front=10.0.0.1:90\nbootstrap=true\nnew.field=x\nbounds.grace_s=8\n";
+    const auto decoded = platform::parseNodeSettings(valid);
+    REQUIRE(std::holds_alternative<NodeSettings>(decoded));
+    const auto &settings = std::get<NodeSettings>(decoded);
+    CHECK(settings.seeds.size() == 2);
+    CHECK(settings.firstInternalPort == 7200);
+    CHECK(settings.isFirstStart);
+    const auto &[from, to] = GENERATE(table<std::string, std::string>({
+            {"node_name=n\n", ""},
+            {"7200,7215", "7200"},
+            {"7200,7215", "a,b"},
+            {"10.0.0.3:80", "10.0.0.3"},
+            {"grace_s=8", "grace_s=eight"},
+    }));
+    INFO(from << " becomes " << to);
+    CHECK(std::holds_alternative<SettingsError>(platform::parseNodeSettings(replaced(valid, from, to))));
+}
--- /dev/null
+++ b/tests/gateway/test_runnerpool.cpp
@@ -0,0 +1,112 @@
+#include "libgateway/gateway.h"
+
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{};
+const EngineTraits Engine{64, 34000, 262144, true, true, 4};
+
+RunnerEntry makeEntry(std::string id, std::string domain, bool isLeaving = false)
+{
+    RunnerEntry entry;
+    entry.id = std::move(id);
+    entry.service = "s";
+    entry.address = "10.0.0.1:" + std::to_string(8000 + entry.id.size());
+    entry.domain = std::move(domain);
+    entry.slots = 6;
+    entry.isLeaving = isLeaving;
+    return entry;
+}
+
+std::string chosenId(const RunnerPool &pool, const PlacementRequest &request, Random &random,
+                     const EngineTraits *engine = nullptr)
+{
+    const auto placed = pool.choose(request, engine, Start, random);
+    const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
+    return runner == nullptr ? std::string{} : (*runner)->entry.id;
+}
+
+} // namespace
+
+TEST_CASE("A leaving runner gets no work and does not come back with a stale list", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{1};
+    pool.setFleet(std::vector{makeEntry("a", "z"), makeEntry("bb", "z", true)}, Start);
+    const PlacementRequest request{"s", "z", std::nullopt};
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosenId(pool, request, random) == "a");
+    pool.setFleet(std::vector{makeEntry("a", "z"), makeEntry("bb", "z", false)}, Start);
+    CHECK(pool.find("bb")->entry.isLeaving);
+}
+
+TEST_CASE("A runner that starts again under its id is a new one", "[runnerpool]")
+{
+    RunnerPool pool;
+    pool.setFleet(std::vector{makeEntry("a", "z", true)}, Start);
+    RunnerEntry again = makeEntry("a", "z");
+    again.startedAtMs = 5;
+    pool.setFleet(std::vector{again}, Start);
+    CHECK_FALSE(pool.find("a")->entry.isLeaving);
+}
+
+// Load pattern: all gateways see the same report of an idle runner.
+TEST_CASE("Own work in flight counts before any report shows it", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{2};
+    pool.setFleet(std::vector{makeEntry("a", "z"), makeEntry("bb", "z")}, Start);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 8; ++i) {
+        PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+        const std::string id = chosenId(pool, request, random, &Engine);
+        ++counts[id];
+        pool.find(id)->own += RunnerLoad{1, 3900, 3000};
+    }
+    CHECK(counts["a"] == 4);
+    CHECK(counts["bb"] == 4);
+}
+
+TEST_CASE("A generation that does not fit any runner is told so", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{3};
+    pool.setFleet(std::vector{makeEntry("a", "z")}, Start);
+    pool.setOtherLoad({{"a", RunnerLoad{8, 33000, 0}}});
+    const PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+    const auto placed = pool.choose(request, &Engine, Start, random);
+    REQUIRE(std::holds_alternative<NoRunner>(placed));
+    CHECK(std::get<NoRunner>(placed).reason == NoRunner::Reason::Full);
+}
+
+TEST_CASE("Runners of the own failure domain are preferred while they are not busier", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{4};
+    pool.setFleet(std::vector{makeEntry("near", "z"), makeEntry("faraway", "y")}, Start);
+    PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+    request.crossingSeconds = 0.15;
+    CHECK(chosenId(pool, request, random, &Engine) == "near");
+    pool.find("near")->own += RunnerLoad{2, 7800, 6000};
+    CHECK(chosenId(pool, request, random, &Engine) == "faraway");
+}
+
+TEST_CASE("A runner that fails again and again is left alone for a while", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{5};
+    pool.setFleet(std::vector{makeEntry("a", "z"), makeEntry("bb", "z")}, Start);
+    for (int i = 0; i < 3; ++i)
+        RunnerPool::recordSend(*pool.find("a"), SendHealth::Failed, 10ms, Start);
+    const PlacementRequest request{"s", "z", std::nullopt};
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosenId(pool, request, random) == "bb");
+    const std::set<std::string> excluded{"bb"};
+    PlacementRequest rest = request;
+    rest.excluded = &excluded;
+    CHECK(chosenId(pool, rest, random) == "a");
+}
