consensus: a caught-up learner takes the place of a voter that stays away

Change: silentVoterTimeout (2 s for coordinators) removes the voter that has been silent longest once a learner has caught up, which is then promoted; a voter that was removed while away asks to join again.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -24,6 +24,9 @@
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds{400};
 constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds{800};
 constexpr Duration Lease = std::chrono::milliseconds{340};
+// A voter that is away for longer is replaced if a caught-up learner is there; half of the time in which the
+// platform expects a repaired member to count again.
+constexpr Duration SilentVoterTimeout = std::chrono::seconds{2};
 constexpr Duration GatewayTimeout = std::chrono::seconds{5};
 // Longer than any notice on the sheets.
 constexpr Duration TransferWait = std::chrono::milliseconds{2500};
@@ -100,6 +103,7 @@
     replication.raft.electionTimeoutMax = ElectionTimeoutMax;
     replication.raft.lease = Lease;
     replication.raft.maxVoters = size_t{settings.toleratedLosses} * 2 + 1;
+    replication.raft.silentVoterTimeout = SilentVoterTimeout;
     replication.raft.maxCommandBytes = MaxConfigBytes;
     for (const Endpoint &seed : settings.seeds) {
         const std::string address = Endpoint{seed.address, consensusPort}.toString();
--- a/src/libconsensus/raftnode.h
+++ b/src/libconsensus/raftnode.h
@@ -29,7 +29,10 @@
     size_t maxCommandBytes = size_t{2} << 20;
     size_t maxPendingRequests = 1024;
     size_t maxVoters = 7;
-    /// Addresses that a member without a cluster asks for admission.
+    /// A voter that is silent for this long is replaced by a learner that has caught up; nothing: operators
+    /// remove voters.
+    std::optional<Duration> silentVoterTimeout;
+    /// Addresses that a member without a cluster asks for admission, and one that was removed while it was away.
     std::vector<std::string> joinAddresses;
 };
 
@@ -191,12 +194,14 @@
     void onMessage(MemberId from, const raft::JoinReply &reply);
     void askToJoin();
     bool isJoining() const;
+    bool mayHaveBeenRemoved() const;
     void changeMembership(const raft::MembershipChange &change, raft::RequestId request);
     Result<Membership, raft::RequestErrorKind> plan(const raft::MembershipChange &change) const;
     std::optional<raft::RequestErrorKind> checkChange(const Membership &next) const;
     void updateCatchUp(Progress &progress);
     void advanceMembership();
     std::optional<raft::MembershipChange> nextAutomaticChange() const;
+    std::optional<MemberId> silentVoterToReplace() const;
     void continueTransfer();
     void endTransfer(std::optional<raft::RequestErrorKind> error);
     void syncProgressWithMembership();
--- a/src/libconsensus/raftnode_membership.cpp
+++ b/src/libconsensus/raftnode_membership.cpp
@@ -141,6 +141,10 @@
                 return RemoveMember{id};
         }
     }
+    if (isFull) {
+        if (const std::optional<MemberId> silent = this->silentVoterToReplace())
+            return RemoveMember{*silent};
+    }
     for (const auto &[id, member] : members) {
         if (!member.isVoter && !isFull && std::holds_alternative<Membership>(this->plan(PromoteLearner{id})))
             return PromoteLearner{id};
@@ -148,12 +152,41 @@
     return std::nullopt;
 }
 
+std::optional<MemberId> RaftNode::silentVoterToReplace() const
+{
+    if (!this->settings.silentVoterTimeout)
+        return std::nullopt;
+    std::optional<MemberId> longest;
+    TimePoint longestSince = this->now - *this->settings.silentVoterTimeout;
+    bool hasSuccessor = false;
+    for (const auto &[id, progress] : this->peers) {
+        if (!this->isVoter(id)) {
+            hasSuccessor = hasSuccessor || (progress.hasCaughtUp && this->isLive(id));
+            continue;
+        }
+        const TimePoint since = std::max(progress.lastHeard.value_or(this->leaderSince), this->leaderSince);
+        if (since <= longestSince) {
+            longest = id;
+            longestSince = since;
+        }
+    }
+    return hasSuccessor ? longest : std::nullopt;
+}
+
 void RaftNode::advanceMembership()
 {
     if (const std::optional<MembershipChange> change = this->nextAutomaticChange())
         this->changeMembership(*change, 0);
 }
 
+bool RaftNode::mayHaveBeenRemoved() const
+{
+    // The others do not answer a member that they have removed, and its own log still calls it a voter.
+    constexpr int SilentElections = 3;
+    return this->settings.silentVoterTimeout && !this->settings.joinAddresses.empty() &&
+           this->now - this->heardAt > SilentElections * this->settings.electionTimeoutMax;
+}
+
 bool RaftNode::isJoining() const
 {
     if (this->settings.joinAddresses.empty() || this->isVoter(this->identity.memberId))
