consensus: wait for space on a full disk instead of ending

Ruled out: answering 503 and going on, as the hard state has to be stored before any vote. Change: a write that is refused for space is tried again every 50 ms for up to a minute; to the group the member looks like one with a stalled disk, which it bears. A failed sync still ends the process.

--- a/src/libconsensus/storagefile.cpp
+++ b/src/libconsensus/storagefile.cpp
@@ -5,8 +5,10 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <fstream>
 #include <iterator>
+#include <thread>
 #include <utility>
 
 namespace eelgrasslift {
@@ -52,13 +54,26 @@
     return ::flock(this->descriptor, LOCK_EX | LOCK_NB) != 0 ? this->failure("lock") : std::nullopt;
 }
 
-FileOutcome StorageFile::writeAt(uint64_t offset, std::string_view bytes)
+bool waitForDiskSpace()
+{
+    // Shorter than an election, so that a member comes back to its group soon after there is space.
+    constexpr std::chrono::milliseconds Pause{50};
+    constexpr int TriesPerMinute = 1200;
+    static int tries = 0;
+    std::this_thread::sleep_for(Pause);
+    return ++tries % TriesPerMinute != 0;
+}
+
+FileOutcome StorageFile::writeAt(uint64_t offset, std::string_view bytes,
+                                 const std::function<bool()> &waitForSpace)
 {
     while (!bytes.empty()) {
         const ssize_t written =
                 ::pwrite(this->descriptor, bytes.data(), bytes.size(), static_cast<off_t>(offset));
         if (written < 0 && errno == EINTR)
             continue;
+        if (written < 0 && errno == ENOSPC && waitForSpace())
+            continue;
         if (written <= 0)
             return this->failure("write");
         bytes.remove_prefix(static_cast<size_t>(written));
