--- a/src/eelgrasslift/main.cpp
+++ b/src/eelgrasslift/main.cpp
@@ -58,7 +58,8 @@
     CLI::App &entry = *app.add_subcommand("entry", "Serve callers on an entry VM");
     addEntryOptions(entry, entrySettings);
     ControlCommands controlCommands(app);
-    const CLI::App &gateway = *app.add_subcommand("gateway", "Serve callers on an entry VM of the users' platform");
+    const CLI::App &gateway =
+            *app.add_subcommand("gateway", "Serve callers on an entry VM of the users' platform");
     const CLI::App &coordinator =
             *app.add_subcommand("coordinator", "Hold configuration and fleet state on a VM with a disk");
     try {
@@ -71,8 +72,7 @@
     if (gateway.parsed())
         return runOnPlatform("gateway", runGateway);
     if (coordinator.parsed())
-        return runOnPlatform("coordinator", [](const NodeSettings &settings, const WireFormat &format, const auto &) {
-            return runCoordinator(settings, format);
-        });
+        return runOnPlatform("coordinator", [](const NodeSettings &settings, const WireFormat &format,
+                                               const auto &) { return runCoordinator(settings, format); });
     return runEntryCommand(entrySettings);
 }
--- a/src/gateway/callerlink.cpp
+++ b/src/gateway/callerlink.cpp
@@ -41,7 +41,8 @@
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
     this->stream.expires_after(WriteTimeout);
-    co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_write_header(this->stream, serializer,
+                                      asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
 }
 
--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -47,8 +47,9 @@
     this->gateway.budget.countRequest(this->context.service, this->context.arrived);
     std::set<std::string> tried;
     for (;;) {
-        const PlacementRequest request{this->context.service, this->gateway.settings.domain, std::nullopt, &tried,
-                                       1.0, CallCrossingSeconds};
+        const PlacementRequest request{
+                this->context.service, this->gateway.settings.domain, std::nullopt, &tried, 1.0,
+                CallCrossingSeconds};
         auto placed = this->gateway.runners.choose(request, nullptr, steadyNow(), this->gateway.random);
         const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
         if (chosen == nullptr) {
@@ -67,8 +68,8 @@
         }
         const bool isHealthy =
                 result.outcome == SendOutcome::Answered || result.outcome == SendOutcome::Failed;
-        RunnerPool::recordSend(*runner, isHealthy ? SendHealth::Good : SendHealth::Failed, steadyNow() - sentAt,
-                               steadyNow());
+        RunnerPool::recordSend(*runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
+                               steadyNow() - sentAt, steadyNow());
         plan.noteSend(result.outcome);
         const NextStep step = plan.next(result.outcome, steadyNow(), [&] {
             return this->gateway.budget.takeRepeat(this->context.service, steadyNow());
@@ -134,7 +135,8 @@
         RunnerAnswer answer = this->gateway.format.decodeAnswer(parser.get());
         answer.isClosing = answer.isClosing || isUnbounded || !parser.keep_alive();
         if (answer.requestId != this->context.caller.id && !answer.requestId.empty()) {
-            logWarning("stray-answer", {{"request", this->context.caller.id}, {"belongs_to", answer.requestId}});
+            logWarning("stray-answer",
+                       {{"request", this->context.caller.id}, {"belongs_to", answer.requestId}});
             continue;
         }
         this->gateway.connections.release(connection, answer);
--- a/src/gateway/configstore.cpp
+++ b/src/gateway/configstore.cpp
@@ -26,7 +26,8 @@
         return;
     this->currentVersion = version;
     this->currentBody = body;
-    logInfo("configuration-in-force", {{"version", std::to_string(version)}, {"index", std::to_string(index)}});
+    logInfo("configuration-in-force",
+            {{"version", std::to_string(version)}, {"index", std::to_string(index)}});
     if (this->changed)
         this->changed();
 }
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -87,8 +87,8 @@
 {
     if (answer.isClosing || connection->buffer.size() > 0 || !isSilent(*connection))
         return;
-    const Duration kept = answer.keepAlive ? std::min<Duration>(*answer.keepAlive, LongestIdleTime)
-                                           : DefaultIdleTime;
+    const Duration kept =
+            answer.keepAlive ? std::min<Duration>(*answer.keepAlive, LongestIdleTime) : DefaultIdleTime;
     if (kept <= IdleMargin)
         return;
     connection->idleUntil = steadyNow() + kept - IdleMargin;
@@ -105,8 +105,8 @@
         this->idle.erase(found);
 }
 
-asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::call(std::string address, OutgoingCall call,
-                                                                        Duration timeout)
+asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::call(std::string address,
+                                                                        OutgoingCall call, Duration timeout)
 {
     const TimePoint deadline = steadyNow() + timeout;
     const auto endpoint = parseEndpoint(address);
--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -19,7 +19,8 @@
 
 // A gateway waits this long for news; its next call tells its load and shows that the lead is alive.
 constexpr Duration ExchangeWait = std::chrono::milliseconds{300};
-// Members are some milliseconds apart, and a whole system that starts again serves nothing before an election.
+// Members are some milliseconds apart, and a whole system that starts again serves nothing before an
+// election.
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds{80};
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds{400};
 constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds{800};
@@ -52,8 +53,9 @@
             asio::post(io, [shared, result = std::move(result)]() mutable { (*shared)(std::move(result)); });
         });
     };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Result<LogIndex, ProposalError>)>(
-            std::move(initiate), asio::use_awaitable);
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
+                                            void(Result<LogIndex, ProposalError>)>(std::move(initiate),
+                                                                                   asio::use_awaitable);
 }
 
 std::optional<StorageError> prepareFolder(const NodeSettings &settings, const std::string &ownAddress)
@@ -62,9 +64,9 @@
         return std::nullopt;
     std::vector<std::string> founders;
     for (const Endpoint &seed : settings.seeds)
-        founders.push_back(
-                Endpoint{seed.address, static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset)}
-                        .toString());
+        founders.push_back(Endpoint{seed.address,
+                                    static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset)}
+                                   .toString());
     if (std::find(founders.begin(), founders.end(), ownAddress) == founders.end())
         return std::nullopt;
     auto founded = foundCluster(settings.dataFolder, founders, ownAddress);
@@ -76,7 +78,8 @@
 
 } // namespace
 
-Coordinator::Coordinator(asio::io_context &context, const NodeSettings &nodeSettings, const WireFormat &wireFormat)
+Coordinator::Coordinator(asio::io_context &context, const NodeSettings &nodeSettings,
+                         const WireFormat &wireFormat)
     : io(context)
     , settings(nodeSettings)
     , format(wireFormat)
@@ -127,12 +130,15 @@
         if (const auto *error = std::get_if<ConfigError>(&config)) {
             logError("stored-configuration-unreadable", {{"cause", describe(*error)}});
         } else if (this->fleet) {
-            std::set<std::string> engines;
+            this->engines.clear();
+            std::set<std::string> names;
             for (const Service &service : std::get<ServingConfig>(config).services) {
-                if (service.engine)
-                    engines.insert(service.name);
+                if (!service.engine)
+                    continue;
+                names.insert(service.name);
+                this->engines.emplace(service.name, *service.engine);
             }
-            this->fleet->setEngineServices(std::move(engines));
+            this->fleet->setEngineServices(std::move(names));
         }
         this->wakeWaiters();
     });
@@ -204,7 +210,8 @@
 {
     const auto decoded = this->format.decodeConfig(body);
     if (const auto *error = std::get_if<ConfigError>(&decoded)) {
-        logWarning("configuration-refused", {{"cause", describe(*error)}, {"bytes", std::to_string(body.size())}});
+        logWarning("configuration-refused",
+                   {{"cause", describe(*error)}, {"bytes", std::to_string(body.size())}});
         co_return makeResponse(400, R"({"error":"invalid configuration"})");
     }
     const uint64_t version = std::get<ServingConfig>(decoded).version;
@@ -251,6 +258,8 @@
 
 asio::awaitable<HttpResponse> Coordinator::handleExchange(HttpRequest request)
 {
+    if (request.target() == PlacementPath)
+        co_return this->place(request.body());
     if (request.target() == TransferPath)
         co_return co_await this->waitForTransfer(std::move(request.body()));
     if (request.target() == TransferEndPath)
@@ -269,7 +278,7 @@
             response.set(http::field::location, withPort(leader, port));
         co_return response;
     }
-    this->gateways[gateway.gateway] = GatewayRecord{gateway.loads, steadyNow()};
+    this->load.update(gateway.gateway, gateway.loads, steadyNow());
     if (!this->hasNews(gateway)) {
         boost::system::error_code ignored;
         asio::steady_timer timeout(this->io, ExchangeWait);
@@ -283,8 +292,9 @@
     if (!this->replica->status().hasLease)
         co_return makeResponse(503);
     const CoordinatorStatus status = this->statusFor(gateway);
-    const bool hasNewFleet = this->fleet && this->fleet->hasList() &&
-                             (status.fleetNumber != gateway.fleetNumber || status.fleetTerm != gateway.fleetTerm);
+    const bool hasNewFleet =
+            this->fleet && this->fleet->hasList() &&
+            (status.fleetNumber != gateway.fleetNumber || status.fleetTerm != gateway.fleetTerm);
     co_return makeResponse(200, encodeStatus(status, hasNewFleet ? std::string_view(this->encodedFleet)
                                                                  : std::string_view{}));
 }
@@ -299,7 +309,8 @@
     if (!this->replica->status().hasLease)
         co_return makeResponse(503);
     const TransferWish wish = std::get<TransferWish>(decoded);
-    // A generation's worth grows with its size, and ten times as fast with what it writes as with what it reads.
+    // A generation's worth grows with its size, and ten times as fast with what it writes as with what it
+    // reads.
     constexpr double OutputWeight = 10;
     const double value = (wish.size.promptTokens + OutputWeight * wish.size.outputTokens) /
                          std::max(wish.memoryTokens, 1.0);
@@ -311,7 +322,8 @@
     boost::system::error_code ignored;
     co_await turn.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     this->transferWaiters.erase(ticket);
-    const std::string destination = this->transfers.isActive(ticket) ? this->chooseDestination(wish) : std::string{};
+    const std::string destination =
+            this->transfers.isActive(ticket) ? this->chooseDestination(wish) : std::string{};
     logInfo("transfer-turn", {{"source", wish.sourceId},
                               {"destination", destination},
                               {"ticket", std::to_string(ticket)},
@@ -324,23 +336,47 @@
     co_return makeResponse(200, encodeTurn({ticket, destination}));
 }
 
+RunnerPool::RunnerPointer Coordinator::choose(const PlacementRequest &request)
+{
+    const auto engine = this->engines.find(request.service);
+    if (engine == this->engines.end())
+        return nullptr;
+    this->pool.setOtherLoad(this->load.total());
+    auto placed = this->pool.choose(request, &engine->second, steadyNow(), this->random);
+    const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
+    return chosen == nullptr ? nullptr : *chosen;
+}
+
 std::string Coordinator::chooseDestination(const TransferWish &wish)
 {
     const auto source = this->pool.find(wish.sourceId);
-    const auto config = this->format.decodeConfig(this->store.body());
-    const auto *serving = std::get_if<ServingConfig>(&config);
-    if (!source || serving == nullptr)
-        return {};
-    const auto service = std::find_if(serving->services.begin(), serving->services.end(),
-                                      [&](const Service &known) { return known.name == wish.service; });
-    if (service == serving->services.end() || !service->engine)
+    if (!source)
         return {};
-    this->pool.setOtherLoad(this->loadsOfOthers({}));
     const PlacementRequest request{wish.service, source->entry.domain, wish.size,
                                    nullptr,      TransferMemoryLimit,  CopyCrossingSeconds};
-    auto placed = this->pool.choose(request, &*service->engine, steadyNow(), this->random);
-    const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
-    return chosen == nullptr ? std::string{} : (*chosen)->entry.id;
+    const RunnerPool::RunnerPointer chosen = this->choose(request);
+    return chosen ? chosen->entry.id : std::string{};
+}
+
+HttpResponse Coordinator::place(std::string_view body)
+{
+    const auto decoded = decodePlacementWish(body);
+    if (const auto *error = std::get_if<ExchangeError>(&decoded)) {
+        logWarning("exchange-unreadable", {{"cause", error->detail}});
+        return makeResponse(400);
+    }
+    if (!this->replica->status().hasLease || !this->fleet || !this->fleet->hasList())
+        return makeResponse(503);
+    const auto &wish = std::get<PlacementWish>(decoded);
+    const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
+    const PlacementRequest request{wish.service, wish.domain,      wish.size,
+                                   &excluded,    wish.memoryLimit, wish.crossingSeconds};
+    const RunnerPool::RunnerPointer chosen = this->choose(request);
+    if (!chosen)
+        return makeResponse(200, encodePlacement({}));
+    this->load.place(wish.gateway, chosen->entry.id,
+                     RunnerLoad{1, wish.size.finalTokens(), wish.size.promptTokens}, steadyNow());
+    return makeResponse(200, encodePlacement({chosen->entry.id}));
 }
 
 void Coordinator::grantTransfers()
@@ -365,37 +401,19 @@
 
 CoordinatorStatus Coordinator::statusFor(const GatewayStatus &gateway)
 {
-    this->forgetSilentGateways();
+    this->load.forgetSilent(steadyNow(), GatewayTimeout);
     CoordinatorStatus status;
     const RaftStatus raftStatus = this->replica->status();
     const auto port = static_cast<uint16_t>(this->settings.firstInternalPort + ExchangePortOffset);
     for (const RaftMemberStatus &member : raftStatus.members)
         status.coordinators.push_back(withPort(member.address, port));
-    status.gatewayCount = static_cast<uint32_t>(this->gateways.size());
+    status.gatewayCount = static_cast<uint32_t>(this->load.gatewayCount());
     if (this->store.version() > gateway.configVersion)
         status.config = this->store.body();
     status.fleetNumber = this->fleetNumber;
     status.fleetTerm = raftStatus.term;
-    status.otherLoads = this->loadsOfOthers(gateway.gateway);
+    status.otherLoads = this->load.totalWithout(gateway.gateway);
     return status;
 }
 
-std::map<std::string, RunnerLoad, std::less<>> Coordinator::loadsOfOthers(std::string_view gateway) const
-{
-    std::map<std::string, RunnerLoad, std::less<>> total;
-    for (const auto &[name, record] : this->gateways) {
-        if (name == gateway)
-            continue;
-        for (const auto &[id, load] : record.loads)
-            total[id] += load;
-    }
-    return total;
-}
-
-void Coordinator::forgetSilentGateways()
-{
-    const TimePoint limit = steadyNow() - GatewayTimeout;
-    std::erase_if(this->gateways, [&](const auto &entry) { return entry.second.heardAt < limit; });
-}
-
 } // namespace eelgrasslift
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -12,6 +12,7 @@
 constexpr uint16_t ExchangePortOffset = 1;
 
 /// Calls of the exchange beside the status.
+constexpr const char *PlacementPath = "/place";
 constexpr const char *TransferPath = "/transfer";
 constexpr const char *TransferEndPath = "/transfer-end";
 
@@ -33,12 +34,6 @@
     Replicator &replicator() { return *this->replica; }
 
 private:
-    struct GatewayRecord
-    {
-        std::map<std::string, RunnerLoad, std::less<>> loads;
-        TimePoint heardAt{};
-    };
-
     Coordinator(boost::asio::io_context &io, const NodeSettings &settings, const WireFormat &format);
 
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
@@ -47,14 +42,15 @@
     boost::asio::awaitable<HttpResponse> waitForTransfer(std::string body);
     HttpResponse finishTransfer(std::string_view body);
     void grantTransfers();
+    HttpResponse place(std::string_view body);
+    /// Empty if no runner has room, or none is known.
+    RunnerPool::RunnerPointer choose(const PlacementRequest &request);
     std::string chooseDestination(const TransferWish &wish);
     void followLeadership();
     void fleetUpdated(bool isUrgent);
     void wakeWaiters();
     CoordinatorStatus statusFor(const GatewayStatus &gateway);
     bool hasNews(const GatewayStatus &gateway) const;
-    std::map<std::string, RunnerLoad, std::less<>> loadsOfOthers(std::string_view gateway) const;
-    void forgetSilentGateways();
 
     boost::asio::io_context &io;
     NodeSettings settings;
@@ -66,7 +62,9 @@
     /// Cancelled when there is news for waiting gateways.
     boost::asio::steady_timer news;
     boost::asio::steady_timer leadershipTimer;
-    std::map<std::string, GatewayRecord, std::less<>> gateways;
+    FleetLoad load;
+    /// Decoded from the stored configuration.
+    std::map<std::string, EngineTraits, std::less<>> engines;
     uint64_t fleetNumber = 0;
     std::string encodedFleet;
     TransferQueue transfers;
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -19,6 +19,8 @@
 
 // The lead answers within its wait of 300 ms; a frozen one is given up soon after.
 constexpr Duration ExchangeTimeout = std::chrono::milliseconds{700};
+// Two crossings between failure domains on a busy processor; afterwards the gateway places by its own view.
+constexpr Duration PlacementTimeout = std::chrono::milliseconds{120};
 // A turn comes before the runner is gone, or is of no use.
 constexpr Duration TransferTimeout = std::chrono::milliseconds{2600};
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds{60};
@@ -51,7 +53,7 @@
     , watchTimer(state.io)
 {
     this->useSeeds(state.settings.seeds);
-    state.transfers = this;
+    state.fleetAgent = this;
 }
 
 void CoordinatorLink::useSeeds(const std::vector<Endpoint> &seeds)
@@ -59,7 +61,8 @@
     const auto port = static_cast<uint16_t>(this->gateway.settings.firstInternalPort + ExchangePortOffset);
     for (const Endpoint &seed : seeds) {
         std::string address = Endpoint{seed.address, port}.toString();
-        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) == this->coordinators.end())
+        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) ==
+            this->coordinators.end())
             this->coordinators.push_back(std::move(address));
     }
 }
@@ -83,7 +86,8 @@
     if (isInContact != this->hasContact) {
         this->hasContact = isInContact;
         logInfo(isInContact ? "lead-regained" : "lead-lost",
-                {{"config", this->gateway.routes() ? std::to_string(this->gateway.routes()->version()) : "none"},
+                {{"config",
+                  this->gateway.routes() ? std::to_string(this->gateway.routes()->version()) : "none"},
                  {"last_contact_ms",
                   this->lastContact ? std::to_string(toMilliseconds(now - *this->lastContact)) : "never"}});
     }
@@ -150,7 +154,8 @@
             this->adopt(std::move(*answer));
             co_return true;
         }
-        logWarning("exchange-unreadable", {{"from", address}, {"cause", std::get<ExchangeError>(decoded).detail}});
+        logWarning("exchange-unreadable",
+                   {{"from", address}, {"cause", std::get<ExchangeError>(decoded).detail}});
     }
     if (response == nullptr)
         this->connections.dropIdle(address);
@@ -169,6 +174,22 @@
     co_return false;
 }
 
+asio::awaitable<std::optional<PlacementAnswer>> CoordinatorLink::place(PlacementWish wish)
+{
+    if (!this->hasContact || this->coordinators.empty())
+        co_return std::nullopt;
+    wish.gateway = this->gateway.settings.name;
+    OutgoingCall call{"POST", PlacementPath, encodePlacementWish(wish)};
+    auto result = co_await this->connections.call(this->currentAddress(), std::move(call), PlacementTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr || response->result_int() != 200)
+        co_return std::nullopt;
+    auto answer = decodePlacement(response->body());
+    if (auto *placement = std::get_if<PlacementAnswer>(&answer))
+        co_return std::move(*placement);
+    co_return std::nullopt;
+}
+
 asio::awaitable<std::optional<TransferTurn>> CoordinatorLink::ask(TransferWish wish)
 {
     if (!this->hasContact || this->coordinators.empty())
@@ -203,12 +224,13 @@
     this->gateway.budget.setGatewayCount(this->gatewayCount);
     const std::string leader = this->currentAddress();
     for (std::string &address : status.coordinators) {
-        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) == this->coordinators.end())
+        if (std::find(this->coordinators.begin(), this->coordinators.end(), address) ==
+            this->coordinators.end())
             this->coordinators.push_back(std::move(address));
     }
-    this->current = static_cast<size_t>(
-            std::find(this->coordinators.begin(), this->coordinators.end(), leader) -
-            this->coordinators.begin());
+    this->current =
+            static_cast<size_t>(std::find(this->coordinators.begin(), this->coordinators.end(), leader) -
+                                this->coordinators.begin());
     if (status.config)
         this->gateway.adoptConfig(*status.config);
     if (status.fleet) {
--- a/src/gateway/coordinatorlink.h
+++ b/src/gateway/coordinatorlink.h
@@ -9,7 +9,7 @@
 
 /// Keeps a gateway in exchange with the leading coordinator: configuration, runners and loads come in, the
 /// own load goes out. Without a lead for a while the gateway reads the list of runners itself.
-class CoordinatorLink : public TransferAgent
+class CoordinatorLink : public FleetAgent
 {
 public:
     CoordinatorLink(GatewayState &gateway, SettingsSource reload);
@@ -17,6 +17,7 @@
     void start();
     void useSeeds(const std::vector<Endpoint> &seeds);
 
+    boost::asio::awaitable<std::optional<PlacementAnswer>> place(PlacementWish wish) override;
     boost::asio::awaitable<std::optional<TransferTurn>> ask(TransferWish wish) override;
     void finish(uint64_t ticket) override;
 
@@ -26,7 +27,10 @@
     void adopt(CoordinatorStatus status);
     void useNext();
     void watchContact();
-    std::string currentAddress() const { return this->coordinators[this->current % this->coordinators.size()]; }
+    std::string currentAddress() const
+    {
+        return this->coordinators[this->current % this->coordinators.size()];
+    }
 
     GatewayState &gateway;
     SettingsSource reload;
--- a/src/gateway/coordinatorprocess.cpp
+++ b/src/gateway/coordinatorprocess.cpp
@@ -24,8 +24,14 @@
     CoordinatorProcess(asio::io_context &context, std::unique_ptr<Coordinator> member)
         : io(context)
         , coordinator(std::move(member))
-        , operators(context, [this](HttpRequest request) { return this->coordinator->handleOperator(std::move(request)); })
-        , exchange(context, [this](HttpRequest request) { return this->coordinator->handleExchange(std::move(request)); })
+        , operators(context,
+                    [this](HttpRequest request) {
+                        return this->coordinator->handleOperator(std::move(request));
+                    })
+        , exchange(context,
+                   [this](HttpRequest request) {
+                       return this->coordinator->handleExchange(std::move(request));
+                   })
         , signals(context, SIGTERM, SIGINT)
         , reloadSignal(context, SIGHUP)
         , stopTimer(context)
@@ -39,8 +45,8 @@
         builder.AddListeningPort(consensus.toString(), grpc::InsecureServerCredentials());
         builder.RegisterService(&this->coordinator->replicator().service());
         const std::unique_ptr<grpc::Server> consensusServer = builder.BuildAndStart();
-        const Endpoint exchangeEndpoint{settings.ip,
-                                        static_cast<uint16_t>(settings.firstInternalPort + ExchangePortOffset)};
+        const Endpoint exchangeEndpoint{
+                settings.ip, static_cast<uint16_t>(settings.firstInternalPort + ExchangePortOffset)};
         if (!consensusServer || !this->operators.listen(*settings.operatorListen) ||
             !this->exchange.listen(exchangeEndpoint))
             return ExitFailed;
@@ -90,9 +96,8 @@
             finish();
             return;
         }
-        this->coordinator->replicator().transferLeadership(0, [this, finish](const auto &) {
-            asio::post(this->io, finish);
-        });
+        this->coordinator->replicator().transferLeadership(
+                0, [this, finish](const auto &) { asio::post(this->io, finish); });
     }
 
     asio::io_context &io;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -20,15 +20,21 @@
 {
     std::map<std::string, RunnerLoad, std::less<>> loads;
     for (const auto &[id, load] : json.items())
-        loads.emplace(id, RunnerLoad{load.at(0).get<uint32_t>(), load.at(1).get<double>(), load.at(2).get<double>()});
+        loads.emplace(id, RunnerLoad{load.at(0).get<uint32_t>(), load.at(1).get<double>(),
+                                     load.at(2).get<double>()});
     return loads;
 }
 
 Json toJson(const RunnerEntry &entry)
 {
-    Json json{{"id", entry.id},       {"service", entry.service}, {"address", entry.address},
-              {"domain", entry.domain}, {"slots", entry.slots},     {"leaving", entry.isLeaving},
-              {"warm", toMilliseconds(entry.warmUpLeft)}, {"started", entry.startedAtMs}};
+    Json json{{"id", entry.id},
+              {"service", entry.service},
+              {"address", entry.address},
+              {"domain", entry.domain},
+              {"slots", entry.slots},
+              {"leaving", entry.isLeaving},
+              {"warm", toMilliseconds(entry.warmUpLeft)},
+              {"started", entry.startedAtMs}};
     if (entry.report) {
         json["report"] = {{"queue", entry.report->queueDepth},
                           {"running", entry.report->running},
@@ -119,6 +125,45 @@
     });
 }
 
+std::string encodePlacementWish(const PlacementWish &wish)
+{
+    const Json json{{"gateway", wish.gateway},
+                    {"service", wish.service},
+                    {"domain", wish.domain},
+                    {"prompt", wish.size.promptTokens},
+                    {"output", wish.size.outputTokens},
+                    {"limit", wish.memoryLimit},
+                    {"crossing", wish.crossingSeconds},
+                    {"excluded", wish.excluded}};
+    return json.dump();
+}
+
+Result<PlacementWish, ExchangeError> decodePlacementWish(std::string_view body)
+{
+    return decode<PlacementWish>(body, [](const Json &json) {
+        PlacementWish wish;
+        wish.gateway = json.at("gateway");
+        wish.service = json.at("service");
+        wish.domain = json.at("domain");
+        wish.size = GenerationSize{json.at("prompt"), json.at("output")};
+        wish.memoryLimit = json.at("limit");
+        wish.crossingSeconds = json.at("crossing");
+        wish.excluded = json.at("excluded").get<std::vector<std::string>>();
+        return wish;
+    });
+}
+
+std::string encodePlacement(const PlacementAnswer &answer)
+{
+    return Json{{"runner", answer.runnerId}}.dump();
+}
+
+Result<PlacementAnswer, ExchangeError> decodePlacement(std::string_view body)
+{
+    return decode<PlacementAnswer>(body,
+                                   [](const Json &json) { return PlacementAnswer{json.at("runner")}; });
+}
+
 std::string encodeTurn(const TransferTurn &turn)
 {
     return Json{{"ticket", turn.ticket}, {"destination", turn.destinationId}}.dump();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/transferagent.h"
+#include "gateway/fleetagent.h"
 
 #include <map>
 #include <optional>
@@ -48,6 +48,10 @@
 Result<CoordinatorStatus, ExchangeError> decodeCoordinatorStatus(std::string_view body);
 std::string encodeWish(const TransferWish &wish);
 Result<TransferWish, ExchangeError> decodeWish(std::string_view body);
+std::string encodePlacementWish(const PlacementWish &wish);
+Result<PlacementWish, ExchangeError> decodePlacementWish(std::string_view body);
+std::string encodePlacement(const PlacementAnswer &answer);
+Result<PlacementAnswer, ExchangeError> decodePlacement(std::string_view body);
 std::string encodeTurn(const TransferTurn &turn);
 Result<TransferTurn, ExchangeError> decodeTurn(std::string_view body);
 std::string encodeFleet(const std::vector<RunnerEntry> &fleet);
--- a/src/gateway/transferagent.h
+++ b/src/gateway/fleetagent.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace eelgrasslift {
 
@@ -26,11 +27,32 @@
     std::string destinationId;
 };
 
-/// Asks whoever orders the copies of all gateways.
-class TransferAgent
+/// A gateway's wish to place a generation.
+struct PlacementWish
+{
+    std::string gateway;
+    std::string service;
+    std::string domain;
+    GenerationSize size;
+    double memoryLimit = 1;
+    double crossingSeconds = 0;
+    std::vector<std::string> excluded;
+};
+
+/// The runner that was chosen; empty if all that could serve the generation are full.
+struct PlacementAnswer
+{
+    std::string runnerId;
+};
+
+/// Asks whoever knows the work of all gateways.
+class FleetAgent
 {
 public:
-    virtual ~TransferAgent() = default;
+    virtual ~FleetAgent() = default;
+
+    /// Nothing if nobody places for all gateways at present.
+    virtual boost::asio::awaitable<std::optional<PlacementAnswer>> place(PlacementWish wish) = 0;
 
     /// Waits for the turn; nothing if nobody orders copies at present.
     virtual boost::asio::awaitable<std::optional<TransferTurn>> ask(TransferWish wish) = 0;
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -103,7 +103,8 @@
                                         [&](const RunnerEntry &other) { return other.id == entry.id; });
         if (known == this->current.end()) {
             isUrgent = true;
-            logInfo("runner-listed", {{"runner", entry.id}, {"service", entry.service}, {"address", entry.address}});
+            logInfo("runner-listed",
+                    {{"runner", entry.id}, {"service", entry.service}, {"address", entry.address}});
             continue;
         }
         if (entry.isLeaving && !known->isLeaving) {
@@ -157,7 +158,8 @@
         logInfo("runner-leaving",
                 {{"runner", id},
                  {"source", "report"},
-                 {"leaves_ms", report.leavesIn ? std::to_string(toMilliseconds(*report.leavesIn)) : "unknown"}});
+                 {"leaves_ms",
+                  report.leavesIn ? std::to_string(toMilliseconds(*report.leavesIn)) : "unknown"}});
     if (this->updated && isUrgent)
         this->updated(true);
 }
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -28,8 +28,10 @@
 GatewayMetrics::GatewayMetrics(std::shared_ptr<prometheus::Registry> shared)
     : firstEventSeconds(addHistogram(*shared, "eelgrasslift_first_event_seconds",
                                      "Time from a request to the first event of its stream"))
-    , pauseSeconds(addHistogram(*shared, "eelgrasslift_event_pause_seconds", "Time between two events of a stream"))
-    , callSeconds(addHistogram(*shared, "eelgrasslift_call_seconds", "Time to the whole answer of a plain service"))
+    , pauseSeconds(addHistogram(*shared, "eelgrasslift_event_pause_seconds",
+                                "Time between two events of a stream"))
+    , callSeconds(addHistogram(*shared, "eelgrasslift_call_seconds",
+                               "Time to the whole answer of a plain service"))
     , repeats(prometheus::BuildCounter()
                       .Name("eelgrasslift_repeats_total")
                       .Help("Requests sent to another runner")
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -36,8 +36,8 @@
 constexpr Duration AcceptWindow = std::chrono::milliseconds{2600};
 // Left of the grace period for the last bytes and the end of the process.
 constexpr Duration GraceReserve = std::chrono::milliseconds{350};
-// Requests that reach a gateway without a configuration wait this long: below the objective of generations, and
-// shorter than callers wait for their request to be read.
+// Requests that reach a gateway without a configuration wait this long: below the objective of generations,
+// and shorter than callers wait for their request to be read.
 constexpr Duration StartPatience = std::chrono::milliseconds{700};
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds{50};
 
@@ -157,8 +157,8 @@
             context.accountPriority = account->priority;
         }
         context.service = RouteTable::chooseService(*context.route, this->gateway.random.uniform());
-        context.deadline =
-                arrived + std::min(context.caller.patience.value_or(context.route->timeout), context.route->timeout);
+        context.deadline = arrived + std::min(context.caller.patience.value_or(context.route->timeout),
+                                              context.route->timeout);
         context.request = std::move(request);
         const bool isStream = context.route->kind == RouteKind::Streaming;
         std::shared_ptr<RequestSession> session;
@@ -177,19 +177,20 @@
         this->watched = session;
         asio::co_spawn(
                 this->gateway.io,
-                [self = this->shared_from_this(), observed = std::weak_ptr<RequestSession>(session)]()
-                        -> asio::awaitable<void> {
+                [self = this->shared_from_this(),
+                 observed = std::weak_ptr<RequestSession>(session)]() -> asio::awaitable<void> {
                     boost::system::error_code error;
-                    co_await self->stream.socket().async_wait(tcp::socket::wait_read,
-                                                              asio::redirect_error(asio::use_awaitable, error));
+                    co_await self->stream.socket().async_wait(
+                            tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
                     const auto running = observed.lock();
                     if (!running || self->watched.lock() != running)
                         co_return;
                     char byte = 0;
                     const auto received = error ? 0
-                                                : ::recv(self->stream.socket().native_handle(), &byte, sizeof byte,
-                                                         MSG_PEEK | MSG_DONTWAIT);
-                    const bool isGone = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+                                                : ::recv(self->stream.socket().native_handle(), &byte,
+                                                         sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+                    const bool isGone =
+                            received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
                     if (isGone)
                         running->abandon();
                 },
@@ -199,10 +200,11 @@
     asio::awaitable<void> refuse(CallerLink &link, const RequestContext &context, unsigned status,
                                  std::string_view cause)
     {
-        logInfo("request-refused", {{"request", context.caller.id},
-                                    {"status", std::to_string(status)},
-                                    {"cause", std::string(cause)},
-                                    {"config", context.table ? std::to_string(context.table->version()) : "none"}});
+        logInfo("request-refused",
+                {{"request", context.caller.id},
+                 {"status", std::to_string(status)},
+                 {"cause", std::string(cause)},
+                 {"config", context.table ? std::to_string(context.table->version()) : "none"}});
         HttpResponse response = makeResponse(status, R"({"error":")" + std::string(cause) + "\"}");
         if (status == 503)
             response.set(http::field::retry_after, "0.5");
@@ -227,7 +229,8 @@
         , link(this->state, reload)
         , reloadSettings(reload)
         , acceptor(context)
-        , readiness(context, [this](HttpRequest request) { return this->answerReadiness(std::move(request)); })
+        , readiness(context,
+                    [this](HttpRequest request) { return this->answerReadiness(std::move(request)); })
         , signals(context, SIGTERM, SIGINT)
         , reloadSignal(context, SIGHUP)
         , drainTimer(context)
@@ -250,8 +253,8 @@
                 this->terminate();
         });
         this->waitForReload();
-        logInfo("gateway-started", {{"callers", this->settings.callerListen->toString()},
-                                    {"domain", this->settings.domain}});
+        logInfo("gateway-started",
+                {{"callers", this->settings.callerListen->toString()}, {"domain", this->settings.domain}});
         this->io.run();
         logInfo("gateway-stopped");
         return ExitOk;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -13,7 +13,8 @@
 
 namespace asio = boost::asio;
 
-GatewayState::GatewayState(asio::io_context &context, const NodeSettings &nodeSettings, const WireFormat &wireFormat)
+GatewayState::GatewayState(asio::io_context &context, const NodeSettings &nodeSettings,
+                           const WireFormat &wireFormat)
     : io(context)
     , settings(nodeSettings)
     , format(wireFormat)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -3,7 +3,7 @@
 #include "gateway/connectionpool.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/nodesettings.h"
-#include "gateway/transferagent.h"
+#include "gateway/fleetagent.h"
 #include "libserving/serving.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,8 +31,8 @@
     Random random{systemSeed()};
     size_t openRequests = 0;
     bool isDraining = false;
-    /// Orders copies over all gateways.
-    TransferAgent *transfers = nullptr;
+    /// Places generations and orders copies over all gateways.
+    FleetAgent *fleetAgent = nullptr;
 
     /// nullptr until a configuration is known.
     const RouteTablePointer &routes() const { return this->currentRoutes; }
--- a/src/gateway/httpservice.cpp
+++ b/src/gateway/httpservice.cpp
@@ -73,7 +73,8 @@
 {
     while (this->acceptor.is_open()) {
         boost::system::error_code error;
-        tcp::socket socket = co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket =
+                co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error)
             asio::co_spawn(this->io, this->serve(std::move(socket)), asio::detached);
     }
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -32,6 +32,10 @@
 // The first event of a resumable stream; of other streams nothing can be done but wait.
 constexpr double FirstEventObjectives = 1.2;
 
+// A generation that found all runners full asks again after this time; coordinators hear of ended runs about as
+// often.
+constexpr Duration PlacementRetry = std::chrono::milliseconds{100};
+
 // Part of the objective that a generation may wait for a runner with room.
 constexpr double QueueObjectiveShare = 0.5;
 
@@ -44,8 +48,8 @@
 // A stream that crosses failure domains is lost when they part; worth about the wait for half a prompt.
 constexpr double GenerationCrossingSeconds = 0.15;
 
-// A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest ones,
-// which are the dearest to lose and the likeliest to meet a crash.
+// A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest
+// ones, which are the dearest to lose and the likeliest to meet a crash.
 constexpr double MinimumTokensForBackup = 600;
 
 // A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
@@ -83,7 +87,8 @@
     if (!this->context.caller.size)
         return 0;
     const EngineTraits *engine = this->context.engine();
-    const double made = static_cast<double>(this->splitter.eventCount()) * (engine ? engine->tokensPerEvent : 1);
+    const double made =
+            static_cast<double>(this->splitter.eventCount()) * (engine ? engine->tokensPerEvent : 1);
     // A generation past its estimate is expected to last for another part of it.
     constexpr double OvertimeShare = 0.3;
     return std::max(this->context.caller.size->outputTokens - made,
@@ -102,21 +107,42 @@
 asio::awaitable<RunnerPool::RunnerPointer> StreamSession::place()
 {
     const Route &route = *this->context.route;
-    const TimePoint latest =
-            std::min(this->context.deadline,
-                     this->context.arrived + std::chrono::duration_cast<Duration>(route.objective * QueueObjectiveShare));
+    const Duration patience = std::chrono::duration_cast<Duration>(route.objective * QueueObjectiveShare);
+    const TimePoint latest = std::min(this->context.deadline, this->context.arrived + patience);
     for (;;) {
-        PlacementRequest request{this->context.service, this->gateway.settings.domain, this->context.caller.size,
-                                 &this->tried, route.priority == 0 ? UrgentMemoryLimit : MemoryLimit,
-                                 GenerationCrossingSeconds};
-        auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
-        if (const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed))
-            co_return *runner;
-        const bool canWait = std::get<NoRunner>(placed).reason == NoRunner::Reason::Full;
+        const PlacementRequest request{this->context.service,
+                                       this->gateway.settings.domain,
+                                       this->context.caller.size,
+                                       &this->tried,
+                                       route.priority == 0 ? UrgentMemoryLimit : MemoryLimit,
+                                       GenerationCrossingSeconds};
+        const bool isOwnChoice = !this->context.caller.size || this->context.engine() == nullptr;
+        std::optional<PlacementAnswer> answer;
+        if (!isOwnChoice) {
+            PlacementWish wish{{},
+                               this->context.service,
+                               this->gateway.settings.domain,
+                               *this->context.caller.size,
+                               request.memoryLimit,
+                               request.crossingSeconds,
+                               {this->tried.begin(), this->tried.end()}};
+            answer = co_await this->gateway.fleetAgent->place(std::move(wish));
+        }
+        RunnerPool::RunnerPointer runner = answer ? this->gateway.runners.find(answer->runnerId) : nullptr;
+        if (runner && !runner->entry.isLeaving)
+            co_return runner;
+        bool isFull = answer && answer->runnerId.empty();
+        if (!isFull) {
+            auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(),
+                                                       this->gateway.random);
+            if (const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed))
+                co_return *chosen;
+            isFull = std::get<NoRunner>(placed).reason == NoRunner::Reason::Full;
+        }
         const Duration left = latest - steadyNow();
-        if (!canWait || left <= Duration::zero() || this->isAbandoned)
+        if (!isFull || left <= Duration::zero() || this->isAbandoned)
             co_return nullptr;
-        co_await this->gateway.waitForCapacity(left);
+        co_await this->gateway.waitForCapacity(std::min(left, PlacementRetry));
     }
 }
 
@@ -262,8 +288,8 @@
     boost::system::error_code error;
     Duration patience = this->timeLeft();
     if (isContinuation || this->context.route->isResumable) {
-        const Duration firstEvent = std::chrono::duration_cast<Duration>(
-                this->context.route->objective * FirstEventObjectives);
+        const Duration firstEvent =
+                std::chrono::duration_cast<Duration>(this->context.route->objective * FirstEventObjectives);
         patience = std::min(patience, isContinuation ? StallTimeout : firstEvent);
     }
     connection->stream.expires_after(std::max(patience, Duration{1}));
@@ -321,10 +347,12 @@
     if (status == 421)
         co_return RelayResult{RelayEnd::Refused, SendOutcome::OtherRunner, "other-runner", std::nullopt};
     if (answer.isNotRun)
-        co_return RelayResult{RelayEnd::Refused, SendOutcome::RefusedByRunner, "refused-by-runner", std::nullopt};
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::RefusedByRunner, "refused-by-runner",
+                              std::nullopt};
     const bool mustPromise = status == 503 || status == 429 || status == 408;
     if (error || mustPromise || !parser.is_done())
-        co_return RelayResult{RelayEnd::Refused, SendOutcome::Unknown, "refusal-without-promise", std::nullopt};
+        co_return RelayResult{RelayEnd::Refused, SendOutcome::Unknown, "refusal-without-promise",
+                              std::nullopt};
     HttpResponse response(ResponseHeader(parser.get().base()));
     for (const auto name : {"Connection", "Keep-Alive", "Transfer-Encoding"})
         response.erase(name);
@@ -334,8 +362,8 @@
                           "runner-status", std::move(response)};
 }
 
-asio::awaitable<StreamSession::RelayResult> StreamSession::forwardEvents(const RunnerConnectionPointer &connection,
-                                                                         Parser &parser)
+asio::awaitable<StreamSession::RelayResult>
+StreamSession::forwardEvents(const RunnerConnectionPointer &connection, Parser &parser)
 {
     std::array<char, ReadBufferBytes> bytes{};
     const bool canContinue = this->context.route->isResumable || this->backup.runner() != nullptr;
@@ -345,8 +373,8 @@
         parser.get().body().size = bytes.size();
         parser.get().body().more = true;
         const bool hasEvents = this->splitter.eventCount() > 0;
-        const Duration patience = canContinue && hasEvents ? std::min(StallTimeout, this->timeLeft())
-                                                           : this->timeLeft();
+        const Duration patience =
+                canContinue && hasEvents ? std::min(StallTimeout, this->timeLeft()) : this->timeLeft();
         connection->stream.expires_after(std::max(patience, Duration{1}));
         co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -359,7 +387,8 @@
             this->noteEvents(before);
             const bool isSent = co_await this->caller.sendPart(events);
             if (!isSent || this->isAbandoned)
-                co_return RelayResult{RelayEnd::CallerGone, SendOutcome::Unknown, "caller-gone", std::nullopt};
+                co_return RelayResult{RelayEnd::CallerGone, SendOutcome::Unknown, "caller-gone",
+                                      std::nullopt};
         }
         if (error == beast::error::timeout)
             co_return RelayResult{RelayEnd::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
@@ -369,8 +398,8 @@
     if (this->splitter.hasRest())
         co_return RelayResult{RelayEnd::Broken, SendOutcome::Unknown, "event-cut-short", std::nullopt};
     const bool isEnded = co_await this->caller.endStream();
-    co_return RelayResult{isEnded ? RelayEnd::Complete : RelayEnd::CallerGone, SendOutcome::Answered, "complete",
-                          std::nullopt};
+    co_return RelayResult{isEnded ? RelayEnd::Complete : RelayEnd::CallerGone, SendOutcome::Answered,
+                          "complete", std::nullopt};
 }
 
 void StreamSession::noteEvents(uint64_t before)
@@ -399,7 +428,8 @@
     if (this->gateway.runners.find(runner->entry.id) != runner)
         return std::nullopt;
     return Destination{runner,
-                       this->gateway.format.copyReference(runner->entry.address, this->context.caller.id), "backup"};
+                       this->gateway.format.copyReference(runner->entry.address, this->context.caller.id),
+                       "backup"};
 }
 
 asio::awaitable<std::optional<StreamSession::Destination>>
@@ -460,11 +490,12 @@
     const MigrationStep step = planMigration(run, untilGone);
     if (step == MigrationStep::Stay)
         return;
-    logInfo("runner-leaves-under-generation", {{"request", this->context.caller.id},
-                                               {"runner", this->load.runner()->entry.id},
-                                               {"until_gone_ms", std::to_string(toMilliseconds(untilGone))},
-                                               {"events", std::to_string(this->splitter.eventCount())},
-                                               {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
+    logInfo("runner-leaves-under-generation",
+            {{"request", this->context.caller.id},
+             {"runner", this->load.runner()->entry.id},
+             {"until_gone_ms", std::to_string(toMilliseconds(untilGone))},
+             {"events", std::to_string(this->splitter.eventCount())},
+             {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
     if (step == MigrationStep::SwitchToBackup) {
         // Breaking off here makes the session go on from the copy.
         boost::system::error_code ignored;
@@ -483,7 +514,7 @@
     const GenerationSize &size = *this->context.caller.size;
     const double made = static_cast<double>(this->splitter.eventCount()) * engine->tokensPerEvent;
     TransferWish wish{source->entry.id, this->context.service, size, size.promptTokens + made};
-    const std::optional<TransferTurn> turn = co_await this->gateway.transfers->ask(std::move(wish));
+    const std::optional<TransferTurn> turn = co_await this->gateway.fleetAgent->ask(std::move(wish));
     RunnerPool::RunnerPointer destination = turn ? this->gateway.runners.find(turn->destinationId) : nullptr;
     if (!destination)
         destination = this->chooseCopyHolder(*source, UrgentMemoryLimit);
@@ -493,30 +524,33 @@
         co_await this->moveTo(source, destination);
     }
     if (turn)
-        this->gateway.transfers->finish(turn->ticket);
+        this->gateway.fleetAgent->finish(turn->ticket);
     this->isMigrating = false;
     this->migrationEnd.cancel();
 }
 
-RunnerPool::RunnerPointer StreamSession::chooseCopyHolder(const RunnerPool::Runner &source, double memoryLimit) const
+RunnerPool::RunnerPointer StreamSession::chooseCopyHolder(const RunnerPool::Runner &source,
+                                                          double memoryLimit) const
 {
     const std::set<std::string> excluded{source.entry.id};
-    const PlacementRequest request{this->context.service, source.entry.domain, this->context.caller.size,
-                                   &excluded,             memoryLimit,         CopyCrossingSeconds};
-    auto placed = this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
+    const PlacementRequest request{
+            this->context.service, source.entry.domain, this->context.caller.size, &excluded,
+            memoryLimit,           CopyCrossingSeconds};
+    auto placed =
+            this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
     const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
     return runner == nullptr ? nullptr : *runner;
 }
 
-asio::awaitable<std::optional<std::string>> StreamSession::copy(RunnerPool::RunnerPointer source,
-                                                               RunnerPool::RunnerPointer destination,
-                                                               bool isFinal)
+asio::awaitable<std::optional<std::string>>
+StreamSession::copy(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination, bool isFinal)
 {
     const WireFormat &format = this->gateway.format;
     const MoveOrder order{this->context.caller.id, destination->entry.address, isFinal};
     const TimePoint started = steadyNow();
     OutgoingCall call = format.moveCall(order);
-    auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), MoveTimeout);
+    auto result =
+            co_await this->gateway.connections.call(source->entry.address, std::move(call), MoveTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response == nullptr ? 0 : response->result_int();
     logInfo("generation-copied", {{"request", this->context.caller.id},
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -48,16 +48,21 @@
 
     boost::asio::awaitable<RunnerPool::RunnerPointer> place();
     boost::asio::awaitable<RelayResult> relay(Destination destination);
-    boost::asio::awaitable<RelayResult> receive(const RunnerConnectionPointer &connection, bool isContinuation);
-    boost::asio::awaitable<RelayResult> receiveFailure(const RunnerConnectionPointer &connection, Parser &parser);
-    boost::asio::awaitable<RelayResult> forwardEvents(const RunnerConnectionPointer &connection, Parser &parser);
-    boost::asio::awaitable<std::optional<Destination>> continuation(const RelayResult &broken, Destination last);
+    boost::asio::awaitable<RelayResult> receive(const RunnerConnectionPointer &connection,
+                                                bool isContinuation);
+    boost::asio::awaitable<RelayResult> receiveFailure(const RunnerConnectionPointer &connection,
+                                                       Parser &parser);
+    boost::asio::awaitable<RelayResult> forwardEvents(const RunnerConnectionPointer &connection,
+                                                      Parser &parser);
+    boost::asio::awaitable<std::optional<Destination>> continuation(const RelayResult &broken,
+                                                                    Destination last);
     boost::asio::awaitable<void> migrate();
     RunnerPool::RunnerPointer chooseCopyHolder(const RunnerPool::Runner &source, double memoryLimit) const;
-    boost::asio::awaitable<bool> moveTo(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination);
+    boost::asio::awaitable<bool> moveTo(RunnerPool::RunnerPointer source,
+                                        RunnerPool::RunnerPointer destination);
     /// Copies the run's memory; returns the reference to go on from.
-    boost::asio::awaitable<std::optional<std::string>> copy(RunnerPool::RunnerPointer source,
-                                                            RunnerPool::RunnerPointer destination, bool isFinal);
+    boost::asio::awaitable<std::optional<std::string>>
+    copy(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination, bool isFinal);
     std::optional<Destination> backupDestination();
     void chooseBackup(const RunnerPool::Runner &primary);
     void noteEvents(uint64_t before);
--- a/src/libconsensus/raftnode.cpp
+++ b/src/libconsensus/raftnode.cpp
@@ -48,7 +48,8 @@
         this->askToJoin();
     else if (this->isVoter(this->identity.memberId) && this->now >= this->electionDeadline)
         this->startPreVote();
-    if (this->state != RaftRole::Leader && this->isVoter(this->identity.memberId) && this->mayHaveBeenRemoved())
+    if (this->state != RaftRole::Leader && this->isVoter(this->identity.memberId) &&
+        this->mayHaveBeenRemoved())
         this->askToJoin();
     this->requestSnapshotIfDue();
 }
--- a/src/libconsensus/raftnode.h
+++ b/src/libconsensus/raftnode.h
@@ -32,7 +32,8 @@
     /// A voter that is silent for this long is replaced by a learner that has caught up; nothing: operators
     /// remove voters.
     std::optional<Duration> silentVoterTimeout;
-    /// Addresses that a member without a cluster asks for admission, and one that was removed while it was away.
+    /// Addresses that a member without a cluster asks for admission, and one that was removed while it was
+    /// away.
     std::vector<std::string> joinAddresses;
 };
 
--- a/src/libconsensus/storagefile.h
+++ b/src/libconsensus/storagefile.h
@@ -24,7 +24,6 @@
 /// Pauses before a write to a full disk is tried again; false after a minute without space.
 bool waitForDiskSpace();
 
-
 /// Owner of one file descriptor.
 class StorageFile
 {
@@ -38,8 +37,8 @@
 
     /// Takes an exclusive lock that the kernel releases when the process ends.
     FileOutcome lock();
-    /// A full disk is waited for: bytes that were refused are not on it, so writing them again is safe, unlike
-    /// a second sync. waitForSpace is called before each further try; false gives up.
+    /// A full disk is waited for: bytes that were refused are not on it, so writing them again is safe,
+    /// unlike a second sync. waitForSpace is called before each further try; false gives up.
     FileOutcome writeAt(uint64_t offset, std::string_view bytes,
                         const std::function<bool()> &waitForSpace = waitForDiskSpace);
     FileOutcome truncate(uint64_t length);
--- a/src/libgateway/callplan.h
+++ b/src/libgateway/callplan.h
@@ -6,12 +6,12 @@
 
 /// How one send to a runner ended.
 enum class SendOutcome {
-    NotConnected,  ///< No byte has left: certainly not run.
+    NotConnected,    ///< No byte has left: certainly not run.
     RefusedByRunner, ///< The runner states that it has not run the request.
-    OtherRunner,   ///< Another runner has the address; not run.
-    Failed,        ///< The runner answered with a failure of its own after it ran the request.
-    Unknown,       ///< Broken, silent or unreadable after the send: it may have run.
-    Answered       ///< A complete answer of the runner.
+    OtherRunner,     ///< Another runner has the address; not run.
+    Failed,          ///< The runner answered with a failure of its own after it ran the request.
+    Unknown,         ///< Broken, silent or unreadable after the send: it may have run.
+    Answered         ///< A complete answer of the runner.
 };
 
 constexpr bool isCertainlyNotRun(SendOutcome outcome)
@@ -22,11 +22,11 @@
 
 /// What to do after a send ended.
 enum class NextStep {
-    Deliver,     ///< Pass the runner's answer on.
-    SendAgain,   ///< To another runner.
+    Deliver,      ///< Pass the runner's answer on.
+    SendAgain,    ///< To another runner.
     RefuseNotRun, ///< 503 with Retry-After: the request has not run and never will.
-    FailUnknown, ///< 502: nothing is promised.
-    FailTimeout  ///< 504: nothing is promised.
+    FailUnknown,  ///< 502: nothing is promised.
+    FailTimeout   ///< 504: nothing is promised.
 };
 
 /// The sends of one request. It never lets a non-idempotent request out again once it may have run.
--- /dev/null
+++ b/src/libgateway/fleetload.cpp
@@ -0,0 +1,90 @@
+#include "libgateway/fleetload.h"
+
+namespace eelgrasslift {
+
+namespace {
+
+// A placement travels to its gateway, which begins the run and counts it, before it tells its load again.
+constexpr Duration PlacementTravel = std::chrono::milliseconds{60};
+
+} // namespace
+
+void FleetLoad::add(std::string_view runner, const RunnerLoad &load)
+{
+    auto found = this->sum.find(runner);
+    if (found == this->sum.end())
+        found = this->sum.emplace(std::string(runner), RunnerLoad{}).first;
+    found->second += load;
+}
+
+void FleetLoad::subtract(std::string_view runner, const RunnerLoad &load)
+{
+    const auto found = this->sum.find(runner);
+    if (found == this->sum.end())
+        return;
+    found->second -= load;
+    if (found->second.runs == 0 && found->second.finalTokens <= 0)
+        this->sum.erase(found);
+}
+
+void FleetLoad::update(std::string_view name, RunnerLoads loads, TimePoint now)
+{
+    auto found = this->gateways.find(name);
+    if (found == this->gateways.end())
+        found = this->gateways.emplace(std::string(name), Gateway{}).first;
+    Gateway &gateway = found->second;
+    for (const auto &[runner, load] : gateway.told)
+        this->subtract(runner, load);
+    std::erase_if(gateway.placed, [&](const Placement &placement) {
+        const bool isTold = now - placement.at > PlacementTravel;
+        if (isTold)
+            this->subtract(placement.runner, placement.load);
+        return isTold;
+    });
+    gateway.told = std::move(loads);
+    gateway.heardAt = now;
+    for (const auto &[runner, load] : gateway.told)
+        this->add(runner, load);
+}
+
+void FleetLoad::place(std::string_view name, std::string_view runner, const RunnerLoad &load, TimePoint now)
+{
+    const auto found = this->gateways.find(name);
+    if (found == this->gateways.end())
+        return;
+    found->second.placed.push_back({std::string(runner), load, now});
+    this->add(runner, load);
+}
+
+void FleetLoad::forgetSilent(TimePoint now, Duration timeout)
+{
+    std::erase_if(this->gateways, [&](const auto &entry) {
+        const Gateway &gateway = entry.second;
+        if (now - gateway.heardAt <= timeout)
+            return false;
+        for (const auto &[runner, load] : gateway.told)
+            this->subtract(runner, load);
+        for (const Placement &placement : gateway.placed)
+            this->subtract(placement.runner, placement.load);
+        return true;
+    });
+}
+
+RunnerLoads FleetLoad::totalWithout(std::string_view name) const
+{
+    RunnerLoads result = this->sum;
+    const auto found = this->gateways.find(name);
+    if (found == this->gateways.end())
+        return result;
+    for (const auto &[runner, load] : found->second.told) {
+        if (const auto known = result.find(runner); known != result.end())
+            known->second -= load;
+    }
+    for (const Placement &placement : found->second.placed) {
+        if (const auto known = result.find(placement.runner); known != result.end())
+            known->second -= placement.load;
+    }
+    return result;
+}
+
+} // namespace eelgrasslift
--- a/src/libgateway/fleetview.h
+++ b/src/libgateway/fleetview.h
@@ -2,6 +2,7 @@
 
 #include "libcore/core.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -55,6 +56,15 @@
         this->prefillTokens += other.prefillTokens;
         return *this;
     }
+
+    /// Takes off what was added before; never below zero, as loads of a restarted process vanish at once.
+    RunnerLoad &operator-=(const RunnerLoad &other)
+    {
+        this->runs -= std::min(this->runs, other.runs);
+        this->finalTokens = std::max(this->finalTokens - other.finalTokens, 0.0);
+        this->prefillTokens = std::max(this->prefillTokens - other.prefillTokens, 0.0);
+        return *this;
+    }
 };
 
 } // namespace eelgrasslift
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -5,6 +5,7 @@
 #include "libgateway/callbudget.h"
 #include "libgateway/callplan.h"
 #include "libgateway/eventsplitter.h"
+#include "libgateway/fleetload.h"
 #include "libgateway/fleetview.h"
 #include "libgateway/migrationplan.h"
 #include "libgateway/routetable.h"
--- a/src/libgateway/migrationplan.cpp
+++ b/src/libgateway/migrationplan.cpp
@@ -8,11 +8,13 @@
 // slowdown on the users' sheets.
 constexpr double SecondsPerToken = 0.010;
 
-// Estimates of the length are good at the median only, so a run stays only if twice its estimate ends in time.
+// Estimates of the length are good at the median only, so a run stays only if twice its estimate ends in
+// time.
 constexpr double LengthMargin = 2.0;
 constexpr Duration SafetyMargin = std::chrono::milliseconds{300};
 
-// The first copy of a prompt crosses the link in 0.2 s, or 0.4 s between failure domains, and waits for others.
+// The first copy of a prompt crosses the link in 0.2 s, or 0.4 s between failure domains, and waits for
+// others.
 constexpr Duration BackupSettling = std::chrono::milliseconds{800};
 
 // Below this time an incomplete copy is still better than none.
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -57,7 +57,8 @@
         if (entry.warmUpLeft > Duration::zero())
             runner->warmUntil = now + entry.warmUpLeft;
         if (entry.report && entry.report->leavesIn)
-            runner->leavesAt = std::min(now + *entry.report->leavesIn, runner->leavesAt.value_or(TimePoint::max()));
+            runner->leavesAt =
+                    std::min(now + *entry.report->leavesIn, runner->leavesAt.value_or(TimePoint::max()));
         next.emplace(entry.id, std::move(runner));
     }
     this->pool = std::move(next);
@@ -114,8 +115,8 @@
 }
 
 std::variant<RunnerPool::RunnerPointer, NoRunner> RunnerPool::choose(const PlacementRequest &request,
-                                                                     const EngineTraits *engine, TimePoint now,
-                                                                     Random &random) const
+                                                                     const EngineTraits *engine,
+                                                                     TimePoint now, Random &random) const
 {
     std::vector<Candidate> candidates;
     bool isAnyFull = false;
--- a/src/libgateway/servingconfig.cpp
+++ b/src/libgateway/servingconfig.cpp
@@ -9,8 +9,8 @@
 std::string describe(const ConfigError &error)
 {
     static constexpr std::array<std::string_view, 8> Names{
-            "unreadable",  "missing or mistyped field",          "unknown service",     "duplicate route",
-            "no weight",   "timeout of 0",                       "prefix without slashes", "key of two accounts"};
+            "unreadable",   "missing or mistyped field", "unknown service",    "duplicate route", "no weight",
+            "timeout of 0", "prefix without slashes",    "key of two accounts"};
     return std::string(Names.at(static_cast<size_t>(error.kind))) + ": " + error.subject;
 }
 
--- a/src/libgateway/servingconfig.h
+++ b/src/libgateway/servingconfig.h
@@ -45,7 +45,8 @@
 
     bool isIdempotent() const
     {
-        return this->kind == RouteKind::Idempotent || (this->kind == RouteKind::Streaming && this->isResumable);
+        return this->kind == RouteKind::Idempotent ||
+               (this->kind == RouteKind::Streaming && this->isResumable);
     }
 };
 
--- a/src/libgateway/transferqueue.h
+++ b/src/libgateway/transferqueue.h
@@ -12,7 +12,8 @@
 /// Orders the copies of generations away from runners that are leaving: one at a time for each source.
 ///
 /// Load pattern: a runner with several generations has a second left, and its link carries one copy after the
-/// other. Started together, the short final copies wait behind the long first ones, and all pause or are lost.
+/// other. Started together, the short final copies wait behind the long first ones, and all pause or are
+/// lost.
 class TransferQueue
 {
 public:
--- a/tests/consensus/test_silentvoter.cpp
+++ b/tests/consensus/test_silentvoter.cpp
@@ -37,14 +37,15 @@
         return false;
     Host &host = simulation.host(*leader);
     const RaftStatus status = host.node->status(simulation.clock(host));
-    return std::any_of(status.members.begin(), status.members.end(),
-                       [&](const RaftMemberStatus &member) { return simulation.hostOf(member.id) == number; });
+    return std::any_of(status.members.begin(), status.members.end(), [&](const RaftMemberStatus &member) {
+        return simulation.hostOf(member.id) == number;
+    });
 }
 
 } // namespace
 
-// Guards against a group that counts a voter forever whose machine was replaced at another address, and stops at
-// the next loss.
+// Guards against a group that counts a voter forever whose machine was replaced at another address, and stops
+// at the next loss.
 TEST_CASE("A machine at another address takes the place of a voter that stays away", "[silentvoter]")
 {
     const uint64_t seed = GENERATE(range(1, 21));
--- a/tests/gateway/test_callplan.cpp
+++ b/tests/gateway/test_callplan.cpp
@@ -20,7 +20,12 @@
 };
 
 const std::vector<Case> Cases{
-        {"a refusal by the runner is repeated", false, 1, true, {SendOutcome::RefusedByRunner}, NextStep::SendAgain},
+        {"a refusal by the runner is repeated",
+         false,
+         1,
+         true,
+         {SendOutcome::RefusedByRunner},
+         NextStep::SendAgain},
         {"no budget, not run", false, 1, false, {SendOutcome::NotConnected}, NextStep::RefuseNotRun},
         {"a non-idempotent request that may have run is never sent again",
          false,
--- a/tests/gateway/test_migrationplan.cpp
+++ b/tests/gateway/test_migrationplan.cpp
@@ -18,14 +18,25 @@
 const std::vector<Case> Cases{
         {"a run that surely ends in time stays", {20, true, 2s, false, true}, 1500ms, MigrationStep::Stay},
         {"a long run moves", {900, true, 2s, false, true}, 1500ms, MigrationStep::Move},
-        {"an estimate that only just fits is not trusted", {100, true, 2s, false, true}, 1500ms, MigrationStep::Move},
+        {"an estimate that only just fits is not trusted",
+         {100, true, 2s, false, true},
+         1500ms,
+         MigrationStep::Move},
         {"a settled copy is used", {900, true, 2s, true, true}, 1500ms, MigrationStep::SwitchToBackup},
         // Guards against giving up a run whose copy has not arrived yet.
         {"a fresh copy settles first", {900, true, 100ms, true, true}, 1500ms, MigrationStep::Stay},
-        {"at the last moment a fresh copy has to do", {900, true, 100ms, true, true}, 200ms,
+        {"at the last moment a fresh copy has to do",
+         {900, true, 100ms, true, true},
+         200ms,
          MigrationStep::SwitchToBackup},
-        {"nothing can be copied before the first event", {900, false, 0s, true, true}, 1500ms, MigrationStep::Stay},
-        {"a run that can be resumed elsewhere stays", {900, true, 2s, false, false}, 1500ms, MigrationStep::Stay},
+        {"nothing can be copied before the first event",
+         {900, false, 0s, true, true},
+         1500ms,
+         MigrationStep::Stay},
+        {"a run that can be resumed elsewhere stays",
+         {900, true, 2s, false, false},
+         1500ms,
+         MigrationStep::Stay},
 };
 
 } // namespace
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -84,7 +84,8 @@
 
 TEST_CASE("A report tells load and departure", "[platform]")
 {
-    const auto decoded = Format.decodeReport(R"({"queue_depth":1,"running":12,"kv_used":41000,"kv_total":90000,
+    const auto decoded =
+            Format.decodeReport(R"({"queue_depth":1,"running":12,"kv_used":41000,"kv_total":90000,
 "state":"draining","leaves_ms":1500})");
     REQUIRE(std::holds_alternative<RunnerReport>(decoded));
     const auto &report = std::get<RunnerReport>(decoded);
@@ -100,8 +101,9 @@
     RequestHeader header;
     header.method(http::verb::post);
     header.target("/a/x");
-    const std::string name = GENERATE("X-Api-Key", "X-Tenant-Id", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
-                                      "Kv-Fetch", "X-Request-Priority", "X-Expect-Version", "Connection");
+    const std::string name =
+            GENERATE("X-Api-Key", "X-Tenant-Id", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                     "Kv-Fetch", "X-Request-Priority", "X-Expect-Version", "Connection");
     header.set(name, "forged");
     header.set("X-Attempt-Id", "id1");
     header.set("X-Other", "kept");
@@ -136,8 +138,9 @@
 
 TEST_CASE("Settings are read once and checked", "[platform]")
 {
-    const std::string valid = "node_name=n\nip=10.0.0.1\nzone=z\ninternal_ports=7200,7215\nseeds=10.0.0.2:80,10.0.0.3:80\n"
-                              "listen.front=10.0.0.1:90\nbootstrap=true\nnew.field=x\nbounds.grace_s=8\n";
+    const std::string valid =
+            "node_name=n\nip=10.0.0.1\nzone=z\ninternal_ports=7200,7215\nseeds=10.0.0.2:80,10.0.0.3:80\n"
+            "listen.front=10.0.0.1:90\nbootstrap=true\nnew.field=x\nbounds.grace_s=8\n";
     const auto decoded = platform::parseNodeSettings(valid);
     REQUIRE(std::holds_alternative<NodeSettings>(decoded));
     const auto &settings = std::get<NodeSettings>(decoded);
--- a/tests/gateway/test_routetable.cpp
+++ b/tests/gateway/test_routetable.cpp
@@ -38,9 +38,10 @@
 };
 
 const std::vector<MatchCase> MatchCases{
-        {"h", "/a/x", "h/a/"},   {"h", "/a/b/x", "h/a/b/"}, {"h", "/a/b", "h/a/"},      {"h", "/a", ""},
-        {"h", "/c/", ""},        {"g", "/c/", "g/"},        {"x", "/a/", ""},           {"h:80", "/a/", "h/a/"},
-        {"h", "/a/b?c=/d/", "h/a/"}, {"g", "?x", ""},
+        {"h", "/a/x", "h/a/"}, {"h", "/a/b/x", "h/a/b/"}, {"h", "/a/b", "h/a/"},
+        {"h", "/a", ""},       {"h", "/c/", ""},          {"g", "/c/", "g/"},
+        {"x", "/a/", ""},      {"h:80", "/a/", "h/a/"},   {"h", "/a/b?c=/d/", "h/a/"},
+        {"g", "?x", ""},
 };
 
 struct ErrorCase
@@ -51,15 +52,22 @@
 };
 
 const std::vector<ErrorCase> ErrorCases{
-        {"unknown service", [](ServingConfig &config) { config.routes[0].services = {{"t", 1}}; },
+        {"unknown service",
+         [](ServingConfig &config) {
+             config.routes[0].services = {{"t", 1}};
+         },
          ConfigErrorKind::UnknownService},
         {"same place", [](ServingConfig &config) { config.routes[1].pathPrefix = "/a/"; },
          ConfigErrorKind::DuplicateRoute},
-        {"weights of 0", [](ServingConfig &config) { config.routes[0].services = {{"s", 0}, {"s", 0}}; },
+        {"weights of 0",
+         [](ServingConfig &config) {
+             config.routes[0].services = {{"s", 0}, {"s", 0}};
+         },
          ConfigErrorKind::NoWeight},
         {"timeout of 0", [](ServingConfig &config) { config.routes[0].timeout = Duration::zero(); },
          ConfigErrorKind::NoTimeout},
-        {"shared key", [](ServingConfig &config) { config.accounts[1].keys = {"k1"}; }, ConfigErrorKind::SharedKey},
+        {"shared key", [](ServingConfig &config) { config.accounts[1].keys = {"k1"}; },
+         ConfigErrorKind::SharedKey},
         {"prefix without slash", [](ServingConfig &config) { config.routes[0].pathPrefix = "/a"; },
          ConfigErrorKind::BadPrefix},
 };
