--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -200,7 +200,7 @@
     if (error.kind == raft::RequestErrorKind::NotLeader && !leader.empty() && this->settings.operatorListen) {
         HttpResponse response = makeResponse(307, R"({"error":"another member leads"})");
         const std::string address = withPort(leader, this->settings.operatorListen->port);
-        response.set(http::field::location, "http://" + address + "/v1/config");
+        response.set(http::field::location, "http://" + address + this->format.configTarget());
         return response;
     }
     return makeResponse(503, R"({"error":"no lead at this member"})");
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -160,8 +160,7 @@
 
 Result<PlacementAnswer, ExchangeError> decodePlacement(std::string_view body)
 {
-    return decode<PlacementAnswer>(body,
-                                   [](const Json &json) { return PlacementAnswer{json.at("runner")}; });
+    return decode<PlacementAnswer>(body, [](const Json &json) { return PlacementAnswer{json.at("runner")}; });
 }
 
 std::string encodeTurn(const TransferTurn &turn)
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -25,7 +25,7 @@
     : GatewayMetrics(std::make_shared<prometheus::Registry>())
 {}
 
-GatewayMetrics::GatewayMetrics(std::shared_ptr<prometheus::Registry> shared)
+GatewayMetrics::GatewayMetrics(const std::shared_ptr<prometheus::Registry> &shared)
     : firstEventSeconds(addHistogram(*shared, "eelgrasslift_first_event_seconds",
                                      "Time from a request to the first event of its stream"))
     , pauseSeconds(addHistogram(*shared, "eelgrasslift_event_pause_seconds",
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -31,7 +31,7 @@
     prometheus::Gauge &openRequests;
 
 private:
-    explicit GatewayMetrics(std::shared_ptr<prometheus::Registry> registry);
+    explicit GatewayMetrics(const std::shared_ptr<prometheus::Registry> &shared);
 
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter> &requests;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gateway/connectionpool.h"
+#include "gateway/fleetagent.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/nodesettings.h"
-#include "gateway/fleetagent.h"
 #include "libserving/serving.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -32,16 +32,18 @@
 // The first event of a resumable stream; of other streams nothing can be done but wait.
 constexpr double FirstEventObjectives = 1.2;
 
-// A generation that found all runners full asks again after this time; coordinators hear of ended runs about as
-// often.
+// A generation that found all runners full asks again after this time; coordinators hear of ended runs about
+// as often.
 constexpr Duration PlacementRetry = std::chrono::milliseconds{100};
 
 // Part of the objective that a generation may wait for a runner with room.
-constexpr double QueueObjectiveShare = 0.5;
+constexpr double QueueObjectiveShare = 0.25;
 
-// Most of a runner's memory that generations may plan for; the urgent ones go higher.
-constexpr double UrgentMemoryLimit = 0.97;
-constexpr double MemoryLimit = 0.9;
+// Sum of the expected final sizes of a runner's generations, as a share of its memory. They do not end at the
+// same time, so the memory in use stays below; copies of leaving generations and urgent requests take the
+// rest.
+constexpr double UrgentMemoryLimit = 1.0;
+constexpr double MemoryLimit = 1.0;
 // Copies take part of the memory only while it is not needed for generations.
 constexpr double BackupMemoryLimit = 0.55;
 
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -121,6 +121,8 @@
     virtual bool isReadinessCheck(const RequestHeader &header) const = 0;
     virtual bool isConfigRead(const RequestHeader &header) const = 0;
     virtual bool isConfigWrite(const RequestHeader &header) const = 0;
+    /// Path of the calls that read and write the configuration.
+    virtual std::string configTarget() const = 0;
 };
 
 } // namespace eelgrasslift
--- a/src/libgateway/fleetload.h
+++ b/src/libgateway/fleetload.h
@@ -13,8 +13,8 @@
 
 /// Work of all gateways on each runner: what they told last, and what was placed for them since.
 ///
-/// Load pattern: 76 gateways place 75 generations a second on runners that hold six each. What one of them placed
-/// is told some hundred milliseconds later; without it two or three are placed on the same room.
+/// Load pattern: 76 gateways place 75 generations a second on runners that hold six each. What one of them
+/// placed is told some hundred milliseconds later; without it two or three are placed on the same room.
 class FleetLoad
 {
 public:
