--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -211,7 +211,7 @@
     std::sort(addresses.begin(), addresses.end());
     std::string text = "eelgrasslift cluster";
     for (const std::string &address : addresses)
-        text += " " + address;
+        text.append(" ").append(address);
     Identity identity;
     const Sha256 clusterDigest = sha256(text);
     std::copy_n(clusterDigest.begin(), identity.clusterId.size(), identity.clusterId.begin());
