--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -217,7 +217,9 @@
     std::copy_n(clusterDigest.begin(), identity.clusterId.size(), identity.clusterId.begin());
     Membership membership;
     for (const std::string &address : addresses) {
-        const Sha256 digest = sha256(text + " member " + address);
+        std::string name = text;
+        name.append(" member ").append(address);
+        const Sha256 digest = sha256(name);
         MemberId id = 0;
         std::memcpy(&id, digest.data(), sizeof id);
         membership.emplace(id, ClusterMember{address, true});
