gateway: stay in the failure domain, go on from the first copy, leave silent runners

Change: whoever chooses for all gateways takes the cheapest runner, a crossing costs 0.6 s (copies 1.0 s); a generation goes on from its first copy and makes again what the copy lacks; runners that answer no questions are used last; a cut-off gateway begins with the fleet that it knows; a generation that stalls for 0.65 of the longest pause goes on from its standing copy, which is kept in the gateway's domain; one line a stream tells first event and longest pause.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -32,8 +32,8 @@
 // Longer than any notice on the sheets.
 constexpr Duration TransferWait = std::chrono::milliseconds{2500};
 constexpr double TransferMemoryLimit = 0.97;
-// A copy between failure domains takes twice its time on the link.
-constexpr double CopyCrossingSeconds = 0.3;
+// A copy between failure domains takes twice its time on the link of a runner that has a second left.
+constexpr double CopyCrossingSeconds = 1.0;
 constexpr Duration LeadershipCheckInterval = std::chrono::milliseconds{100};
 // Bounds a proposal whose outcome stays open, below the operator's own patience for large bodies.
 constexpr size_t MaxConfigBytes = size_t{5} << 20;
@@ -189,11 +189,13 @@
     co_return makeResponse(404, R"({"error":"no such call"})");
 }
 
-HttpResponse Coordinator::refuseWithoutLead(const ProposalError &error, std::string_view call) const
+HttpResponse Coordinator::refuseWithoutLead(const ProposalError &error, std::string_view call,
+                                            uint64_t version) const
 {
     const std::string leader = this->replica->leaderAddress();
     const RaftStatus status = this->replica->status();
     logInfo("operator-call-refused", {{"call", std::string(call)},
+                                      {"version", std::to_string(version)},
                                       {"cause", std::string(raft::toString(error.kind))},
                                       {"leader", leader},
                                       {"term", std::to_string(status.term)}});
@@ -225,7 +227,7 @@
     };
     auto result = co_await awaitIndex(this->io, start);
     if (const auto *error = std::get_if<ProposalError>(&result))
-        co_return this->refuseWithoutLead(*error, "write");
+        co_return this->refuseWithoutLead(*error, "write", version);
     logInfo("configuration-acknowledged", {{"version", std::to_string(version)},
                                            {"in_force", std::to_string(this->store.version())},
                                            {"index", std::to_string(std::get<LogIndex>(result))}});
@@ -239,7 +241,7 @@
     };
     auto result = co_await awaitIndex(this->io, start);
     if (const auto *error = std::get_if<ProposalError>(&result))
-        co_return this->refuseWithoutLead(*error, "read");
+        co_return this->refuseWithoutLead(*error, "read", this->store.version());
     // The lease is asked again at the moment of the answer: this process may have been suspended meanwhile.
     if (!this->replica->status().hasLease)
         co_return makeResponse(503, R"({"error":"the lead may have ended"})");
@@ -336,8 +338,9 @@
     co_return makeResponse(200, encodeTurn({ticket, destination}));
 }
 
-RunnerPool::RunnerPointer Coordinator::choose(const PlacementRequest &request)
+RunnerPool::RunnerPointer Coordinator::choose(PlacementRequest request)
 {
+    request.isForAllGateways = true;
     const auto engine = this->engines.find(request.service);
     if (engine == this->engines.end())
         return nullptr;
@@ -352,8 +355,9 @@
     const auto source = this->pool.find(wish.sourceId);
     if (!source)
         return {};
+    const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
     const PlacementRequest request{wish.service, source->entry.domain, wish.size,
-                                   nullptr,      TransferMemoryLimit,  CopyCrossingSeconds};
+                                   &excluded,    TransferMemoryLimit,  CopyCrossingSeconds};
     const RunnerPool::RunnerPointer chosen = this->choose(request);
     return chosen ? chosen->entry.id : std::string{};
 }
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -38,13 +38,13 @@
 
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
     boost::asio::awaitable<HttpResponse> readConfig();
-    HttpResponse refuseWithoutLead(const ProposalError &error, std::string_view call) const;
+    HttpResponse refuseWithoutLead(const ProposalError &error, std::string_view call, uint64_t version) const;
     boost::asio::awaitable<HttpResponse> waitForTransfer(std::string body);
     HttpResponse finishTransfer(std::string_view body);
     void grantTransfers();
     HttpResponse place(std::string_view body);
     /// Empty if no runner has room, or none is known.
-    RunnerPool::RunnerPointer choose(const PlacementRequest &request);
+    RunnerPool::RunnerPointer choose(PlacementRequest request);
     std::string chooseDestination(const TransferWish &wish);
     void followLeadership();
     void fleetUpdated(bool isUrgent);
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -103,6 +103,8 @@
             }
             this->ownReader.setEngineServices(std::move(engines));
         }
+        if (!isInContact && !this->ownReader.isActive())
+            this->ownReader.useKnown(this->gateway.runners.entries());
         this->ownReader.setActive(!isInContact);
     }
     this->watchTimer.expires_after(WatchInterval);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -34,7 +34,8 @@
               {"slots", entry.slots},
               {"leaving", entry.isLeaving},
               {"warm", toMilliseconds(entry.warmUpLeft)},
-              {"started", entry.startedAtMs}};
+              {"started", entry.startedAtMs},
+              {"silent", entry.isSilent}};
     if (entry.report) {
         json["report"] = {{"queue", entry.report->queueDepth},
                           {"running", entry.report->running},
@@ -58,6 +59,7 @@
     entry.isLeaving = json.at("leaving");
     entry.warmUpLeft = std::chrono::milliseconds{json.at("warm").get<int64_t>()};
     entry.startedAtMs = json.at("started");
+    entry.isSilent = json.at("silent");
     if (const auto report = json.find("report"); report != json.end()) {
         RunnerReport decoded;
         decoded.queueDepth = report->at("queue");
@@ -109,11 +111,9 @@
 
 std::string encodeWish(const TransferWish &wish)
 {
-    const Json json{{"source", wish.sourceId},
-                    {"service", wish.service},
-                    {"prompt", wish.size.promptTokens},
-                    {"output", wish.size.outputTokens},
-                    {"memory", wish.memoryTokens}};
+    const Json json{{"source", wish.sourceId},          {"service", wish.service},
+                    {"prompt", wish.size.promptTokens}, {"output", wish.size.outputTokens},
+                    {"memory", wish.memoryTokens},      {"excluded", wish.excluded}};
     return json.dump();
 }
 
@@ -121,7 +121,8 @@
 {
     return decode<TransferWish>(body, [](const Json &json) {
         return TransferWish{json.at("source"), json.at("service"),
-                            GenerationSize{json.at("prompt"), json.at("output")}, json.at("memory")};
+                            GenerationSize{json.at("prompt"), json.at("output")}, json.at("memory"),
+                            json.at("excluded").get<std::vector<std::string>>()};
     });
 }
 
--- a/src/gateway/fleetagent.h
+++ b/src/gateway/fleetagent.h
@@ -18,6 +18,8 @@
     GenerationSize size;
     /// Tokens in the source's memory now.
     double memoryTokens = 0;
+    /// Runners that had no room for the copy.
+    std::vector<std::string> excluded;
 };
 
 /// The turn to copy.
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
@@ -14,7 +16,10 @@
 namespace {
 
 constexpr Duration ListTimeout = std::chrono::milliseconds{1500};
-constexpr Duration ReportTimeout = std::chrono::milliseconds{600};
+constexpr Duration ReportTimeout = std::chrono::milliseconds{400};
+
+// A single answer may be lost with its connection.
+constexpr uint32_t UnansweredBeforeSilent = 2;
 
 // A list longer than this many pages is taken as an error of the other side.
 constexpr int MaxPages = 100;
@@ -49,6 +54,12 @@
     }
 }
 
+void FleetReader::useKnown(std::vector<RunnerEntry> entries)
+{
+    this->current = std::move(entries);
+    this->unanswered.clear();
+}
+
 asio::awaitable<void> FleetReader::readLists()
 {
     boost::system::error_code ignored;
@@ -111,10 +122,13 @@
             isUrgent = true;
             logInfo("runner-leaving", {{"runner", entry.id}, {"source", "list"}});
         }
-        if (known->startedAtMs == entry.startedAtMs)
+        if (known->startedAtMs == entry.startedAtMs) {
             entry.report = known->report;
+            entry.isSilent = known->isSilent;
+        }
     }
     this->current = std::move(entries);
+    std::erase_if(this->unanswered, [&](const auto &item) { return this->find(item.first) == nullptr; });
     if (this->updated)
         this->updated(isUrgent);
 }
@@ -139,17 +153,25 @@
     OutgoingCall call = this->format.reportCall();
     auto result = co_await this->connections.call(std::move(address), std::move(call), ReportTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
-    if (response == nullptr || response->result_int() != 200)
+    RunnerEntry *entry = this->find(id);
+    if (entry == nullptr)
+        co_return;
+    if (response == nullptr) {
+        this->noteSilence(*entry);
+        co_return;
+    }
+    this->unanswered.erase(id);
+    if (entry->isSilent) {
+        entry->isSilent = false;
+        logInfo("runner-answers-again", {{"runner", id}});
+    }
+    if (response->result_int() != 200)
         co_return;
     auto decoded = this->format.decodeReport(response->body());
     if (const auto *error = std::get_if<DecodeError>(&decoded)) {
         logWarning("runner-report-unreadable", {{"runner", id}, {"subject", error->subject}});
         co_return;
     }
-    const auto entry = std::find_if(this->current.begin(), this->current.end(),
-                                    [&](const RunnerEntry &other) { return other.id == id; });
-    if (entry == this->current.end())
-        co_return;
     const auto &report = std::get<RunnerReport>(decoded);
     const bool wasLeaving = entry->isLeaving || (entry->report && entry->report->isLeaving);
     entry->report = report;
@@ -164,4 +186,21 @@
         this->updated(true);
 }
 
+void FleetReader::noteSilence(RunnerEntry &entry)
+{
+    if (++this->unanswered[entry.id] < UnansweredBeforeSilent || entry.isSilent)
+        return;
+    entry.isSilent = true;
+    logWarning("runner-silent", {{"runner", entry.id}, {"address", entry.address}});
+    if (this->updated)
+        this->updated(false);
+}
+
+RunnerEntry *FleetReader::find(std::string_view id)
+{
+    const auto found =
+            std::ranges::find_if(this->current, [&](const RunnerEntry &entry) { return entry.id == id; });
+    return found == this->current.end() ? nullptr : &*found;
+}
+
 } // namespace eelgrasslift
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace eelgrasslift {
@@ -28,6 +29,8 @@
     void setEngineServices(std::set<std::string> names) { this->engineServices = std::move(names); }
     void setListInterval(Duration interval) { this->settings.listInterval = interval; }
     void setActive(bool isActive);
+    /// Begins with runners that are known from elsewhere, until a list is read.
+    void useKnown(std::vector<RunnerEntry> entries);
     bool isActive() const { return this->active; }
 
     /// Called after a list or a round of reports arrived; isUrgent tells that runners came, left or are
@@ -43,6 +46,8 @@
     boost::asio::awaitable<void> readReport(std::string id, std::string address);
     boost::asio::awaitable<bool> readPages(std::vector<RunnerEntry> &entries);
     void adopt(std::vector<RunnerEntry> entries);
+    void noteSilence(RunnerEntry &entry);
+    RunnerEntry *find(std::string_view id);
 
     boost::asio::io_context &io;
     const WireFormat &format;
@@ -50,6 +55,8 @@
     FleetReaderSettings settings;
     std::set<std::string> engineServices;
     std::vector<RunnerEntry> current;
+    /// Questions for a report in a row that got no answer, by runner.
+    std::map<std::string, uint32_t, std::less<>> unanswered;
     std::function<void(bool)> updated;
     boost::asio::steady_timer listTimer;
     boost::asio::steady_timer reportTimer;
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -1,9 +1,11 @@
 #include "gateway/requestcontext.h"
 
-#include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
 #include "gateway/httpservice.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
@@ -73,14 +75,16 @@
 {
     const TimePoint now = steadyNow();
     this->gateway.metrics.countRequest(this->context.route->name, status);
-    logInfo("request-ended", {{"request", this->context.caller.id},
-                              {"route", this->context.route->name},
-                              {"status", std::to_string(status)},
-                              {"cause", std::string(cause)},
-                              {"runner", this->lastRunner},
-                              {"sends", std::to_string(this->sends)},
-                              {"config", std::to_string(this->context.table->version())},
-                              {"ms", std::to_string(toMilliseconds(now - this->context.arrived))}});
+    std::vector<LogField> fields{{"request", this->context.caller.id},
+                                 {"route", this->context.route->name},
+                                 {"status", std::to_string(status)},
+                                 {"cause", std::string(cause)},
+                                 {"runner", this->lastRunner},
+                                 {"sends", std::to_string(this->sends)},
+                                 {"config", std::to_string(this->context.table->version())},
+                                 {"ms", std::to_string(toMilliseconds(now - this->context.arrived))}};
+    std::ranges::move(this->endDetails(), std::back_inserter(fields));
+    logInfo("request-ended", fields);
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eelgrasslift/logging.h"
 #include "gateway/callerlink.h"
 #include "gateway/gatewaystate.h"
 
@@ -52,6 +53,8 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view cause);
     boost::asio::awaitable<void> finish(NextStep step, std::string_view cause);
     void logEnd(unsigned status, std::string_view cause);
+    /// Further fields of the line that logEnd() writes.
+    virtual std::vector<LogField> endDetails() const { return {}; }
 
     GatewayState &gateway;
     CallerLink &caller;
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -25,10 +25,14 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{250};
 
-// A generation whose runner makes no event for this long goes on elsewhere if it can: several times the
+// A continuation or resumable stream without an event for this long goes on elsewhere: several times the
 // longest pause on time, and below the time after which callers leave.
 constexpr Duration StallTimeout = std::chrono::milliseconds{700};
 
+// Part of the longest pause on time after which a generation goes on from its copy; the rest is left for the
+// continuation. Two prompts that are read beside a generation delay its events by less.
+constexpr double StallShare = 0.65;
+
 // The first event of a resumable stream; of other streams nothing can be done but wait.
 constexpr double FirstEventObjectives = 1.2;
 
@@ -47,19 +51,26 @@
 // Copies take part of the memory only while it is not needed for generations.
 constexpr double BackupMemoryLimit = 0.55;
 
-// A stream that crosses failure domains is lost when they part; worth about the wait for half a prompt.
-constexpr double GenerationCrossingSeconds = 0.15;
+// A stream that crosses failure domains stalls when they part; worth the wait for two prompts, which the
+// objective still bears.
+constexpr double GenerationCrossingSeconds = 0.6;
 
 // A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest
 // ones, which are the dearest to lose and the likeliest to meet a crash.
 constexpr double MinimumTokensForBackup = 600;
 
+// A generation at a runner of another failure domain is also lost when the domains part.
+constexpr double MinimumTokensForBackupAcross = 100;
+
 // A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
-constexpr double CopyCrossingSeconds = 0.3;
+constexpr double CopyCrossingSeconds = 1.0;
 
 // A copy crosses the link in some hundred milliseconds; the destination may queue it behind others.
 constexpr Duration MoveTimeout = std::chrono::milliseconds{2500};
 
+// A copy whose source is gone is complete by now or never will be.
+constexpr Duration PatienceForCopy = std::chrono::milliseconds{150};
+
 // Most continuations of one generation, against endless circles between failing runners.
 constexpr int MaxContinuations = 12;
 constexpr uint32_t MaxRefusedContinuations = 3;
@@ -73,6 +84,9 @@
 StreamSession::StreamSession(GatewayState &state, CallerLink &link, RequestContext requestContext)
     : RequestSession(state, link, std::move(requestContext))
     , plan(this->context.route->isIdempotent(), this->context.route->maxAttempts, this->context.deadline)
+    , stall(this->context.route->pauseLimit > Duration::zero()
+                    ? std::chrono::duration_cast<Duration>(this->context.route->pauseLimit * StallShare)
+                    : StallTimeout)
     , migrationEnd(state.io)
 {
     this->migrationEnd.expires_at(std::chrono::steady_clock::time_point::max());
@@ -230,11 +244,16 @@
 {
     this->backup.release();
     const EngineTraits *engine = this->context.engine();
-    const bool isWorthwhile = engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
-                              this->remainingTokens() >= MinimumTokensForBackup;
+    const bool isAcross = primary.entry.domain != this->gateway.settings.domain;
+    const bool isWorthwhile =
+            engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
+            this->remainingTokens() >= (isAcross ? MinimumTokensForBackupAcross : MinimumTokensForBackup);
     if (!isWorthwhile)
         return;
-    if (const RunnerPool::RunnerPointer runner = this->chooseCopyHolder(primary, BackupMemoryLimit))
+    // A holder beside the gateway is still in reach when the runner's failure domain is not.
+    const RunnerPool::RunnerPointer runner =
+            this->chooseCopyHolder(primary, this->gateway.settings.domain, BackupMemoryLimit);
+    if (runner)
         this->backup = LoadTicket(runner, RunnerLoad{0, this->context.caller.size->finalTokens(), 0});
 }
 
@@ -368,15 +387,17 @@
 StreamSession::forwardEvents(const RunnerConnectionPointer &connection, Parser &parser)
 {
     std::array<char, ReadBufferBytes> bytes{};
-    const bool canContinue = this->context.route->isResumable || this->backup.runner() != nullptr;
+    if (this->backup.runner())
+        asio::co_spawn(this->gateway.io, this->watchForStall(connection), asio::detached);
     while (!parser.is_done()) {
         boost::system::error_code error;
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
         parser.get().body().more = true;
         const bool hasEvents = this->splitter.eventCount() > 0;
-        const Duration patience =
-                canContinue && hasEvents ? std::min(StallTimeout, this->timeLeft()) : this->timeLeft();
+        const Duration patience = this->context.route->isResumable && hasEvents
+                                          ? std::min(StallTimeout, this->timeLeft())
+                                          : this->timeLeft();
         connection->stream.expires_after(std::max(patience, Duration{1}));
         co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -412,12 +433,56 @@
     if (this->load.runner() && this->load.runner()->entry.isLeaving)
         this->runnerLeaves(this->load.runner()->untilGone(now));
     if (before == 0) {
+        this->firstEventAt = now;
         this->load.endPrefill();
         this->gateway.metrics.firstEventSeconds.Observe(toSeconds(now - this->context.arrived));
     } else if (this->lastEventAt) {
+        this->longestPause = std::max<Duration>(this->longestPause, now - *this->lastEventAt);
         this->gateway.metrics.pauseSeconds.Observe(toSeconds(now - *this->lastEventAt));
     }
     this->lastEventAt = now;
+    this->stall.noteProgress(now);
+}
+
+bool StreamSession::hasBackupInReach() const
+{
+    const RunnerPool::RunnerPointer &holder = this->backup.runner();
+    return holder && !holder->entry.isLeaving && !holder->entry.isSilent;
+}
+
+asio::awaitable<void> StreamSession::watchForStall(RunnerConnectionPointer connection)
+{
+    const auto keepAlive = this->shared_from_this();
+    asio::steady_timer timer(this->gateway.io);
+    this->stall.start(steadyNow());
+    for (;;) {
+        boost::system::error_code ignored;
+        timer.expires_after(std::max<Duration>(this->stall.nextLook() - steadyNow(), Duration{1}));
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (this->active != connection || this->isAbandoned)
+            co_return;
+        const bool hasUnreadBytes = connection->stream.socket().available(ignored) > 0;
+        if (!this->stall.look(steadyNow(), hasUnreadBytes) || !this->runStartedAt)
+            continue;
+        if (!this->hasBackupInReach() || this->isMigrating)
+            continue;
+        logInfo("generation-stalled", {{"request", this->context.caller.id},
+                                       {"runner", this->lastRunner},
+                                       {"events", std::to_string(this->splitter.eventCount())},
+                                       {"backup", this->backup.runner()->entry.id}});
+        this->breakOff();
+        co_return;
+    }
+}
+
+std::vector<LogField> StreamSession::endDetails() const
+{
+    const std::string firstEvent =
+            this->firstEventAt ? std::to_string(toMilliseconds(*this->firstEventAt - this->context.arrived))
+                               : "none";
+    return {{"events", std::to_string(this->splitter.eventCount())},
+            {"first_event_ms", firstEvent},
+            {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))}};
 }
 
 std::optional<StreamSession::Destination> StreamSession::backupDestination()
@@ -438,8 +503,10 @@
 StreamSession::continuation(const RelayResult &broken, Destination last)
 {
     boost::system::error_code ignored;
-    if (this->isMigrating)
+    if (this->isMigrating) {
+        this->migrationEnd.expires_after(PatienceForCopy);
         co_await this->migrationEnd.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     if (!last.continueFrom.empty() && broken.outcome == SendOutcome::RefusedByRunner) {
         // The copy may still be on its way, or the runner has no room for a moment.
         if (++this->refusedContinuations > MaxRefusedContinuations)
@@ -499,9 +566,7 @@
              {"events", std::to_string(this->splitter.eventCount())},
              {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
     if (step == MigrationStep::SwitchToBackup) {
-        // Breaking off here makes the session go on from the copy.
-        boost::system::error_code ignored;
-        this->active->stream.socket().close(ignored);
+        this->breakOff();
         return;
     }
     this->isMigrating = true;
@@ -515,15 +580,26 @@
     const EngineTraits *engine = this->context.engine();
     const GenerationSize &size = *this->context.caller.size;
     const double made = static_cast<double>(this->splitter.eventCount()) * engine->tokensPerEvent;
-    TransferWish wish{source->entry.id, this->context.service, size, size.promptTokens + made};
+    TransferWish wish{source->entry.id,
+                      this->context.service,
+                      size,
+                      size.promptTokens + made,
+                      {this->fullHolders.begin(), this->fullHolders.end()}};
     const std::optional<TransferTurn> turn = co_await this->gateway.fleetAgent->ask(std::move(wish));
     RunnerPool::RunnerPointer destination = turn ? this->gateway.runners.find(turn->destinationId) : nullptr;
     if (!destination)
-        destination = this->chooseCopyHolder(*source, UrgentMemoryLimit);
-    const bool isStillThere = this->load.runner() == source && this->active && !this->isAbandoned;
-    if (destination && isStillThere) {
+        destination = this->chooseCopyHolder(*source, source->entry.domain, UrgentMemoryLimit);
+    const auto isStillThere = [&] {
+        return this->load.runner() == source && this->active && !this->isAbandoned;
+    };
+    if (destination && isStillThere()) {
         const LoadTicket reserved(destination, this->expectedLoad());
-        co_await this->moveTo(source, destination);
+        const std::optional<std::string> reference = co_await this->copy(source, destination);
+        if (reference)
+            this->moved = Destination{destination, *reference, "move"};
+        // What the run has made since the copy is made again at the destination, from the last event on.
+        if (reference && isStillThere())
+            this->breakOff();
     }
     if (turn)
         this->gateway.fleetAgent->finish(turn->ticket);
@@ -531,24 +607,31 @@
     this->migrationEnd.cancel();
 }
 
+void StreamSession::breakOff()
+{
+    boost::system::error_code ignored;
+    this->active->stream.socket().close(ignored);
+}
+
 RunnerPool::RunnerPointer StreamSession::chooseCopyHolder(const RunnerPool::Runner &source,
-                                                          double memoryLimit) const
+                                                          std::string_view domain, double memoryLimit) const
 {
-    const std::set<std::string> excluded{source.entry.id};
+    std::set<std::string> excluded = this->fullHolders;
+    excluded.insert(source.entry.id);
     const PlacementRequest request{
-            this->context.service, source.entry.domain, this->context.caller.size, &excluded,
-            memoryLimit,           CopyCrossingSeconds};
+            this->context.service, domain, this->context.caller.size, &excluded, memoryLimit,
+            CopyCrossingSeconds};
     auto placed =
             this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
     const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
     return runner == nullptr ? nullptr : *runner;
 }
 
-asio::awaitable<std::optional<std::string>>
-StreamSession::copy(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination, bool isFinal)
+asio::awaitable<std::optional<std::string>> StreamSession::copy(RunnerPool::RunnerPointer source,
+                                                                RunnerPool::RunnerPointer destination)
 {
     const WireFormat &format = this->gateway.format;
-    const MoveOrder order{this->context.caller.id, destination->entry.address, isFinal};
+    const MoveOrder order{this->context.caller.id, destination->entry.address};
     const TimePoint started = steadyNow();
     OutgoingCall call = format.moveCall(order);
     auto result =
@@ -558,9 +641,10 @@
     logInfo("generation-copied", {{"request", this->context.caller.id},
                                   {"from", source->entry.id},
                                   {"to", destination->entry.id},
-                                  {"final", isFinal ? "true" : "false"},
                                   {"status", std::to_string(status)},
                                   {"ms", std::to_string(toMilliseconds(steadyNow() - started))}});
+    if (status == 503)
+        this->fullHolders.insert(destination->entry.id);
     if (status != 200)
         co_return std::nullopt;
     const auto made = format.decodeMove(response->body());
@@ -569,16 +653,4 @@
     co_return format.copyReference(source->entry.address, std::get<CopyMade>(made).handle);
 }
 
-asio::awaitable<bool> StreamSession::moveTo(RunnerPool::RunnerPointer source,
-                                            RunnerPool::RunnerPointer destination)
-{
-    const std::optional<std::string> first = co_await this->copy(source, destination, false);
-    if (!first)
-        co_return false;
-    const std::optional<std::string> reference = co_await this->copy(source, destination, true);
-    if (reference)
-        this->moved = Destination{destination, *reference, "move"};
-    co_return reference.has_value();
-}
-
 } // namespace eelgrasslift
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -57,28 +57,38 @@
     boost::asio::awaitable<std::optional<Destination>> continuation(const RelayResult &broken,
                                                                     Destination last);
     boost::asio::awaitable<void> migrate();
-    RunnerPool::RunnerPointer chooseCopyHolder(const RunnerPool::Runner &source, double memoryLimit) const;
-    boost::asio::awaitable<bool> moveTo(RunnerPool::RunnerPointer source,
-                                        RunnerPool::RunnerPointer destination);
+    RunnerPool::RunnerPointer chooseCopyHolder(const RunnerPool::Runner &source, std::string_view domain,
+                                               double memoryLimit) const;
     /// Copies the run's memory; returns the reference to go on from.
-    boost::asio::awaitable<std::optional<std::string>>
-    copy(RunnerPool::RunnerPointer source, RunnerPool::RunnerPointer destination, bool isFinal);
+    boost::asio::awaitable<std::optional<std::string>> copy(RunnerPool::RunnerPointer source,
+                                                            RunnerPool::RunnerPointer destination);
+    /// Ends the send at the current runner, so that the session goes on from a copy.
+    void breakOff();
+    /// Breaks off when the stream stalls while a copy of its memory is in reach.
+    boost::asio::awaitable<void> watchForStall(RunnerConnectionPointer connection);
+    bool hasBackupInReach() const;
     std::optional<Destination> backupDestination();
     void chooseBackup(const RunnerPool::Runner &primary);
     void noteEvents(uint64_t before);
     RunnerLoad expectedLoad() const;
     double remainingTokens() const;
+    std::vector<LogField> endDetails() const override;
 
     EventSplitter splitter;
     CallPlan plan;
     LoadTicket load;
     std::set<std::string> tried;
+    /// Runners that had no room for a copy of the memory.
+    std::set<std::string> fullHolders;
     /// Runner that keeps a growing copy of the memory.
     LoadTicket backup;
+    std::optional<TimePoint> firstEventAt;
     std::optional<TimePoint> lastEventAt;
+    Duration longestPause{};
     /// First event at the current runner.
     std::optional<TimePoint> runStartedAt;
 
+    StallDetector stall;
     uint32_t refusedContinuations = 0;
     bool isMigrating = false;
     std::optional<Destination> moved;
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -68,8 +68,6 @@
 {
     std::string requestId;
     std::string destination;
-    /// Stops the run and completes the copy.
-    bool isFinal = false;
 };
 
 /// A copy of a run's memory that a runner made.
--- a/src/libgateway/fleetview.h
+++ b/src/libgateway/fleetview.h
@@ -38,6 +38,8 @@
     /// Start of the runner, Unix milliseconds; tells two starts under one id apart. 0: unknown.
     int64_t startedAtMs = 0;
     std::optional<RunnerReport> report;
+    /// The last questions for a report got no answer: the runner is down or cut off from whoever asks.
+    bool isSilent = false;
 };
 
 /// Work in flight on one runner.
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -11,4 +11,5 @@
 #include "libgateway/routetable.h"
 #include "libgateway/runnerpool.h"
 #include "libgateway/servingconfig.h"
+#include "libgateway/stalldetector.h"
 #include "libgateway/transferqueue.h"
--- a/src/libgateway/migrationplan.cpp
+++ b/src/libgateway/migrationplan.cpp
@@ -27,10 +27,8 @@
     const Duration remaining = fromSeconds(run.remainingTokens * SecondsPerToken * LengthMargin);
     if (!run.hasFirstEvent || remaining + SafetyMargin < untilGone)
         return MigrationStep::Stay;
-    if (run.hasBackup) {
-        const bool isSettled = run.age >= BackupSettling || untilGone < LastMoment;
-        return isSettled ? MigrationStep::SwitchToBackup : MigrationStep::Stay;
-    }
+    if (run.hasBackup && (run.age >= BackupSettling || untilGone < LastMoment))
+        return MigrationStep::SwitchToBackup;
     return run.canMove ? MigrationStep::Move : MigrationStep::Stay;
 }
 
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -35,6 +35,10 @@
 // A leaving runner that does not say when it ends is treated as gone after this time.
 constexpr Duration AssumedNotice = std::chrono::milliseconds{1200};
 
+// Reports are some hundred milliseconds old when they arrive; what they say of the time left is older by
+// that.
+constexpr Duration ReportAge = std::chrono::milliseconds{500};
+
 } // namespace
 
 Duration RunnerPool::Runner::untilGone(TimePoint now) const
@@ -57,8 +61,8 @@
         if (entry.warmUpLeft > Duration::zero())
             runner->warmUntil = now + entry.warmUpLeft;
         if (entry.report && entry.report->leavesIn)
-            runner->leavesAt =
-                    std::min(now + *entry.report->leavesIn, runner->leavesAt.value_or(TimePoint::max()));
+            runner->leavesAt = std::min(now + *entry.report->leavesIn - ReportAge,
+                                        runner->leavesAt.value_or(TimePoint::max()));
         next.emplace(entry.id, std::move(runner));
     }
     this->pool = std::move(next);
@@ -84,6 +88,14 @@
     return found == this->pool.end() ? nullptr : found->second;
 }
 
+std::vector<RunnerEntry> RunnerPool::entries() const
+{
+    std::vector<RunnerEntry> result;
+    for (const auto &[id, runner] : this->pool)
+        result.push_back(runner->entry);
+    return result;
+}
+
 double RunnerPool::costOf(const Runner &runner, const PlacementRequest &request, const EngineTraits *engine,
                           TimePoint now)
 {
@@ -92,6 +104,9 @@
     double cost = runner.failureRate * FailureSeconds;
     if (runner.entry.domain != request.domain)
         cost += request.crossingSeconds;
+    // Whoever chooses for all gateways does not know whether they reach the runner themselves.
+    if (runner.entry.isSilent)
+        cost += FailureSeconds;
     if (now < runner.warmUntil)
         cost += WarmUpSeconds;
     if (!request.size || engine == nullptr) {
@@ -126,7 +141,8 @@
                               (request.excluded == nullptr || !request.excluded->contains(id));
         if (!isUsable)
             continue;
-        if (runner->shunnedUntil && now < *runner->shunnedUntil) {
+        const bool isShunned = runner->shunnedUntil && now < *runner->shunnedUntil;
+        if (isShunned || (runner->entry.isSilent && !request.isForAllGateways)) {
             shunned = runner;
             continue;
         }
@@ -143,6 +159,8 @@
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
+    if (request.isForAllGateways)
+        return candidates.front().runner;
     // The better of two random choices among the cheaper half keeps gateways apart that see the same loads.
     const size_t choices = std::max<size_t>((candidates.size() + 1) / 2, 1);
     const size_t chosen = std::min(random.below(choices), random.below(choices));
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace eelgrasslift {
 
@@ -35,6 +36,9 @@
     double memoryLimit = 1.0;
     /// Cost in seconds of a runner in another failure domain; one crossing and back.
     double crossingSeconds = 0.003;
+    /// Whoever chooses for all gateways takes the cheapest runner; one of many that see the same loads must
+    /// not.
+    bool isForAllGateways = false;
 };
 
 struct NoRunner
@@ -87,6 +91,8 @@
     static void recordSend(Runner &runner, SendHealth health, Duration duration, TimePoint now);
 
     const std::map<std::string, RunnerPointer, std::less<>> &runners() const { return this->pool; }
+    /// The list as it is known now.
+    std::vector<RunnerEntry> entries() const;
 
 private:
     struct Candidate
--- a/tests/gateway/test_runnerpool.cpp
+++ b/tests/gateway/test_runnerpool.cpp
@@ -110,3 +110,65 @@
     rest.excluded = &excluded;
     CHECK(chosenId(pool, rest, random) == "a");
 }
+
+// Load pattern: the leading coordinator places for all gateways; a random choice among the cheaper half sent
+// every second stream to another failure domain, where a partition stalls it.
+TEST_CASE("Whoever chooses for all gateways takes the cheapest runner", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{6};
+    pool.setFleet(std::vector{makeEntry("near", "z"), makeEntry("a", "y"), makeEntry("b", "y")}, Start);
+    PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+    request.crossingSeconds = 0.6;
+    request.isForAllGateways = true;
+    pool.find("near")->own += RunnerLoad{1, 3900, 3000};
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosenId(pool, request, random, &Engine) == "near");
+}
+
+// Guards against requests that wait for a connection to runners behind a partition while others are in reach.
+TEST_CASE("A runner that answers no questions is used last", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{7};
+    RunnerEntry silent = makeEntry("silent", "z");
+    silent.isSilent = true;
+    pool.setFleet(std::vector{silent, makeEntry("a", "y")}, Start);
+    const bool isForAllGateways = GENERATE(false, true);
+    PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+    request.isForAllGateways = isForAllGateways;
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosenId(pool, request, random, &Engine) == "a");
+    const std::set<std::string> excluded{"a"};
+    request.excluded = &excluded;
+    CHECK(chosenId(pool, request, random, &Engine) == "silent");
+}
+
+TEST_CASE("A silent runner is not used while runners in reach are full for the moment", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{8};
+    RunnerEntry silent = makeEntry("silent", "z");
+    silent.isSilent = true;
+    pool.setFleet(std::vector{silent, makeEntry("a", "z")}, Start);
+    pool.find("a")->own += RunnerLoad{8, 33000, 0};
+    const PlacementRequest request{"s", "z", GenerationSize{3000, 900}};
+    const auto placed = pool.choose(request, &Engine, Start, random);
+    REQUIRE(std::holds_alternative<NoRunner>(placed));
+    CHECK(std::get<NoRunner>(placed).reason == NoRunner::Reason::Full);
+}
+
+// Guards against copies that begin too late: a report of a leaving runner is up to half a second old.
+TEST_CASE("The time until a runner is gone is reduced by the age of its report", "[runnerpool]")
+{
+    RunnerPool pool;
+    RunnerEntry entry = makeEntry("a", "z", true);
+    entry.report = RunnerReport{};
+    entry.report->isLeaving = true;
+    entry.report->leavesIn = 1800ms;
+    pool.setFleet(std::vector{entry}, Start);
+    CHECK(pool.find("a")->untilGone(Start) == Duration{1300ms});
+    // The same report in a later list does not postpone it.
+    pool.setFleet(std::vector{entry}, Start + 400ms);
+    CHECK(pool.find("a")->untilGone(Start + 400ms) == Duration{900ms});
+}
