gateway, coordinator: count copies at their destination at once, let sizes follow the run, avoid queues at runners

Change: a granted copy counts as placed; the expected size grows with what a run makes; an old run stays only if it may produce 0.4 of its age in time; runners that report a queue cost half a second for each that waits; sent_ms in the log.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -311,11 +311,7 @@
     if (!this->replica->status().hasLease)
         co_return makeResponse(503);
     const TransferWish wish = std::get<TransferWish>(decoded);
-    // A generation's worth grows with its size, and ten times as fast with what it writes as with what it
-    // reads.
-    constexpr double OutputWeight = 10;
-    const double value = (wish.size.promptTokens + OutputWeight * wish.size.outputTokens) /
-                         std::max(wish.memoryTokens, 1.0);
+    const double value = wish.worth / std::max(wish.memoryTokens, 1.0);
     const TransferQueue::Ticket ticket = this->transfers.ask(wish.sourceId, value, steadyNow());
     asio::steady_timer turn(this->io, TransferWait);
     this->transferWaiters[ticket] = &turn;
@@ -335,6 +331,8 @@
         this->grantTransfers();
         co_return makeResponse(503);
     }
+    // Counts at once, so that the copies from other runners go elsewhere.
+    this->load.place(wish.gateway, destination, RunnerLoad{1, wish.size.finalTokens(), 0}, steadyNow());
     co_return makeResponse(200, encodeTurn({ticket, destination}));
 }
 
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -196,6 +196,7 @@
 {
     if (!this->hasContact || this->coordinators.empty())
         co_return std::nullopt;
+    wish.gateway = this->gateway.settings.name;
     OutgoingCall call{"POST", TransferPath, encodeWish(wish)};
     auto result = co_await this->connections.call(this->currentAddress(), std::move(call), TransferTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -120,9 +120,15 @@
 Result<TransferWish, ExchangeError> decodeWish(std::string_view body)
 {
     return decode<TransferWish>(body, [](const Json &json) {
-        return TransferWish{json.at("source"), json.at("service"),
-                            GenerationSize{json.at("prompt"), json.at("output")}, json.at("memory"),
-                            json.at("excluded").get<std::vector<std::string>>()};
+        TransferWish wish;
+        wish.gateway = json.at("gateway");
+        wish.sourceId = json.at("source");
+        wish.service = json.at("service");
+        wish.size = GenerationSize{json.at("prompt"), json.at("output")};
+        wish.memoryTokens = json.at("memory");
+        wish.worth = json.at("worth");
+        wish.excluded = json.at("excluded").get<std::vector<std::string>>();
+        return wish;
     });
 }
 
--- a/src/gateway/fleetagent.h
+++ b/src/gateway/fleetagent.h
@@ -13,11 +13,14 @@
 /// A gateway's wish to copy a generation away from a leaving runner.
 struct TransferWish
 {
+    std::string gateway;
     std::string sourceId;
     std::string service;
     GenerationSize size;
     /// Tokens in the source's memory now.
     double memoryTokens = 0;
+    /// What is lost if the copy does not come; see worthOf().
+    double worth = 0;
     /// Runners that had no room for the copy.
     std::vector<std::string> excluded;
 };
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -116,6 +116,14 @@
     this->target.reset();
 }
 
+void LoadTicket::setFinalTokens(double tokens)
+{
+    if (!this->target)
+        return;
+    this->target->own.finalTokens += tokens - this->load.finalTokens;
+    this->load.finalTokens = tokens;
+}
+
 void LoadTicket::endPrefill()
 {
     if (!this->target)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -74,6 +74,8 @@
     void release();
     /// The run has produced its first event.
     void endPrefill();
+    /// The run is expected to end with another size.
+    void setFinalTokens(double tokens);
     const RunnerPool::RunnerPointer &runner() const { return this->target; }
 
 private:
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -98,17 +98,24 @@
     this->gateway.removeStream(*this);
 }
 
+double StreamSession::madeTokens() const
+{
+    const EngineTraits *engine = this->context.engine();
+    return static_cast<double>(this->splitter.eventCount()) * (engine ? engine->tokensPerEvent : 1);
+}
+
 double StreamSession::remainingTokens() const
 {
     if (!this->context.caller.size)
         return 0;
-    const EngineTraits *engine = this->context.engine();
-    const double made =
-            static_cast<double>(this->splitter.eventCount()) * (engine ? engine->tokensPerEvent : 1);
-    // A generation past its estimate is expected to last for another part of it.
-    constexpr double OvertimeShare = 0.3;
-    return std::max(this->context.caller.size->outputTokens - made,
-                    this->context.caller.size->outputTokens * OvertimeShare);
+    return expectedRemaining(this->context.caller.size->outputTokens, this->madeTokens());
+}
+
+double StreamSession::finalTokens() const
+{
+    if (!this->context.caller.size)
+        return 0;
+    return this->context.caller.size->promptTokens + this->madeTokens() + this->remainingTokens();
 }
 
 RunnerLoad StreamSession::expectedLoad() const
@@ -116,8 +123,7 @@
     if (!this->context.caller.size)
         return RunnerLoad{1, 0, 0};
     const bool hasStarted = this->splitter.eventCount() > 0;
-    return RunnerLoad{1, this->context.caller.size->finalTokens(),
-                      hasStarted ? 0 : this->context.caller.size->promptTokens};
+    return RunnerLoad{1, this->finalTokens(), hasStarted ? 0 : this->context.caller.size->promptTokens};
 }
 
 asio::awaitable<RunnerPool::RunnerPointer> StreamSession::place()
@@ -254,7 +260,7 @@
     const RunnerPool::RunnerPointer runner =
             this->chooseCopyHolder(primary, this->gateway.settings.domain, BackupMemoryLimit);
     if (runner)
-        this->backup = LoadTicket(runner, RunnerLoad{0, this->context.caller.size->finalTokens(), 0});
+        this->backup = LoadTicket(runner, RunnerLoad{0, this->finalTokens(), 0});
 }
 
 asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
@@ -270,6 +276,8 @@
     if (!connection || this->isAbandoned)
         co_return RelayResult{RelayEnd::Refused, SendOutcome::NotConnected, "not-connected", std::nullopt};
     ++this->sends;
+    if (!this->firstSentAt)
+        this->firstSentAt = steadyNow();
     this->active = connection;
     AttemptHeaders attempt;
     attempt.priority = this->context.route->priority;
@@ -442,6 +450,7 @@
     }
     this->lastEventAt = now;
     this->stall.noteProgress(now);
+    this->load.setFinalTokens(this->finalTokens());
 }
 
 bool StreamSession::hasBackupInReach() const
@@ -477,11 +486,12 @@
 
 std::vector<LogField> StreamSession::endDetails() const
 {
-    const std::string firstEvent =
-            this->firstEventAt ? std::to_string(toMilliseconds(*this->firstEventAt - this->context.arrived))
-                               : "none";
+    const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
+        return at ? std::to_string(toMilliseconds(*at - this->context.arrived)) : std::string("none");
+    };
     return {{"events", std::to_string(this->splitter.eventCount())},
-            {"first_event_ms", firstEvent},
+            {"sent_ms", sinceArrival(this->firstSentAt)},
+            {"first_event_ms", sinceArrival(this->firstEventAt)},
             {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))}};
 }
 
@@ -554,7 +564,11 @@
         return;
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isLeaving;
     const Duration age = this->runStartedAt ? steadyNow() - *this->runStartedAt : Duration::zero();
-    const LeavingRun run{this->remainingTokens(), this->runStartedAt.has_value(), age, hasBackup,
+    const LeavingRun run{this->remainingTokens(),
+                         this->madeTokens(),
+                         this->runStartedAt.has_value(),
+                         age,
+                         hasBackup,
                          engine->canMove && !this->context.route->isResumable};
     const MigrationStep step = planMigration(run, untilGone);
     if (step == MigrationStep::Stay)
@@ -577,14 +591,15 @@
 {
     const auto keepAlive = this->shared_from_this();
     const RunnerPool::RunnerPointer source = this->load.runner();
-    const EngineTraits *engine = this->context.engine();
-    const GenerationSize &size = *this->context.caller.size;
-    const double made = static_cast<double>(this->splitter.eventCount()) * engine->tokensPerEvent;
-    TransferWish wish{source->entry.id,
-                      this->context.service,
-                      size,
-                      size.promptTokens + made,
-                      {this->fullHolders.begin(), this->fullHolders.end()}};
+    TransferWish wish;
+    wish.sourceId = source->entry.id;
+    wish.service = this->context.service;
+    wish.size = GenerationSize{this->context.caller.size->promptTokens + this->madeTokens(),
+                               this->remainingTokens()};
+    wish.memoryTokens = wish.size.promptTokens;
+    wish.worth =
+            worthOf({this->context.caller.size->promptTokens, this->madeTokens() + this->remainingTokens()});
+    wish.excluded.assign(this->fullHolders.begin(), this->fullHolders.end());
     const std::optional<TransferTurn> turn = co_await this->gateway.fleetAgent->ask(std::move(wish));
     RunnerPool::RunnerPointer destination = turn ? this->gateway.runners.find(turn->destinationId) : nullptr;
     if (!destination)
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -72,6 +72,8 @@
     void noteEvents(uint64_t before);
     RunnerLoad expectedLoad() const;
     double remainingTokens() const;
+    double madeTokens() const;
+    double finalTokens() const;
     std::vector<LogField> endDetails() const override;
 
     EventSplitter splitter;
@@ -82,6 +84,7 @@
     std::set<std::string> fullHolders;
     /// Runner that keeps a growing copy of the memory.
     LoadTicket backup;
+    std::optional<TimePoint> firstSentAt;
     std::optional<TimePoint> firstEventAt;
     std::optional<TimePoint> lastEventAt;
     Duration longestPause{};
--- a/src/libgateway/migrationplan.cpp
+++ b/src/libgateway/migrationplan.cpp
@@ -1,5 +1,7 @@
 #include "libgateway/migrationplan.h"
 
+#include <algorithm>
+
 namespace eelgrasslift {
 
 namespace {
@@ -13,6 +15,13 @@
 constexpr double LengthMargin = 2.0;
 constexpr Duration SafetyMargin = std::chrono::milliseconds{300};
 
+// A generation past its estimate is expected to last for another part of it.
+constexpr double OvertimeShare = 0.3;
+
+// Lengths are spread widely, so an old generation is likely a long one: it stays only if it may produce this
+// part of what it has produced already before its runner is gone.
+constexpr double ShareOfAge = 0.4;
+
 // The first copy of a prompt crosses the link in 0.2 s, or 0.4 s between failure domains, and waits for
 // others.
 constexpr Duration BackupSettling = std::chrono::milliseconds{800};
@@ -22,9 +31,15 @@
 
 } // namespace
 
+double expectedRemaining(double estimatedTokens, double madeTokens)
+{
+    return std::max(estimatedTokens - madeTokens, estimatedTokens * OvertimeShare);
+}
+
 MigrationStep planMigration(const LeavingRun &run, Duration untilGone)
 {
-    const Duration remaining = fromSeconds(run.remainingTokens * SecondsPerToken * LengthMargin);
+    const double tokens = std::max(run.remainingTokens * LengthMargin, run.madeTokens * ShareOfAge);
+    const Duration remaining = fromSeconds(tokens * SecondsPerToken);
     if (!run.hasFirstEvent || remaining + SafetyMargin < untilGone)
         return MigrationStep::Stay;
     if (run.hasBackup && (run.age >= BackupSettling || untilGone < LastMoment))
--- a/src/libgateway/migrationplan.h
+++ b/src/libgateway/migrationplan.h
@@ -9,6 +9,8 @@
 {
     /// Tokens that the generation is expected to produce from now on.
     double remainingTokens = 0;
+    /// Tokens that it has produced.
+    double madeTokens = 0;
     /// Memory can be copied only after the first event.
     bool hasFirstEvent = false;
     /// Time since the first event at this runner.
@@ -19,6 +21,9 @@
     bool canMove = false;
 };
 
+/// Tokens that a generation is expected to produce from now on, by an estimate of its whole length.
+double expectedRemaining(double estimatedTokens, double madeTokens);
+
 enum class MigrationStep {
     Stay,           ///< For now: the run ends in time, or its memory cannot be copied yet.
     SwitchToBackup, ///< Go on from the copy that is there.
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -18,6 +18,9 @@
 constexpr double MemoryPressureSeconds = 1.0;
 constexpr double MemoryPressureFrom = 0.6;
 
+// What a generation waits behind one that waits at the runner already: until a running one ends.
+constexpr double QueuedSeconds = 0.5;
+
 // A runner that fails all it gets costs as much as this wait.
 constexpr double FailureSeconds = 2.0;
 constexpr double WarmUpSeconds = 0.4;
@@ -124,6 +127,8 @@
     const double slowdown = 1.0 + SlowdownPerRun * load.runs;
     cost += (load.prefillTokens + request.size->promptTokens) / PrefillTokensPerSecond * slowdown;
     cost += slowdown - 1.0;
+    if (runner.entry.report)
+        cost += runner.entry.report->queueDepth * QueuedSeconds;
     if (used > MemoryPressureFrom)
         cost += (used - MemoryPressureFrom) / (1.0 - MemoryPressureFrom) * MemoryPressureSeconds;
     return cost;
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -23,6 +23,14 @@
     double finalTokens() const { return this->promptTokens + this->outputTokens; }
 };
 
+/// Relative worth of a generation: it grows with its size, and ten times as fast with what it writes as with
+/// what it reads, as the users' sheets have it.
+inline double worthOf(const GenerationSize &size)
+{
+    constexpr double OutputWeight = 10;
+    return size.promptTokens + OutputWeight * size.outputTokens;
+}
+
 /// A request that looks for a runner.
 struct PlacementRequest
 {
--- a/tests/gateway/test_migrationplan.cpp
+++ b/tests/gateway/test_migrationplan.cpp
@@ -16,27 +16,32 @@
 };
 
 const std::vector<Case> Cases{
-        {"a run that surely ends in time stays", {20, true, 2s, false, true}, 1500ms, MigrationStep::Stay},
-        {"a long run moves", {900, true, 2s, false, true}, 1500ms, MigrationStep::Move},
+        {"a run that surely ends in time stays", {20, 0, true, 2s, false, true}, 1500ms, MigrationStep::Stay},
+        {"a long run moves", {900, 0, true, 2s, false, true}, 1500ms, MigrationStep::Move},
         {"an estimate that only just fits is not trusted",
-         {100, true, 2s, false, true},
+         {100, 0, true, 2s, false, true},
          1500ms,
          MigrationStep::Move},
-        {"a settled copy is used", {900, true, 2s, true, true}, 1500ms, MigrationStep::SwitchToBackup},
+        // Guards against losing old generations whose estimate was too short: half of all are.
+        {"an old run is not trusted to end soon",
+         {20, 500, true, 5s, false, true},
+         1500ms,
+         MigrationStep::Move},
+        {"a settled copy is used", {900, 0, true, 2s, true, true}, 1500ms, MigrationStep::SwitchToBackup},
         // Guards against giving up a run whose copy has not arrived yet.
-        {"a fresh copy settles first", {900, true, 100ms, true, false}, 1500ms, MigrationStep::Stay},
+        {"a fresh copy settles first", {900, 0, true, 100ms, true, false}, 1500ms, MigrationStep::Stay},
         // Guards against going on from a copy that never arrived: the runner refuses and the run is lost.
-        {"a run whose copy is fresh moves", {900, true, 100ms, true, true}, 1500ms, MigrationStep::Move},
+        {"a run whose copy is fresh moves", {900, 0, true, 100ms, true, true}, 1500ms, MigrationStep::Move},
         {"at the last moment a fresh copy has to do",
-         {900, true, 100ms, true, true},
+         {900, 0, true, 100ms, true, true},
          200ms,
          MigrationStep::SwitchToBackup},
         {"nothing can be copied before the first event",
-         {900, false, 0s, true, true},
+         {900, 0, false, 0s, true, true},
          1500ms,
          MigrationStep::Stay},
         {"a run that can be resumed elsewhere stays",
-         {900, true, 2s, false, false},
+         {900, 0, true, 2s, false, false},
          1500ms,
          MigrationStep::Stay},
 };
@@ -49,3 +54,10 @@
     INFO(row.name);
     CHECK(planMigration(row.run, row.untilGone) == row.expected);
 }
+
+TEST_CASE("A generation past its estimate is expected to go on for a while", "[migrationplan]")
+{
+    CHECK(expectedRemaining(900, 0) == 900);
+    CHECK(expectedRemaining(900, 600) == Approx(300));
+    CHECK(expectedRemaining(900, 2000) == Approx(270));
+}
