--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -49,18 +49,15 @@
 constexpr double UrgentMemoryLimit = 1.0;
 constexpr double MemoryLimit = 1.0;
 // Copies take part of the memory only while it is not needed for generations.
-constexpr double BackupMemoryLimit = 0.55;
+constexpr double BackupMemoryLimit = 0.7;
 
 // A stream that crosses failure domains stalls when they part; worth the wait for two prompts, which the
 // objective still bears.
 constexpr double GenerationCrossingSeconds = 0.6;
 
-// A standing copy takes memory and link time for as long as the generation lasts; it pays for the longest
-// ones, which are the dearest to lose and the likeliest to meet a crash.
-constexpr double MinimumTokensForBackup = 600;
-
-// A generation at a runner of another failure domain is also lost when the domains part.
-constexpr double MinimumTokensForBackupAcross = 100;
+// A shorter rest is made before a crash is likely; a copy takes memory and link time for as long as the
+// generation lasts.
+constexpr double MinimumTokensForBackup = 100;
 
 // A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
 constexpr double CopyCrossingSeconds = 1.0;
@@ -250,10 +247,8 @@
 {
     this->backup.release();
     const EngineTraits *engine = this->context.engine();
-    const bool isAcross = primary.entry.domain != this->gateway.settings.domain;
-    const bool isWorthwhile =
-            engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
-            this->remainingTokens() >= (isAcross ? MinimumTokensForBackupAcross : MinimumTokensForBackup);
+    const bool isWorthwhile = engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
+                              this->remainingTokens() >= MinimumTokensForBackup;
     if (!isWorthwhile)
         return;
     // A holder beside the gateway is still in reach when the runner's failure domain is not.
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -63,18 +63,19 @@
     CHECK(std::holds_alternative<ConfigError>(Format.decodeConfig(body)));
 }
 
-TEST_CASE("List entries that cannot be read name no runner, the others hold", "[platform]")
+TEST_CASE("A list of runners is read entry by entry", "[platform]")
 {
     const std::string body = R"({"instances":[
-{"service":"m","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready","cold_left_ms":100,"born":5,"id":"i1"},
-{"service":"m","address":"10.0.0.9:80","zone":"z","slots":64,"state":"odd","id":"i2"},
-{"service":"m","address":7,"state":"ready","id":"i3"}, 4,
-{"service":"m","address":"10.0.0.8:80","state":"draining","id":"i4","born":"x"}],"next":"p-2"})";
+{"service":"m","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready","cold_left_ms":100,"born":5,"id":"i1"},
+{"service":"m","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"odd","cold_left_ms":0,"id":"i2"},
+4,
+{"service":"m","address":"10.0.0.8:80","zone":"z","version":"v1","slots":64,"state":"draining","cold_left_ms":0,"id":"i4"}],
+"next":"p-2"})";
     const auto decoded = Format.decodeFleet(body);
     REQUIRE(std::holds_alternative<FleetPage>(decoded));
     const auto &page = std::get<FleetPage>(decoded);
     REQUIRE(page.entries.size() == 2);
-    CHECK(page.unreadable == 3);
+    CHECK(page.unreadable == 2);
     CHECK(page.entries[0].startedAtMs == 5);
     CHECK(page.entries[0].warmUpLeft == 100ms);
     CHECK(page.entries[1].isLeaving);
@@ -82,6 +83,35 @@
     CHECK(std::holds_alternative<DecodeError>(Format.decodeFleet("{}")));
 }
 
+// Guards against requests sent to what another writer put into the list.
+TEST_CASE("A list entry with a missing or mistyped field names no runner", "[platform]")
+{
+    const std::string entry =
+            R"({"service":"m","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,)"
+            R"("state":"ready","cold_left_ms":0,"born":5,"id":"i1"})";
+    const auto [before, after] = GENERATE(table<std::string, std::string>({
+            {R"("service":"m",)", ""},
+            {R"("service":"m")", R"("service":7)"},
+            {R"("address":"10.0.0.9:80")", R"("address":7)"},
+            {R"("address":"10.0.0.9:80")", R"("address":"nowhere")"},
+            {R"("zone":"z",)", ""},
+            {R"("version":"v1",)", ""},
+            {R"("version":"v1")", R"("version":1)"},
+            {R"("slots":64,)", ""},
+            {R"("slots":64)", R"("slots":"64")"},
+            {R"("state":"ready")", R"("state":"odd")"},
+            {R"("cold_left_ms":0,)", ""},
+            {R"("born":5)", R"("born":"x")"},
+            {R"("born":5)", R"("born":5.5)"},
+            {R"(,"id":"i1")", ""},
+    }));
+    INFO(before << " -> " << after);
+    const auto decoded = Format.decodeFleet(R"({"instances":[)" + replaced(entry, before, after) + "]}");
+    REQUIRE(std::holds_alternative<FleetPage>(decoded));
+    CHECK(std::get<FleetPage>(decoded).entries.empty());
+    CHECK(std::get<FleetPage>(decoded).unreadable == 1);
+}
+
 TEST_CASE("A report tells load and departure", "[platform]")
 {
     const auto decoded =
