gateway: refuse generations that a shutdown would cut

Ruled out: a shorter window (the balancer needs two misses); handing streams over (the caller's connection ends with the process). Change: a generation that is expected to last longer than the rest of the grace period gets 503 with Retry-After 0.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -156,6 +156,11 @@
             context.account = account->name;
             context.accountPriority = account->priority;
         }
+        const bool isCutByShutdown =
+                this->gateway.endsAt && context.caller.size && !context.route->isIdempotent() &&
+                !fitsBeforeShutdown(*context.caller.size, *this->gateway.endsAt - arrived);
+        if (isCutByShutdown)
+            co_return co_await this->refuse(link, context, 503, "shutting-down");
         context.service = RouteTable::chooseService(*context.route, this->gateway.random.uniform());
         context.deadline = arrived + std::min(context.caller.patience.value_or(context.route->timeout),
                                               context.route->timeout);
@@ -206,8 +211,9 @@
                  {"cause", std::string(cause)},
                  {"config", context.table ? std::to_string(context.table->version()) : "none"}});
         HttpResponse response = makeResponse(status, R"({"error":")" + std::string(cause) + "\"}");
+        // Another gateway can take what this one would cut.
         if (status == 503)
-            response.set(http::field::retry_after, "0.5");
+            response.set(http::field::retry_after, this->gateway.isDraining ? "0" : "0.5");
         co_await link.send(std::move(response));
     }
 
@@ -308,6 +314,7 @@
     {
         logInfo("terminating", {{"open_requests", std::to_string(this->state.openRequests)}});
         this->state.isDraining = true;
+        this->state.endsAt = steadyNow() + this->settings.gracePeriod - GraceReserve;
         this->follow(this->drain.terminate(steadyNow()));
         this->continueDrain();
     }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -31,6 +31,8 @@
     Random random{systemSeed()};
     size_t openRequests = 0;
     bool isDraining = false;
+    /// When the process ends; known once it shuts down.
+    std::optional<TimePoint> endsAt;
     /// Places generations and orders copies over all gateways.
     FleetAgent *fleetAgent = nullptr;
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -7,6 +7,7 @@
 #include "libgateway/eventsplitter.h"
 #include "libgateway/fleetload.h"
 #include "libgateway/fleetview.h"
+#include "libgateway/generationtime.h"
 #include "libgateway/migrationplan.h"
 #include "libgateway/routetable.h"
 #include "libgateway/runnerpool.h"
--- a/src/libgateway/migrationplan.cpp
+++ b/src/libgateway/migrationplan.cpp
@@ -1,15 +1,13 @@
 #include "libgateway/migrationplan.h"
 
+#include "libgateway/generationtime.h"
+
 #include <algorithm>
 
 namespace eelgrasslift {
 
 namespace {
 
-// Time per token on a runner that shares its steps with a few others; from the engines' step time and batch
-// slowdown on the users' sheets.
-constexpr double SecondsPerToken = 0.010;
-
 // Estimates of the length are good at the median only, so a run stays only if twice its estimate ends in
 // time.
 constexpr double LengthMargin = 2.0;
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -1,5 +1,7 @@
 #include "libgateway/runnerpool.h"
 
+#include "libgateway/generationtime.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -7,10 +9,6 @@
 
 namespace {
 
-// Prompt tokens that an engine reads per second beside its running generations; half of the sheets' rate,
-// since every other step of a busy engine decodes.
-constexpr double PrefillTokensPerSecond = 8000;
-
 // Slowdown of an engine's step by one more running generation, as a share of the bare step.
 constexpr double SlowdownPerRun = 0.017;
 
