--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -111,9 +111,10 @@
 
 std::string encodeWish(const TransferWish &wish)
 {
-    const Json json{{"source", wish.sourceId},          {"service", wish.service},
-                    {"prompt", wish.size.promptTokens}, {"output", wish.size.outputTokens},
-                    {"memory", wish.memoryTokens},      {"excluded", wish.excluded}};
+    const Json json{{"gateway", wish.gateway},          {"source", wish.sourceId},
+                    {"service", wish.service},          {"prompt", wish.size.promptTokens},
+                    {"output", wish.size.outputTokens}, {"memory", wish.memoryTokens},
+                    {"worth", wish.worth},              {"excluded", wish.excluded}};
     return json.dump();
 }
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <cmath>
 
 namespace eelgrasslift {
 
@@ -484,7 +485,11 @@
     const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
         return at ? std::to_string(toMilliseconds(*at - this->context.arrived)) : std::string("none");
     };
+    const GenerationSize size = this->context.caller.size.value_or(GenerationSize{});
     return {{"events", std::to_string(this->splitter.eventCount())},
+            {"prompt_tokens", std::to_string(std::lround(size.promptTokens))},
+            {"estimated_tokens", std::to_string(std::lround(size.outputTokens))},
+            {"max_tokens", std::to_string(std::lround(size.maxOutputTokens))},
             {"sent_ms", sinceArrival(this->firstSentAt)},
             {"first_event_ms", sinceArrival(this->firstEventAt)},
             {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))}};
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -18,7 +18,10 @@
 struct GenerationSize
 {
     double promptTokens = 0;
+    /// Estimate; good at the median, often far off.
     double outputTokens = 0;
+    /// The engine ends the generation here; 0 if unknown.
+    double maxOutputTokens = 0;
 
     double finalTokens() const { return this->promptTokens + this->outputTokens; }
 };
