gateway, coordinator: admit by a forecast of memory, queue generations in one place, run all with the same priority

The sum of final sizes is never held at once, and by estimates that half of all generations outlive it was too low for the old ones: measured over 792 reports, the logarithm of length over estimate has a median of 0.02 and a spread of about 1. Gateways that asked again on their own took freed room at random. Urgent labels passed waiting prompts of reports and preempted reports: prompts take two thirds of the runners' time. Change: GenerationLength and MemoryForecast in place of final sizes, limit 0.95; PlacementQueue at the leading coordinator, in which a generation waits until it would be late, labels first; prompts that were placed a moment ago count at once; one priority at the runner; standing copies only while all runners together use less than 0.4; a label that waits for its turn is not sent a second time before 2.5 of its objective.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -31,6 +31,12 @@
 constexpr Duration GatewayTimeout = std::chrono::seconds{5};
 // Longer than any notice on the sheets.
 constexpr Duration TransferWait = std::chrono::milliseconds{2500};
+// A call for a placement waits this long for room; the next one shows that the gateway still wants it.
+constexpr Duration PlacementWait = std::chrono::milliseconds{200};
+// Load reports of all gateways come some milliseconds apart; together they are looked at once.
+constexpr Duration PlacementInterval = std::chrono::milliseconds{20};
+// Generations differ little in what they need: if so many find no room, the rest will not.
+constexpr size_t MaxPlacementsInVain = 6;
 constexpr double TransferMemoryLimit = 0.97;
 // A copy between failure domains takes twice its time on the link of a runner that has a second left.
 constexpr double CopyCrossingSeconds = 1.0;
@@ -86,6 +92,7 @@
     , connections(context.get_executor())
     , news(context)
     , leadershipTimer(context)
+    , placementTimer(context)
 {
     this->news.expires_at(std::chrono::steady_clock::time_point::max());
 }
@@ -152,6 +159,7 @@
 void Coordinator::stop()
 {
     this->leadershipTimer.cancel();
+    this->placementTimer.cancel();
     this->replica->stop();
 }
 
@@ -261,7 +269,7 @@
 asio::awaitable<HttpResponse> Coordinator::handleExchange(HttpRequest request)
 {
     if (request.target() == PlacementPath)
-        co_return this->place(request.body());
+        co_return co_await this->place(std::move(request.body()));
     if (request.target() == TransferPath)
         co_return co_await this->waitForTransfer(std::move(request.body()));
     if (request.target() == TransferEndPath)
@@ -281,6 +289,7 @@
         co_return response;
     }
     this->load.update(gateway.gateway, gateway.loads, steadyNow());
+    this->placeWaitingSoon();
     if (!this->hasNews(gateway)) {
         boost::system::error_code ignored;
         asio::steady_timer timeout(this->io, ExchangeWait);
@@ -311,7 +320,7 @@
     if (!this->replica->status().hasLease)
         co_return makeResponse(503);
     const TransferWish wish = std::get<TransferWish>(decoded);
-    const double value = wish.worth / std::max(wish.memoryTokens, 1.0);
+    const double value = wish.worth / std::max(wish.size.promptTokens + wish.madeTokens, 1.0);
     const TransferQueue::Ticket ticket = this->transfers.ask(wish.sourceId, value, steadyNow());
     asio::steady_timer turn(this->io, TransferWait);
     this->transferWaiters[ticket] = &turn;
@@ -332,7 +341,8 @@
         co_return makeResponse(503);
     }
     // Counts at once, so that the copies from other runners go elsewhere.
-    this->load.place(wish.gateway, destination, RunnerLoad{1, wish.size.finalTokens(), 0}, steadyNow());
+    this->load.place(wish.gateway, destination,
+                     RunnerLoad{1, MemoryForecast::ofGeneration(wish.size, wish.madeTokens), 0}, steadyNow());
     co_return makeResponse(200, encodeTurn({ticket, destination}));
 }
 
@@ -354,31 +364,78 @@
     if (!source)
         return {};
     const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
-    const PlacementRequest request{wish.service, source->entry.domain, wish.size,
+    const PlacementRequest request{wish.service, source->entry.domain, wish.size,          wish.madeTokens,
                                    &excluded,    TransferMemoryLimit,  CopyCrossingSeconds};
     const RunnerPool::RunnerPointer chosen = this->choose(request);
     return chosen ? chosen->entry.id : std::string{};
 }
 
-HttpResponse Coordinator::place(std::string_view body)
+RunnerPool::RunnerPointer Coordinator::placeNow(const PlacementWish &wish)
+{
+    const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
+    const PlacementRequest request{wish.service, wish.domain,      wish.size,           0,
+                                   &excluded,    wish.memoryLimit, wish.crossingSeconds};
+    RunnerPool::RunnerPointer chosen = this->choose(request);
+    if (chosen) {
+        const RunnerLoad load{1, MemoryForecast::ofGeneration(wish.size, 0), wish.size.promptTokens};
+        this->load.place(wish.gateway, chosen->entry.id, load, steadyNow());
+        chosen->notePrompt(wish.size.promptTokens, steadyNow());
+    }
+    return chosen;
+}
+
+void Coordinator::placeWaiting()
+{
+    size_t inVain = 0;
+    for (const PlacementQueue::Ticket ticket : this->placements.order()) {
+        PlacementWaiter &waiter = *this->placementWaiters.at(ticket);
+        waiter.runner = this->placeNow(waiter.wish);
+        if (waiter.runner) {
+            this->placements.remove(ticket);
+            waiter.turn.cancel();
+        } else if (++inVain >= MaxPlacementsInVain) {
+            return;
+        }
+    }
+}
+
+void Coordinator::placeWaitingSoon()
+{
+    if (this->placements.isEmpty() || this->isPlacingSoon)
+        return;
+    this->isPlacingSoon = true;
+    this->placementTimer.expires_after(PlacementInterval);
+    this->placementTimer.async_wait([this](const boost::system::error_code &error) {
+        this->isPlacingSoon = false;
+        if (!error)
+            this->placeWaiting();
+    });
+}
+
+asio::awaitable<HttpResponse> Coordinator::place(std::string body)
 {
     const auto decoded = decodePlacementWish(body);
     if (const auto *error = std::get_if<ExchangeError>(&decoded)) {
         logWarning("exchange-unreadable", {{"cause", error->detail}});
-        return makeResponse(400);
+        co_return makeResponse(400);
     }
     if (!this->replica->status().hasLease || !this->fleet || !this->fleet->hasList())
-        return makeResponse(503);
+        co_return makeResponse(503);
     const auto &wish = std::get<PlacementWish>(decoded);
-    const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
-    const PlacementRequest request{wish.service, wish.domain,      wish.size,
-                                   &excluded,    wish.memoryLimit, wish.crossingSeconds};
-    const RunnerPool::RunnerPointer chosen = this->choose(request);
-    if (!chosen)
-        return makeResponse(200, encodePlacement({}));
-    this->load.place(wish.gateway, chosen->entry.id,
-                     RunnerLoad{1, wish.size.finalTokens(), wish.size.promptTokens}, steadyNow());
-    return makeResponse(200, encodePlacement({chosen->entry.id}));
+    const TimePoint now = steadyNow();
+    const PlacementQueue::Ticket ticket =
+            this->placements.add({wish.priority, wish.routePriority, now - wish.waited});
+    asio::steady_timer turn(this->io, PlacementWait);
+    PlacementWaiter waiter{wish, turn, nullptr};
+    this->placementWaiters.emplace(ticket, &waiter);
+    this->placeWaiting();
+    if (!waiter.runner) {
+        boost::system::error_code ignored;
+        co_await turn.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->placements.remove(ticket);
+    this->placementWaiters.erase(ticket);
+    co_return makeResponse(200, encodePlacement({waiter.runner ? waiter.runner->entry.id : std::string{}}));
 }
 
 void Coordinator::grantTransfers()
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -34,6 +34,14 @@
     Replicator &replicator() { return *this->replica; }
 
 private:
+    /// A call for a placement that waits for room.
+    struct PlacementWaiter
+    {
+        const PlacementWish &wish;
+        boost::asio::steady_timer &turn;
+        RunnerPool::RunnerPointer runner;
+    };
+
     Coordinator(boost::asio::io_context &io, const NodeSettings &settings, const WireFormat &format);
 
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
@@ -42,7 +50,12 @@
     boost::asio::awaitable<HttpResponse> waitForTransfer(std::string body);
     HttpResponse finishTransfer(std::string_view body);
     void grantTransfers();
-    HttpResponse place(std::string_view body);
+    /// Waits for room if there is none.
+    boost::asio::awaitable<HttpResponse> place(std::string body);
+    /// Gives room to waiting generations, in their order.
+    void placeWaiting();
+    void placeWaitingSoon();
+    RunnerPool::RunnerPointer placeNow(const PlacementWish &wish);
     /// Empty if no runner has room, or none is known.
     RunnerPool::RunnerPointer choose(PlacementRequest request);
     std::string chooseDestination(const TransferWish &wish);
@@ -62,11 +75,15 @@
     /// Cancelled when there is news for waiting gateways.
     boost::asio::steady_timer news;
     boost::asio::steady_timer leadershipTimer;
+    boost::asio::steady_timer placementTimer;
+    bool isPlacingSoon = false;
     FleetLoad load;
     /// Decoded from the stored configuration.
     std::map<std::string, EngineTraits, std::less<>> engines;
     uint64_t fleetNumber = 0;
     std::string encodedFleet;
+    PlacementQueue placements;
+    std::map<PlacementQueue::Ticket, PlacementWaiter *> placementWaiters;
     TransferQueue transfers;
     /// Cancelled when the ticket's turn has come.
     std::map<TransferQueue::Ticket, boost::asio::steady_timer *> transferWaiters;
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -19,8 +19,9 @@
 
 // The lead answers within its wait of 300 ms; a frozen one is given up soon after.
 constexpr Duration ExchangeTimeout = std::chrono::milliseconds{700};
-// Two crossings between failure domains on a busy processor; afterwards the gateway places by its own view.
-constexpr Duration PlacementTimeout = std::chrono::milliseconds{120};
+// The lead answers within its wait of 200 ms; two crossings between failure domains on a busy processor later
+// the gateway places by its own view.
+constexpr Duration PlacementTimeout = std::chrono::milliseconds{320};
 // A turn comes before the runner is gone, or is of no use.
 constexpr Duration TransferTimeout = std::chrono::milliseconds{2600};
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds{60};
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -8,11 +8,34 @@
 
 using Json = nlohmann::json;
 
+Json toJson(const MemoryForecast &memory)
+{
+    Json json = Json::array();
+    for (const double tokens : memory.tokens())
+        json.push_back(std::lround(tokens));
+    return json;
+}
+
+MemoryForecast forecastFrom(const Json &json)
+{
+    return MemoryForecast(json.get<MemoryForecast::Tokens>());
+}
+
+Json toJson(const GenerationSize &size)
+{
+    return {size.promptTokens, size.outputTokens, size.maxOutputTokens};
+}
+
+GenerationSize sizeFrom(const Json &json)
+{
+    return {json.at(0), json.at(1), json.at(2)};
+}
+
 Json toJson(const std::map<std::string, RunnerLoad, std::less<>> &loads)
 {
     Json json = Json::object();
     for (const auto &[id, load] : loads)
-        json[id] = {load.runs, std::lround(load.finalTokens), std::lround(load.prefillTokens)};
+        json[id] = {load.runs, toJson(load.memory), std::lround(load.prefillTokens)};
     return json;
 }
 
@@ -20,7 +43,7 @@
 {
     std::map<std::string, RunnerLoad, std::less<>> loads;
     for (const auto &[id, load] : json.items())
-        loads.emplace(id, RunnerLoad{load.at(0).get<uint32_t>(), load.at(1).get<double>(),
+        loads.emplace(id, RunnerLoad{load.at(0).get<uint32_t>(), forecastFrom(load.at(1)),
                                      load.at(2).get<double>()});
     return loads;
 }
@@ -111,10 +134,9 @@
 
 std::string encodeWish(const TransferWish &wish)
 {
-    const Json json{{"gateway", wish.gateway},          {"source", wish.sourceId},
-                    {"service", wish.service},          {"prompt", wish.size.promptTokens},
-                    {"output", wish.size.outputTokens}, {"memory", wish.memoryTokens},
-                    {"worth", wish.worth},              {"excluded", wish.excluded}};
+    const Json json{{"gateway", wish.gateway},   {"source", wish.sourceId}, {"service", wish.service},
+                    {"size", toJson(wish.size)}, {"made", wish.madeTokens}, {"worth", wish.worth},
+                    {"excluded", wish.excluded}};
     return json.dump();
 }
 
@@ -125,8 +147,8 @@
         wish.gateway = json.at("gateway");
         wish.sourceId = json.at("source");
         wish.service = json.at("service");
-        wish.size = GenerationSize{json.at("prompt"), json.at("output")};
-        wish.memoryTokens = json.at("memory");
+        wish.size = sizeFrom(json.at("size"));
+        wish.madeTokens = json.at("made");
         wish.worth = json.at("worth");
         wish.excluded = json.at("excluded").get<std::vector<std::string>>();
         return wish;
@@ -138,11 +160,13 @@
     const Json json{{"gateway", wish.gateway},
                     {"service", wish.service},
                     {"domain", wish.domain},
-                    {"prompt", wish.size.promptTokens},
-                    {"output", wish.size.outputTokens},
+                    {"size", toJson(wish.size)},
                     {"limit", wish.memoryLimit},
                     {"crossing", wish.crossingSeconds},
-                    {"excluded", wish.excluded}};
+                    {"excluded", wish.excluded},
+                    {"priority", wish.priority},
+                    {"route_priority", wish.routePriority},
+                    {"waited", toMilliseconds(wish.waited)}};
     return json.dump();
 }
 
@@ -153,10 +177,13 @@
         wish.gateway = json.at("gateway");
         wish.service = json.at("service");
         wish.domain = json.at("domain");
-        wish.size = GenerationSize{json.at("prompt"), json.at("output")};
+        wish.size = sizeFrom(json.at("size"));
         wish.memoryLimit = json.at("limit");
         wish.crossingSeconds = json.at("crossing");
         wish.excluded = json.at("excluded").get<std::vector<std::string>>();
+        wish.priority = json.at("priority");
+        wish.routePriority = json.at("route_priority");
+        wish.waited = std::chrono::milliseconds{json.at("waited").get<int64_t>()};
         return wish;
     });
 }
--- a/src/gateway/fleetagent.h
+++ b/src/gateway/fleetagent.h
@@ -17,8 +17,7 @@
     std::string sourceId;
     std::string service;
     GenerationSize size;
-    /// Tokens in the source's memory now.
-    double memoryTokens = 0;
+    double madeTokens = 0;
     /// What is lost if the copy does not come; see worthOf().
     double worth = 0;
     /// Runners that had no room for the copy.
@@ -42,9 +41,15 @@
     double memoryLimit = 1;
     double crossingSeconds = 0;
     std::vector<std::string> excluded;
+    /// See WaitingGeneration.
+    uint32_t priority = 0;
+    uint32_t routePriority = 0;
+    /// Time since the generation arrived.
+    Duration waited{};
 };
 
-/// The runner that was chosen; empty if all that could serve the generation are full.
+/// The runner that was chosen; empty if all that could serve the generation are full and the gateway is to
+/// ask again.
 struct PlacementAnswer
 {
     std::string runnerId;
@@ -56,7 +61,7 @@
 public:
     virtual ~FleetAgent() = default;
 
-    /// Nothing if nobody places for all gateways at present.
+    /// Waits a while for a runner with room; nothing if nobody places for all gateways at present.
     virtual boost::asio::awaitable<std::optional<PlacementAnswer>> place(PlacementWish wish) = 0;
 
     /// Waits for the turn; nothing if nobody orders copies at present.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -66,7 +66,7 @@
 {
     std::map<std::string, RunnerLoad, std::less<>> loads;
     for (const auto &[id, runner] : this->runners.runners()) {
-        if (runner->own.runs > 0 || runner->own.finalTokens > 0)
+        if (runner->own.runs > 0 || runner->own.memory.peak() > 0)
             loads.emplace(id, runner->own);
     }
     return loads;
@@ -111,17 +111,18 @@
     if (!this->target)
         return;
     this->target->own.runs -= this->load.runs;
-    this->target->own.finalTokens -= this->load.finalTokens;
+    this->target->own.memory -= this->load.memory;
     this->target->own.prefillTokens -= this->load.prefillTokens;
     this->target.reset();
 }
 
-void LoadTicket::setFinalTokens(double tokens)
+void LoadTicket::setMemory(const MemoryForecast &memory)
 {
     if (!this->target)
         return;
-    this->target->own.finalTokens += tokens - this->load.finalTokens;
-    this->load.finalTokens = tokens;
+    this->target->own.memory -= this->load.memory;
+    this->target->own.memory += memory;
+    this->load.memory = memory;
 }
 
 void LoadTicket::endPrefill()
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -76,8 +76,8 @@
     void release();
     /// The run has produced its first event.
     void endPrefill();
-    /// The run is expected to end with another size.
-    void setFinalTokens(double tokens);
+    /// The run is expected to hold other amounts of memory than before.
+    void setMemory(const MemoryForecast &memory);
     const RunnerPool::RunnerPointer &runner() const { return this->target; }
 
 private:
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -34,22 +34,21 @@
 // continuation. Two prompts that are read beside a generation delay its events by less.
 constexpr double StallShare = 0.65;
 
-// The first event of a resumable stream; of other streams nothing can be done but wait.
-constexpr double FirstEventObjectives = 1.2;
+// The first event of a resumable stream; of other streams nothing can be done but wait. A second prompt for a
+// generation that only waits for its turn takes the time of others.
+constexpr double FirstEventObjectives = 2.5;
 
 // A generation that found all runners full asks again after this time; coordinators hear of ended runs about
 // as often.
 constexpr Duration PlacementRetry = std::chrono::milliseconds{100};
 
-// Part of the objective that a generation may wait for a runner with room.
-constexpr double QueueObjectiveShare = 0.25;
-
-// Sum of the expected final sizes of a runner's generations, as a share of its memory. They do not end at the
-// same time, so the memory in use stays below; copies of leaving generations and urgent requests take the
-// rest.
-constexpr double UrgentMemoryLimit = 1.0;
-constexpr double MemoryLimit = 1.0;
-// Copies take part of the memory only while it is not needed for generations.
+// Memory that a runner's generations are expected to hold at once, as a share of all. The rest is for those
+// that last longer than expected.
+constexpr double MemoryLimit = 0.95;
+// Copies of leaving generations may take a little more: they are lost otherwise.
+constexpr double CopyMemoryLimit = 0.97;
+// Standing copies take memory only while all runners together, and the holder itself, have plenty.
+constexpr double FleetMemoryLimitForBackup = 0.4;
 constexpr double BackupMemoryLimit = 0.7;
 
 // A stream that crosses failure domains stalls when they part; worth the wait for two prompts, which the
@@ -63,6 +62,11 @@
 // A copy between failure domains takes twice its time on the link; weighed as the wait for a busier runner.
 constexpr double CopyCrossingSeconds = 1.0;
 
+// The same for all generations. Runners let urgent ones pass and preempt the others for them; short urgent
+// generations then push back the prompts of long ones again and again, and save no more than the wait for
+// one prompt. The operator's priority orders the generations that wait for a runner.
+constexpr uint32_t PriorityAtRunner = 1;
+
 // A copy crosses the link in some hundred milliseconds; the destination may queue it behind others.
 constexpr Duration MoveTimeout = std::chrono::milliseconds{2500};
 
@@ -106,14 +110,14 @@
 {
     if (!this->context.caller.size)
         return 0;
-    return expectedRemaining(this->context.caller.size->outputTokens, this->madeTokens());
+    return GenerationLength(this->size()).expectedRemaining(this->madeTokens());
 }
 
-double StreamSession::finalTokens() const
+MemoryForecast StreamSession::expectedMemory() const
 {
     if (!this->context.caller.size)
-        return 0;
-    return this->context.caller.size->promptTokens + this->madeTokens() + this->remainingTokens();
+        return {};
+    return MemoryForecast::ofGeneration(this->size(), this->madeTokens());
 }
 
 RunnerLoad StreamSession::expectedLoad() const
@@ -121,20 +125,22 @@
     if (!this->context.caller.size)
         return RunnerLoad{1, 0, 0};
     const bool hasStarted = this->splitter.eventCount() > 0;
-    return RunnerLoad{1, this->finalTokens(), hasStarted ? 0 : this->context.caller.size->promptTokens};
+    return RunnerLoad{1, this->expectedMemory(), hasStarted ? 0 : this->context.caller.size->promptTokens};
 }
 
 asio::awaitable<RunnerPool::RunnerPointer> StreamSession::place()
 {
     const Route &route = *this->context.route;
-    const Duration patience = std::chrono::duration_cast<Duration>(route.objective * QueueObjectiveShare);
+    // Room that comes later is for those that can still be on time.
+    const Duration patience = std::max(route.objective - timeToFirstEvent(this->size()), Duration::zero());
     const TimePoint latest = std::min(this->context.deadline, this->context.arrived + patience);
     for (;;) {
         const PlacementRequest request{this->context.service,
                                        this->gateway.settings.domain,
                                        this->context.caller.size,
+                                       0,
                                        &this->tried,
-                                       route.priority == 0 ? UrgentMemoryLimit : MemoryLimit,
+                                       MemoryLimit,
                                        GenerationCrossingSeconds};
         const bool isOwnChoice = !this->context.caller.size || this->context.engine() == nullptr;
         std::optional<PlacementAnswer> answer;
@@ -145,7 +151,10 @@
                                *this->context.caller.size,
                                request.memoryLimit,
                                request.crossingSeconds,
-                               {this->tried.begin(), this->tried.end()}};
+                               {this->tried.begin(), this->tried.end()},
+                               this->context.accountPriority.value_or(route.priority),
+                               route.priority,
+                               steadyNow() - this->context.arrived};
             answer = co_await this->gateway.fleetAgent->place(std::move(wish));
         }
         RunnerPool::RunnerPointer runner = answer ? this->gateway.runners.find(answer->runnerId) : nullptr;
@@ -162,7 +171,9 @@
         const Duration left = latest - steadyNow();
         if (!isFull || left <= Duration::zero() || this->isAbandoned)
             co_return nullptr;
-        co_await this->gateway.waitForCapacity(std::min(left, PlacementRetry));
+        // An answer of the coordinator has waited already.
+        if (!answer)
+            co_await this->gateway.waitForCapacity(std::min(left, PlacementRetry));
     }
 }
 
@@ -250,13 +261,14 @@
     const EngineTraits *engine = this->context.engine();
     const bool isWorthwhile = engine != nullptr && engine->canBackUp && !this->context.route->isResumable &&
                               this->remainingTokens() >= MinimumTokensForBackup;
-    if (!isWorthwhile)
+    if (!isWorthwhile ||
+        this->gateway.runners.memoryUse(this->context.service, *engine) > FleetMemoryLimitForBackup)
         return;
     // A holder beside the gateway is still in reach when the runner's failure domain is not.
     const RunnerPool::RunnerPointer runner =
             this->chooseCopyHolder(primary, this->gateway.settings.domain, BackupMemoryLimit);
     if (runner)
-        this->backup = LoadTicket(runner, RunnerLoad{0, this->finalTokens(), 0});
+        this->backup = LoadTicket(runner, RunnerLoad{0, this->expectedMemory(), 0});
 }
 
 asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
@@ -276,7 +288,7 @@
         this->firstSentAt = steadyNow();
     this->active = connection;
     AttemptHeaders attempt;
-    attempt.priority = this->context.route->priority;
+    attempt.priority = PriorityAtRunner;
     if (this->backup.runner())
         attempt.backupAddress = this->backup.runner()->entry.address;
     attempt.continueFrom = destination.continueFrom;
@@ -446,7 +458,7 @@
     }
     this->lastEventAt = now;
     this->stall.noteProgress(now);
-    this->load.setFinalTokens(this->finalTokens());
+    this->load.setMemory(this->expectedMemory());
 }
 
 bool StreamSession::hasBackupInReach() const
@@ -485,7 +497,7 @@
     const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
         return at ? std::to_string(toMilliseconds(*at - this->context.arrived)) : std::string("none");
     };
-    const GenerationSize size = this->context.caller.size.value_or(GenerationSize{});
+    const GenerationSize size = this->size();
     return {{"events", std::to_string(this->splitter.eventCount())},
             {"prompt_tokens", std::to_string(std::lround(size.promptTokens))},
             {"estimated_tokens", std::to_string(std::lround(size.outputTokens))},
@@ -594,16 +606,14 @@
     TransferWish wish;
     wish.sourceId = source->entry.id;
     wish.service = this->context.service;
-    wish.size = GenerationSize{this->context.caller.size->promptTokens + this->madeTokens(),
-                               this->remainingTokens()};
-    wish.memoryTokens = wish.size.promptTokens;
-    wish.worth =
-            worthOf({this->context.caller.size->promptTokens, this->madeTokens() + this->remainingTokens()});
+    wish.size = this->size();
+    wish.madeTokens = this->madeTokens();
+    wish.worth = worthOf({wish.size.promptTokens, wish.madeTokens + this->remainingTokens()});
     wish.excluded.assign(this->fullHolders.begin(), this->fullHolders.end());
     const std::optional<TransferTurn> turn = co_await this->gateway.fleetAgent->ask(std::move(wish));
     RunnerPool::RunnerPointer destination = turn ? this->gateway.runners.find(turn->destinationId) : nullptr;
     if (!destination)
-        destination = this->chooseCopyHolder(*source, source->entry.domain, UrgentMemoryLimit);
+        destination = this->chooseCopyHolder(*source, source->entry.domain, CopyMemoryLimit);
     const auto isStillThere = [&] {
         return this->load.runner() == source && this->active && !this->isAbandoned;
     };
@@ -633,9 +643,9 @@
 {
     std::set<std::string> excluded = this->fullHolders;
     excluded.insert(source.entry.id);
-    const PlacementRequest request{
-            this->context.service, domain, this->context.caller.size, &excluded, memoryLimit,
-            CopyCrossingSeconds};
+    const PlacementRequest request{this->context.service, domain,    this->context.caller.size,
+                                   this->madeTokens(),    &excluded, memoryLimit,
+                                   CopyCrossingSeconds};
     auto placed =
             this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
     const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -71,9 +71,10 @@
     void chooseBackup(const RunnerPool::Runner &primary);
     void noteEvents(uint64_t before);
     RunnerLoad expectedLoad() const;
+    GenerationSize size() const { return this->context.caller.size.value_or(GenerationSize{}); }
     double remainingTokens() const;
     double madeTokens() const;
-    double finalTokens() const;
+    MemoryForecast expectedMemory() const;
     std::vector<LogField> endDetails() const override;
 
     EventSplitter splitter;
--- a/src/libgateway/fleetload.cpp
+++ b/src/libgateway/fleetload.cpp
@@ -23,7 +23,7 @@
     if (found == this->sum.end())
         return;
     found->second -= load;
-    if (found->second.runs == 0 && found->second.finalTokens <= 0)
+    if (found->second.runs == 0 && found->second.memory.peak() <= 0)
         this->sum.erase(found);
 }
 
--- a/src/libgateway/fleetview.h
+++ b/src/libgateway/fleetview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcore/core.h"
+#include "libgateway/memoryforecast.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -46,15 +47,14 @@
 struct RunnerLoad
 {
     uint32_t runs = 0;
-    /// Memory in tokens that the runs will hold at their expected end.
-    double finalTokens = 0;
+    MemoryForecast memory;
     /// Prompt tokens of runs that have not produced their first event.
     double prefillTokens = 0;
 
     RunnerLoad &operator+=(const RunnerLoad &other)
     {
         this->runs += other.runs;
-        this->finalTokens += other.finalTokens;
+        this->memory += other.memory;
         this->prefillTokens += other.prefillTokens;
         return *this;
     }
@@ -63,7 +63,7 @@
     RunnerLoad &operator-=(const RunnerLoad &other)
     {
         this->runs -= std::min(this->runs, other.runs);
-        this->finalTokens = std::max(this->finalTokens - other.finalTokens, 0.0);
+        this->memory -= other.memory;
         this->prefillTokens = std::max(this->prefillTokens - other.prefillTokens, 0.0);
         return *this;
     }
--- a/src/libgateway/generationtime.h
+++ b/src/libgateway/generationtime.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "libgateway/runnerpool.h"
+#include "libcore/core.h"
+#include "libgateway/generationlength.h"
 
 namespace eelgrasslift {
 
@@ -8,8 +9,8 @@
 /// slowdown on the users' sheets.
 constexpr double SecondsPerToken = 0.010;
 
-/// Time in which a runner reads a prompt beside its running generations; half of the sheets' rate, since
-/// every other step of a busy engine decodes.
+/// Prompt tokens that a runner reads in a second beside its running generations; half of the sheets' rate,
+/// since every other step of a busy engine decodes.
 constexpr double PrefillTokensPerSecond = 8000;
 
 /// Expected time from the send of a generation to its last event.
@@ -18,6 +19,14 @@
     return fromSeconds(size.promptTokens / PrefillTokensPerSecond + size.outputTokens * SecondsPerToken);
 }
 
+/// Expected time from the send of a generation to its first event.
+inline Duration timeToFirstEvent(const GenerationSize &size)
+{
+    // The first steps behind another prompt, and the way of the first event.
+    constexpr double Reserve = 0.15;
+    return fromSeconds(size.promptTokens / PrefillTokensPerSecond + Reserve);
+}
+
 /// Whether a gateway that shuts down should still take a generation.
 ///
 /// Load pattern: gateways are stopped one after the other, and their callers come until the balancer has
--- a/src/libgateway/migrationplan.cpp
+++ b/src/libgateway/migrationplan.cpp
@@ -13,9 +13,6 @@
 constexpr double LengthMargin = 2.0;
 constexpr Duration SafetyMargin = std::chrono::milliseconds{300};
 
-// A generation past its estimate is expected to last for another part of it.
-constexpr double OvertimeShare = 0.3;
-
 // Lengths are spread widely, so an old generation is likely a long one: it stays only if it may produce this
 // part of what it has produced already before its runner is gone.
 constexpr double ShareOfAge = 0.4;
@@ -29,11 +26,6 @@
 
 } // namespace
 
-double expectedRemaining(double estimatedTokens, double madeTokens)
-{
-    return std::max(estimatedTokens - madeTokens, estimatedTokens * OvertimeShare);
-}
-
 MigrationStep planMigration(const LeavingRun &run, Duration untilGone)
 {
     const double tokens = std::max(run.remainingTokens * LengthMargin, run.madeTokens * ShareOfAge);
--- a/src/libgateway/migrationplan.h
+++ b/src/libgateway/migrationplan.h
@@ -21,9 +21,6 @@
     bool canMove = false;
 };
 
-/// Tokens that a generation is expected to produce from now on, by an estimate of its whole length.
-double expectedRemaining(double estimatedTokens, double madeTokens);
-
 enum class MigrationStep {
     Stay,           ///< For now: the run ends in time, or its memory cannot be copied yet.
     SwitchToBackup, ///< Go on from the copy that is there.
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -13,9 +13,12 @@
 constexpr double SlowdownPerRun = 0.017;
 
 // Cost in seconds of memory use close to the limit: preemption reads a whole prompt again.
-constexpr double MemoryPressureSeconds = 1.0;
+constexpr double MemoryPressureSeconds = 0.3;
 constexpr double MemoryPressureFrom = 0.6;
 
+// Weight of the wait behind other prompts: each of them also slows the tokens of all generations there.
+constexpr double PromptWaitWeight = 2.0;
+
 // What a generation waits behind one that waits at the runner already: until a running one ends.
 constexpr double QueuedSeconds = 0.5;
 
@@ -47,6 +50,12 @@
     return this->leavesAt ? *this->leavesAt - now : AssumedNotice;
 }
 
+void RunnerPool::Runner::notePrompt(double tokens, TimePoint now)
+{
+    this->readingUntil =
+            std::max(this->readingUntil.value_or(now), now) + fromSeconds(tokens / PrefillTokensPerSecond);
+}
+
 void RunnerPool::setFleet(std::span<const RunnerEntry> entries, TimePoint now)
 {
     std::map<std::string, RunnerPointer, std::less<>> next;
@@ -89,6 +98,21 @@
     return found == this->pool.end() ? nullptr : found->second;
 }
 
+double RunnerPool::memoryUse(std::string_view service, const EngineTraits &engine) const
+{
+    double held = 0;
+    double capacity = 0;
+    for (const auto &[id, runner] : this->pool) {
+        if (runner->entry.service != service || runner->entry.isLeaving || runner->entry.isSilent)
+            continue;
+        RunnerLoad load = runner->own;
+        load += runner->others;
+        held += load.memory.peak();
+        capacity += static_cast<double>(engine.memoryTokens);
+    }
+    return capacity > 0 ? held / capacity : 1.0;
+}
+
 std::vector<RunnerEntry> RunnerPool::entries() const
 {
     std::vector<RunnerEntry> result;
@@ -97,8 +121,8 @@
     return result;
 }
 
-double RunnerPool::costOf(const Runner &runner, const PlacementRequest &request, const EngineTraits *engine,
-                          TimePoint now)
+double RunnerPool::costOf(const Runner &runner, const PlacementRequest &request, const MemoryForecast &needed,
+                          const EngineTraits *engine, TimePoint now)
 {
     RunnerLoad load = runner.own;
     load += runner.others;
@@ -116,14 +140,19 @@
         return cost + seconds * (1.0 + occupied);
     }
     const auto capacity = static_cast<double>(engine->memoryTokens);
-    double held = load.finalTokens;
+    load.memory += needed;
+    double held = load.memory.peak();
     if (runner.entry.report)
-        held = std::max(held, static_cast<double>(runner.entry.report->memoryUsed));
-    const double used = (held + request.size->finalTokens()) / std::max(capacity, 1.0);
+        held = std::max(held, static_cast<double>(runner.entry.report->memoryUsed) + needed.now());
+    const double used = held / std::max(capacity, 1.0);
     if (used > request.memoryLimit)
         return std::numeric_limits<double>::infinity();
     const double slowdown = 1.0 + SlowdownPerRun * load.runs;
-    cost += (load.prefillTokens + request.size->promptTokens) / PrefillTokensPerSecond * slowdown;
+    if (runner.readingUntil)
+        cost += PromptWaitWeight * std::max(toSeconds(*runner.readingUntil - now), 0.0);
+    else
+        cost += load.prefillTokens / PrefillTokensPerSecond * slowdown;
+    cost += request.size->promptTokens / PrefillTokensPerSecond * slowdown;
     cost += slowdown - 1.0;
     if (runner.entry.report)
         cost += runner.entry.report->queueDepth * QueuedSeconds;
@@ -137,6 +166,8 @@
                                                                      TimePoint now, Random &random) const
 {
     std::vector<Candidate> candidates;
+    const MemoryForecast needed =
+            request.size ? MemoryForecast::ofGeneration(*request.size, request.madeTokens) : MemoryForecast{};
     bool isAnyFull = false;
     RunnerPointer shunned;
     for (const auto &[id, runner] : this->pool) {
@@ -149,7 +180,7 @@
             shunned = runner;
             continue;
         }
-        const double cost = costOf(*runner, request, engine, now);
+        const double cost = costOf(*runner, request, needed, engine, now);
         if (cost == std::numeric_limits<double>::infinity())
             isAnyFull = true;
         else
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libgateway/fleetview.h"
+#include "libgateway/generationlength.h"
 #include "libgateway/servingconfig.h"
 
 #include <map>
@@ -14,18 +15,6 @@
 
 namespace eelgrasslift {
 
-/// What a generation is expected to need.
-struct GenerationSize
-{
-    double promptTokens = 0;
-    /// Estimate; good at the median, often far off.
-    double outputTokens = 0;
-    /// The engine ends the generation here; 0 if unknown.
-    double maxOutputTokens = 0;
-
-    double finalTokens() const { return this->promptTokens + this->outputTokens; }
-};
-
 /// Relative worth of a generation: it grows with its size, and ten times as fast with what it writes as with
 /// what it reads, as the users' sheets have it.
 inline double worthOf(const GenerationSize &size)
@@ -42,6 +31,8 @@
     std::string_view domain;
     /// Set for generations.
     std::optional<GenerationSize> size;
+    /// Tokens that the generation has made elsewhere.
+    double madeTokens = 0;
     /// Runners that this request has already tried, or must not use.
     const std::set<std::string> *excluded = nullptr;
     double memoryLimit = 1.0;
@@ -76,6 +67,8 @@
         std::optional<TimePoint> leavesAt;
         RunnerLoad own;
         RunnerLoad others;
+        /// When the prompts that were placed here are read; known to whoever chooses for all gateways.
+        std::optional<TimePoint> readingUntil;
         /// Share of recent sends that failed, decaying.
         double failureRate = 0;
         /// Mean time of recent calls of a plain service in seconds, decaying.
@@ -85,6 +78,8 @@
 
         /// Time until a leaving runner is gone; a guess if it does not say.
         Duration untilGone(TimePoint now) const;
+        /// A generation was placed here; its prompt is read after those before it.
+        void notePrompt(double tokens, TimePoint now);
     };
     using RunnerPointer = std::shared_ptr<Runner>;
 
@@ -98,6 +93,9 @@
     std::variant<RunnerPointer, NoRunner> choose(const PlacementRequest &request, const EngineTraits *engine,
                                                  TimePoint now, Random &random) const;
     RunnerPointer find(std::string_view id) const;
+    /// Share of the memory of a service's usable runners that generations and their copies are expected to
+    /// hold; 1 if there is none.
+    double memoryUse(std::string_view service, const EngineTraits &engine) const;
 
     static void recordSend(Runner &runner, SendHealth health, Duration duration, TimePoint now);
 
@@ -112,8 +110,9 @@
         double cost = 0;
     };
 
-    static double costOf(const Runner &runner, const PlacementRequest &request, const EngineTraits *engine,
-                         TimePoint now);
+    /// needed is the memory of the request's generation.
+    static double costOf(const Runner &runner, const PlacementRequest &request, const MemoryForecast &needed,
+                         const EngineTraits *engine, TimePoint now);
 
     std::map<std::string, RunnerPointer, std::less<>> pool;
 };
--- a/tests/gateway/test_runnerpool.cpp
+++ b/tests/gateway/test_runnerpool.cpp
@@ -172,3 +172,46 @@
     pool.setFleet(std::vector{entry}, Start + 400ms);
     CHECK(pool.find("a")->untilGone(Start + 400ms) == Duration{900ms});
 }
+
+// Load pattern: memory is full everywhere but on a runner that has just come. Its prompts are read one after
+// the other, so a dozen generations that are placed there at once all start late.
+TEST_CASE("Prompts that were placed a moment ago send the next one elsewhere", "[runnerpool]")
+{
+    RunnerPool pool;
+    Random random{6};
+    pool.setFleet(std::vector{makeEntry("new", "z"), makeEntry("filled", "z")}, Start);
+    pool.setOtherLoad({{"filled", RunnerLoad{5, 20000, 0}}});
+    PlacementRequest request{"s", "z", GenerationSize{3000, 900, 2196}};
+    request.isForAllGateways = true;
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = chosenId(pool, request, random, &Engine);
+        ++counts[id];
+        pool.find(id)->notePrompt(3000, Start);
+    }
+    CHECK(counts["new"] >= 3);
+    CHECK(counts["filled"] >= 2);
+}
+
+TEST_CASE("Prompts that were read long ago cost nothing", "[runnerpool]")
+{
+    RunnerPool::Runner runner;
+    runner.notePrompt(8000, Start);
+    const TimePoint read = *runner.readingUntil;
+    CHECK(read > Start + 500ms);
+    runner.notePrompt(8000, Start + 10s);
+    CHECK(*runner.readingUntil == Start + 10s + (read - Start));
+}
+
+TEST_CASE("Memory in use counts runners that can be used", "[runnerpool]")
+{
+    RunnerPool pool;
+    CHECK(pool.memoryUse("s", Engine) == 1.0);
+    RunnerEntry silent = makeEntry("silent", "z");
+    silent.isSilent = true;
+    pool.setFleet(
+            std::vector{makeEntry("a", "z"), makeEntry("bb", "z"), makeEntry("gone", "z", true), silent},
+            Start);
+    pool.setOtherLoad({{"a", RunnerLoad{4, 17000, 0}}, {"gone", RunnerLoad{8, 34000, 0}}});
+    CHECK(pool.memoryUse("s", Engine) == Approx(0.25));
+}
