coordinator: tell leaving runners by their health answers; gateway: no room is taken for generations that would start late

Ruled out: asking for reports more often (they are half a second old at any rate). Change: the leading coordinator checks the health of model runners every 200 ms and asks for reports every 400 (before: 200). A runner that says so is left at once; LeavingDetector takes it back if its reports go on as before, since health answers may be false. A generation waits for room only as long as its first event can still come in time, half a second for the runner included.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -31,6 +31,10 @@
 constexpr Duration GatewayTimeout = std::chrono::seconds{5};
 // Longer than any notice on the sheets.
 constexpr Duration TransferWait = std::chrono::milliseconds{2500};
+// Reports are half a second old when they arrive, so asking more often tells little more.
+constexpr Duration ReportInterval = std::chrono::milliseconds{400};
+// A tenth of the shortest notice on the sheets.
+constexpr Duration HealthInterval = std::chrono::milliseconds{200};
 // A call for a placement waits this long for room; the next one shows that the gateway still wants it.
 constexpr Duration PlacementWait = std::chrono::milliseconds{200};
 // Load reports of all gateways come some milliseconds apart; together they are looked at once.
@@ -124,9 +128,12 @@
     if (auto *error = std::get_if<StorageError>(&opened))
         return std::move(*error);
     coordinator->replica = std::move(std::get<std::unique_ptr<Replicator>>(opened));
-    if (settings.fleetList)
-        coordinator->fleet = std::make_unique<FleetReader>(io, format, coordinator->connections,
-                                                           FleetReaderSettings{*settings.fleetList});
+    if (settings.fleetList) {
+        FleetReaderSettings reading{*settings.fleetList};
+        reading.reportInterval = ReportInterval;
+        reading.healthInterval = HealthInterval;
+        coordinator->fleet = std::make_unique<FleetReader>(io, format, coordinator->connections, reading);
+    }
     return coordinator;
 }
 
@@ -138,14 +145,14 @@
             logError("stored-configuration-unreadable", {{"cause", describe(*error)}});
         } else if (this->fleet) {
             this->engines.clear();
-            std::set<std::string> names;
+            FleetReader::EngineServices services;
             for (const Service &service : std::get<ServingConfig>(config).services) {
                 if (!service.engine)
                     continue;
-                names.insert(service.name);
+                services.emplace(service.name, service.healthPath);
                 this->engines.emplace(service.name, *service.engine);
             }
-            this->fleet->setEngineServices(std::move(names));
+            this->fleet->setEngineServices(std::move(services));
         }
         this->wakeWaiters();
     });
--- a/src/gateway/coordinatorlink.cpp
+++ b/src/gateway/coordinatorlink.cpp
@@ -97,10 +97,10 @@
         this->ownReader.setListInterval(
                 std::max(ShortestOwnListInterval, fromSeconds(this->gatewayCount / std::max(share, 0.1))));
         if (this->gateway.routes()) {
-            std::set<std::string> engines;
+            FleetReader::EngineServices engines;
             for (const Service &service : this->gateway.routes()->config().services) {
                 if (service.engine)
-                    engines.insert(service.name);
+                    engines.emplace(service.name, service.healthPath);
             }
             this->ownReader.setEngineServices(std::move(engines));
         }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -56,6 +56,7 @@
               {"domain", entry.domain},
               {"slots", entry.slots},
               {"leaving", entry.isLeaving},
+              {"seems_leaving", entry.seemsLeaving},
               {"warm", toMilliseconds(entry.warmUpLeft)},
               {"started", entry.startedAtMs},
               {"silent", entry.isSilent}};
@@ -80,6 +81,7 @@
     entry.domain = json.at("domain");
     entry.slots = json.at("slots");
     entry.isLeaving = json.at("leaving");
+    entry.seemsLeaving = json.at("seems_leaving");
     entry.warmUpLeft = std::chrono::milliseconds{json.at("warm").get<int64_t>()};
     entry.startedAtMs = json.at("started");
     entry.isSilent = json.at("silent");
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleetreader.h"
 
 #include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 
 constexpr Duration ListTimeout = std::chrono::milliseconds{1500};
 constexpr Duration ReportTimeout = std::chrono::milliseconds{400};
+constexpr Duration HealthTimeout = std::chrono::milliseconds{400};
 
 // A single answer may be lost with its connection.
 constexpr uint32_t UnansweredBeforeSilent = 2;
@@ -34,6 +36,7 @@
     , settings(std::move(readerSettings))
     , listTimer(context)
     , reportTimer(context)
+    , healthTimer(context)
 {}
 
 void FleetReader::setActive(bool isActive)
@@ -51,6 +54,8 @@
         this->isStarted = true;
         asio::co_spawn(this->io, this->readLists(), asio::detached);
         asio::co_spawn(this->io, this->readReports(), asio::detached);
+        if (this->settings.healthInterval > Duration::zero())
+            asio::co_spawn(this->io, this->checkHealths(), asio::detached);
     }
 }
 
@@ -58,6 +63,7 @@
 {
     this->current = std::move(entries);
     this->unanswered.clear();
+    this->detectors.clear();
 }
 
 asio::awaitable<void> FleetReader::readLists()
@@ -125,10 +131,15 @@
         if (known->startedAtMs == entry.startedAtMs) {
             entry.report = known->report;
             entry.isSilent = known->isSilent;
+            entry.seemsLeaving = known->seemsLeaving;
+        } else {
+            this->detectors.erase(entry.id);
         }
     }
     this->current = std::move(entries);
-    std::erase_if(this->unanswered, [&](const auto &item) { return this->find(item.first) == nullptr; });
+    const auto isGone = [this](const auto &item) { return this->find(item.first) == nullptr; };
+    std::erase_if(this->unanswered, isGone);
+    std::erase_if(this->detectors, isGone);
     if (this->updated)
         this->updated(isUrgent);
 }
@@ -175,6 +186,8 @@
     const auto &report = std::get<RunnerReport>(decoded);
     const bool wasLeaving = entry->isLeaving || (entry->report && entry->report->isLeaving);
     entry->report = report;
+    this->detectors[id].noteReport(report.isLeaving, steadyNow());
+    this->followDetector(*entry);
     const bool isUrgent = report.isLeaving && !wasLeaving;
     if (isUrgent)
         logInfo("runner-leaving",
@@ -186,6 +199,52 @@
         this->updated(true);
 }
 
+asio::awaitable<void> FleetReader::checkHealths()
+{
+    boost::system::error_code ignored;
+    for (;;) {
+        this->healthTimer.expires_after(this->settings.healthInterval);
+        co_await this->healthTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!this->active)
+            continue;
+        for (const RunnerEntry &entry : this->current) {
+            const auto service = this->engineServices.find(entry.service);
+            if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving)
+                continue;
+            asio::co_spawn(this->io, this->checkHealth(entry.id, entry.address, service->second),
+                           asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> FleetReader::checkHealth(std::string id, std::string address, std::string path)
+{
+    OutgoingCall call{"GET", std::move(path), {}};
+    auto result = co_await this->connections.call(std::move(address), std::move(call), HealthTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    RunnerEntry *entry = this->find(id);
+    // A runner that does not answer is noticed by the questions for its report.
+    if (entry == nullptr || response == nullptr)
+        co_return;
+    const std::optional<bool> isHealthy = this->format.decodeHealth(response->base(), id);
+    if (!isHealthy)
+        co_return;
+    this->detectors[id].noteHealth(*isHealthy, steadyNow());
+    this->followDetector(*entry);
+}
+
+void FleetReader::followDetector(RunnerEntry &entry)
+{
+    const bool seemsLeaving = this->detectors[entry.id].seemsLeaving();
+    if (entry.seemsLeaving == seemsLeaving)
+        return;
+    entry.seemsLeaving = seemsLeaving;
+    logInfo(seemsLeaving ? "runner-seems-leaving" : "runner-seems-staying",
+            {{"runner", entry.id}, {"source", "health"}, {"leaving", entry.isLeaving ? "yes" : "unknown"}});
+    if (this->updated)
+        this->updated(true);
+}
+
 void FleetReader::noteSilence(RunnerEntry &entry)
 {
     if (++this->unanswered[entry.id] < UnansweredBeforeSilent || entry.isSilent)
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -56,7 +56,7 @@
     const std::set<StreamSession *> current = this->streams;
     for (StreamSession *session : current) {
         const RunnerPool::RunnerPointer runner = session->runner();
-        if (!runner || !runner->entry.isLeaving)
+        if (!runner || !runner->entry.mayLeave())
             continue;
         session->runnerLeaves(runner->untilGone(now));
     }
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -158,7 +158,7 @@
             answer = co_await this->gateway.fleetAgent->place(std::move(wish));
         }
         RunnerPool::RunnerPointer runner = answer ? this->gateway.runners.find(answer->runnerId) : nullptr;
-        if (runner && !runner->entry.isLeaving)
+        if (runner && !runner->entry.mayLeave())
             co_return runner;
         bool isFull = answer && answer->runnerId.empty();
         if (!isFull) {
@@ -200,7 +200,7 @@
         const TimePoint sentAt = steadyNow();
         RelayResult result = co_await this->relay(destination);
         const bool isHealthy = result.end == RelayEnd::Complete || result.end == RelayEnd::CallerGone ||
-                               destination.runner->entry.isLeaving || this->moved || this->isMigrating;
+                               destination.runner->entry.mayLeave() || this->moved || this->isMigrating;
         RunnerPool::recordSend(*destination.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
                                steadyNow() - sentAt, steadyNow());
         this->plan.noteSend(result.outcome);
@@ -446,7 +446,7 @@
     const TimePoint now = steadyNow();
     if (!this->runStartedAt)
         this->runStartedAt = now;
-    if (this->load.runner() && this->load.runner()->entry.isLeaving)
+    if (this->load.runner() && this->load.runner()->entry.mayLeave())
         this->runnerLeaves(this->load.runner()->untilGone(now));
     if (before == 0) {
         this->firstEventAt = now;
@@ -464,7 +464,7 @@
 bool StreamSession::hasBackupInReach() const
 {
     const RunnerPool::RunnerPointer &holder = this->backup.runner();
-    return holder && !holder->entry.isLeaving && !holder->entry.isSilent;
+    return holder && !holder->entry.mayLeave() && !holder->entry.isSilent;
 }
 
 asio::awaitable<void> StreamSession::watchForStall(RunnerConnectionPointer connection)
@@ -574,7 +574,7 @@
     const EngineTraits *engine = this->context.engine();
     if (this->isMigrating || this->moved || !this->load.runner() || !this->active || engine == nullptr)
         return;
-    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isLeaving;
+    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.mayLeave();
     const Duration age = this->runStartedAt ? steadyNow() - *this->runStartedAt : Duration::zero();
     const LeavingRun run{this->remainingTokens(),
                          this->madeTokens(),
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -110,6 +110,10 @@
     virtual OutgoingCall reportCall() const = 0;
     virtual Result<RunnerReport, DecodeError> decodeReport(std::string_view body) const = 0;
 
+    /// What an answer to a health check says of the runner; nothing if it is not that runner's statement.
+    virtual std::optional<bool> decodeHealth(const ResponseHeader &header,
+                                             std::string_view runnerId) const = 0;
+
     virtual OutgoingCall moveCall(const MoveOrder &order) const = 0;
     virtual Result<CopyMade, DecodeError> decodeMove(std::string_view body) const = 0;
     virtual OutgoingCall releaseCall(std::string_view handle) const = 0;
--- a/src/libgateway/fleetview.h
+++ b/src/libgateway/fleetview.h
@@ -34,6 +34,8 @@
     std::string domain;
     uint32_t slots = 1;
     bool isLeaving = false;
+    /// Its health answers say so, but nothing else yet; may be taken back.
+    bool seemsLeaving = false;
     /// How much longer the runner stays slow after its start.
     Duration warmUpLeft{};
     /// Start of the runner, Unix milliseconds; tells two starts under one id apart. 0: unknown.
@@ -41,6 +43,8 @@
     std::optional<RunnerReport> report;
     /// The last questions for a report got no answer: the runner is down or cut off from whoever asks.
     bool isSilent = false;
+
+    bool mayLeave() const { return this->isLeaving || this->seemsLeaving; }
 };
 
 /// Work in flight on one runner.
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -9,6 +9,7 @@
 #include "libgateway/fleetview.h"
 #include "libgateway/generationlength.h"
 #include "libgateway/generationtime.h"
+#include "libgateway/leavingdetector.h"
 #include "libgateway/memoryforecast.h"
 #include "libgateway/migrationplan.h"
 #include "libgateway/placementqueue.h"
--- a/src/libgateway/generationtime.h
+++ b/src/libgateway/generationtime.h
@@ -22,8 +22,8 @@
 /// Expected time from the send of a generation to its first event.
 inline Duration timeToFirstEvent(const GenerationSize &size)
 {
-    // The first steps behind another prompt, and the way of the first event.
-    constexpr double Reserve = 0.15;
+    // The steps behind another prompt, and the way of the first event.
+    constexpr double Reserve = 0.5;
     return fromSeconds(size.promptTokens / PrefillTokensPerSecond + Reserve);
 }
 
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -103,7 +103,7 @@
     double held = 0;
     double capacity = 0;
     for (const auto &[id, runner] : this->pool) {
-        if (runner->entry.service != service || runner->entry.isLeaving || runner->entry.isSilent)
+        if (runner->entry.service != service || runner->entry.mayLeave() || runner->entry.isSilent)
             continue;
         RunnerLoad load = runner->own;
         load += runner->others;
@@ -171,7 +171,7 @@
     bool isAnyFull = false;
     RunnerPointer shunned;
     for (const auto &[id, runner] : this->pool) {
-        const bool isUsable = runner->entry.service == request.service && !runner->entry.isLeaving &&
+        const bool isUsable = runner->entry.service == request.service && !runner->entry.mayLeave() &&
                               (request.excluded == nullptr || !request.excluded->contains(id));
         if (!isUsable)
             continue;
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -97,6 +97,7 @@
     entry.domain = "kapana";
     entry.slots = 24;
     entry.isLeaving = true;
+    entry.seemsLeaving = true;
     entry.warmUpLeft = 300ms;
     entry.startedAtMs = 42;
     entry.isSilent = true;
@@ -136,6 +137,7 @@
     CHECK(same.domain == entry.domain);
     CHECK(same.slots == entry.slots);
     CHECK(same.isLeaving);
+    CHECK(same.seemsLeaving);
     CHECK(same.warmUpLeft == entry.warmUpLeft);
     CHECK(same.startedAtMs == entry.startedAtMs);
     CHECK(same.isSilent);
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -187,3 +187,26 @@
     INFO(from << " becomes " << to);
     CHECK(std::holds_alternative<SettingsError>(platform::parseNodeSettings(replaced(valid, from, to))));
 }
+
+// Guards against emptying a runner that is only full, or another one that has got its address.
+TEST_CASE("A health answer counts only as the runner's own statement", "[platform]")
+{
+    struct Row
+    {
+        unsigned status;
+        std::string runner;
+        bool isRejected;
+        std::optional<bool> expected;
+    };
+    const Row row = GENERATE(Row{200, "i-1", false, true}, Row{503, "i-1", false, false},
+                             Row{503, "", false, false}, Row{503, "i-1", true, std::nullopt},
+                             Row{503, "i-2", false, std::nullopt}, Row{200, "i-2", false, std::nullopt},
+                             Row{500, "i-1", false, std::nullopt}, Row{404, "i-1", false, std::nullopt});
+    ResponseHeader header;
+    header.result(row.status);
+    if (!row.runner.empty())
+        header.set("X-Instance-Id", row.runner);
+    if (row.isRejected)
+        header.set("X-Not-Executed", "1");
+    CHECK(Format.decodeHealth(header, "i-1") == row.expected);
+}
