scenario: ask the kernel for the one connection, so that relays keep up

For each connection the runner's relay read the whole of /proc/net/tcp: 6.5 ms with two entries in it on this machine, more with thousands of closed connections that wait out their 60 s. The one thread of the relay fell behind, and calls between entries missed their limit of one second. Change: inodeOfConnection() asks by netlink (0.04 ms); the table is read only where the kernel does not answer.

--- a/tests/scenario/relay.cpp
+++ b/tests/scenario/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "relayconnection.h"
+#include "socketinode.h"
 
 #include <boost/asio/post.hpp>
 
@@ -8,9 +9,7 @@
 
 #include <chrono>
 #include <filesystem>
-#include <fstream>
 #include <future>
-#include <sstream>
 
 namespace eelgrasslift::scenario {
 
@@ -22,24 +21,6 @@
 
 constexpr std::chrono::milliseconds WatchInterval{10};
 
-/// Socket inode of the local loopback port, from the kernel's table of IPv4 connections.
-std::string inodeOfPort(uint16_t port)
-{
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-        std::istringstream words(line);
-        std::string slot, local, remote, state, queues, timer, retransmits, uid, timeout, inode;
-        words >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> uid >> timeout >>
-                inode;
-        const unsigned long localPort = std::strtoul(local.substr(local.find(':') + 1).c_str(), nullptr, 16);
-        if (localPort == port && state != "0A" && inode != "0")
-            return inode;
-    }
-    return {};
-}
-
 bool ownsSocket(pid_t pid, const std::string &inode)
 {
     const std::string wanted = "socket:[" + inode + "]";
@@ -63,9 +44,9 @@
     this->processes[pid] = name;
 }
 
-std::string LinkTable::ownerOfPort(uint16_t port)
+std::string LinkTable::ownerOfConnection(uint16_t localPort, uint16_t remotePort)
 {
-    const std::string inode = inodeOfPort(port);
+    const std::string inode = inodeOfConnection(localPort, remotePort);
     const std::lock_guard lock(this->mutex);
     for (const auto &[pid, name] : this->processes) {
         if (!inode.empty() && ownsSocket(pid, inode))
@@ -205,7 +186,8 @@
             return;
         if (!error) {
             error_code remoteError;
-            const std::string owner = this->links.ownerOfPort(client.remote_endpoint(remoteError).port());
+            const std::string owner = this->links.ownerOfConnection(
+                    client.remote_endpoint(remoteError).port(), relay->listen.port());
             this->connect({relay, owner, std::make_shared<tcp::socket>(std::move(client))});
         }
         this->accept(relay);
--- a/tests/scenario/relay.h
+++ b/tests/scenario/relay.h
@@ -25,8 +25,8 @@
 public:
     void setProcess(pid_t pid, const std::string &name);
 
-    /// Name of the process that owns the connection from the given local port; empty if it is not ours.
-    std::string ownerOfPort(uint16_t port);
+    /// Name of the process that opened the connection between the ports; empty if it is not ours.
+    std::string ownerOfConnection(uint16_t localPort, uint16_t remotePort);
 
     void cut(const std::string &from, const std::string &to);
     void heal(const std::string &from, const std::string &to);
