--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -48,7 +48,7 @@
     std::set<std::string> tried;
     for (;;) {
         const PlacementRequest request{
-                this->context.service, this->gateway.settings.domain, std::nullopt, 0, &tried, 1.0,
+                this->context.service, this->gateway.settings.domain, std::nullopt, &tried, 1.0,
                 CallCrossingSeconds};
         auto placed = this->gateway.runners.choose(request, nullptr, steadyNow(), this->gateway.random);
         const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -371,8 +371,9 @@
     if (!source)
         return {};
     const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
-    const PlacementRequest request{wish.service, source->entry.domain, wish.size,          wish.madeTokens,
-                                   &excluded,    TransferMemoryLimit,  CopyCrossingSeconds};
+    PlacementRequest request{wish.service, source->entry.domain, wish.size,
+                             &excluded,    TransferMemoryLimit,  CopyCrossingSeconds};
+    request.madeTokens = wish.madeTokens;
     const RunnerPool::RunnerPointer chosen = this->choose(request);
     return chosen ? chosen->entry.id : std::string{};
 }
@@ -380,7 +381,7 @@
 RunnerPool::RunnerPointer Coordinator::placeNow(const PlacementWish &wish)
 {
     const std::set<std::string> excluded(wish.excluded.begin(), wish.excluded.end());
-    const PlacementRequest request{wish.service, wish.domain,      wish.size,           0,
+    const PlacementRequest request{wish.service, wish.domain,      wish.size,
                                    &excluded,    wish.memoryLimit, wish.crossingSeconds};
     RunnerPool::RunnerPointer chosen = this->choose(request);
     if (chosen) {
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -70,6 +70,9 @@
 // A copy crosses the link in some hundred milliseconds; the destination may queue it behind others.
 constexpr Duration MoveTimeout = std::chrono::milliseconds{2500};
 
+// Room for a copy comes when another generation ends; asking with each event finds it no sooner.
+constexpr Duration MigrationRetry = std::chrono::milliseconds{80};
+
 // A copy whose source is gone is complete by now or never will be.
 constexpr Duration PatienceForCopy = std::chrono::milliseconds{150};
 
@@ -135,13 +138,9 @@
     const Duration patience = std::max(route.objective - timeToFirstEvent(this->size()), Duration::zero());
     const TimePoint latest = std::min(this->context.deadline, this->context.arrived + patience);
     for (;;) {
-        const PlacementRequest request{this->context.service,
-                                       this->gateway.settings.domain,
-                                       this->context.caller.size,
-                                       0,
-                                       &this->tried,
-                                       MemoryLimit,
-                                       GenerationCrossingSeconds};
+        const PlacementRequest request{
+                this->context.service, this->gateway.settings.domain, this->context.caller.size, &this->tried,
+                MemoryLimit,           GenerationCrossingSeconds};
         const bool isOwnChoice = !this->context.caller.size || this->context.engine() == nullptr;
         std::optional<PlacementAnswer> answer;
         if (!isOwnChoice) {
@@ -574,6 +573,8 @@
     const EngineTraits *engine = this->context.engine();
     if (this->isMigrating || this->moved || !this->load.runner() || !this->active || engine == nullptr)
         return;
+    if (steadyNow() < this->nextMigration)
+        return;
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.mayLeave();
     const Duration age = this->runStartedAt ? steadyNow() - *this->runStartedAt : Duration::zero();
     const LeavingRun run{this->remainingTokens(),
@@ -628,6 +629,8 @@
     }
     if (turn)
         this->gateway.fleetAgent->finish(turn->ticket);
+    if (!this->moved)
+        this->nextMigration = steadyNow() + MigrationRetry;
     this->isMigrating = false;
     this->migrationEnd.cancel();
 }
@@ -643,9 +646,9 @@
 {
     std::set<std::string> excluded = this->fullHolders;
     excluded.insert(source.entry.id);
-    const PlacementRequest request{this->context.service, domain,    this->context.caller.size,
-                                   this->madeTokens(),    &excluded, memoryLimit,
-                                   CopyCrossingSeconds};
+    PlacementRequest request{this->context.service, domain, this->context.caller.size, &excluded, memoryLimit,
+                             CopyCrossingSeconds};
+    request.madeTokens = this->madeTokens();
     auto placed =
             this->gateway.runners.choose(request, this->context.engine(), steadyNow(), this->gateway.random);
     const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -95,6 +95,8 @@
     StallDetector stall;
     uint32_t refusedContinuations = 0;
     bool isMigrating = false;
+    /// No move is tried before; set when one failed.
+    TimePoint nextMigration{};
     std::optional<Destination> moved;
     boost::asio::steady_timer migrationEnd;
 };
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -31,8 +31,6 @@
     std::string_view domain;
     /// Set for generations.
     std::optional<GenerationSize> size;
-    /// Tokens that the generation has made elsewhere.
-    double madeTokens = 0;
     /// Runners that this request has already tried, or must not use.
     const std::set<std::string> *excluded = nullptr;
     double memoryLimit = 1.0;
@@ -41,6 +39,8 @@
     /// Whoever chooses for all gateways takes the cheapest runner; one of many that see the same loads must
     /// not.
     bool isForAllGateways = false;
+    /// Tokens that the generation has made elsewhere.
+    double madeTokens = 0;
 };
 
 struct NoRunner
