gateway: wait for a generation that goes on at a busy runner instead of cutting its answer

Change: only a stream that can be resumed elsewhere is given up before its time; firstEventPatience() decides, test_stalldetector holds its table (it has no counterpart in the old code, which had the limit inline).

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -26,7 +26,7 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{250};
 
-// A continuation or resumable stream without an event for this long goes on elsewhere: several times the
+// A resumable stream without an event for this long goes on elsewhere: several times the
 // longest pause on time, and below the time after which callers leave.
 constexpr Duration StallTimeout = std::chrono::milliseconds{700};
 
@@ -34,10 +34,6 @@
 // continuation. Two prompts that are read beside a generation delay its events by less.
 constexpr double StallShare = 0.65;
 
-// The first event of a resumable stream; of other streams nothing can be done but wait. A second prompt for a
-// generation that only waits for its turn takes the time of others.
-constexpr double FirstEventObjectives = 2.5;
-
 // A generation that found all runners full asks again after this time; coordinators hear of ended runs about
 // as often.
 constexpr Duration PlacementRetry = std::chrono::milliseconds{100};
@@ -322,12 +318,8 @@
     auto parser = std::make_unique<Parser>();
     parser->body_limit(boost::none);
     boost::system::error_code error;
-    Duration patience = this->timeLeft();
-    if (isContinuation || this->context.route->isResumable) {
-        const Duration firstEvent =
-                std::chrono::duration_cast<Duration>(this->context.route->objective * FirstEventObjectives);
-        patience = std::min(patience, isContinuation ? StallTimeout : firstEvent);
-    }
+    const Route &route = *this->context.route;
+    const Duration patience = firstEventPatience(route.isResumable, route.objective, this->timeLeft());
     connection->stream.expires_after(std::max(patience, Duration{1}));
     co_await http::async_read_header(connection->stream, connection->buffer, *parser,
                                      asio::redirect_error(asio::use_awaitable, error));
--- a/src/libgateway/stalldetector.h
+++ b/src/libgateway/stalldetector.h
@@ -2,6 +2,8 @@
 
 #include "libcore/core.h"
 
+#include <algorithm>
+
 namespace eelgrasslift {
 
 /// Notices that a stream makes no progress while its process itself runs.
@@ -48,4 +50,17 @@
     TimePoint lookAt{};
 };
 
+/// How long a send may go without its first event before it is given up.
+///
+/// Load pattern: a generation goes on from a copy at a runner that reads other prompts for a second. Giving
+/// it up there ends it, since the copy can be used once; only a stream that can be resumed has another way.
+inline Duration firstEventPatience(bool isResumable, Duration objective, Duration timeLeft)
+{
+    // A second prompt for a generation that only waits for its turn takes the time of others.
+    constexpr double Objectives = 2.5;
+    if (!isResumable)
+        return timeLeft;
+    return std::min(timeLeft, std::chrono::duration_cast<Duration>(objective * Objectives));
+}
+
 } // namespace eelgrasslift
--- a/tests/gateway/test_stalldetector.cpp
+++ b/tests/gateway/test_stalldetector.cpp
@@ -51,3 +51,15 @@
     CHECK(detector.nextLook() == Start + 1600ms);
     CHECK(detector.look(Start + 1600ms, false));
 }
+
+// Guards against cutting an answer in the middle because the runner that keeps its copy is busy for a second.
+TEST_CASE("Only a stream that can be resumed is given up before its time", "[stalldetector]")
+{
+    const auto &[isResumable, timeLeft, expected] = GENERATE(table<bool, Duration, Duration>({
+            {false, 20s, 20s},
+            {false, 100ms, 100ms},
+            {true, 20s, 4500ms},
+            {true, 2s, 2s},
+    }));
+    CHECK(firstEventPatience(isResumable, 1800ms, timeLeft) == expected);
+}
