--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "gateway/configpublisher.h"
 #include "gateway/configstore.h"
-#include "gateway/exchange.h"
 #include "gateway/fleetreader.h"
+#include "gateway/gatewayexchange.h"
 #include "gateway/nodesettings.h"
 
 namespace eelgrasslift {
@@ -11,14 +12,11 @@
 constexpr uint16_t ConsensusPortOffset = 0;
 constexpr uint16_t ExchangePortOffset = 1;
 
-/// Paths of the calls from gateways besides the exchange of status.
-constexpr const char *PlacementPath = "/place";
-constexpr const char *TransferPath = "/transfer";
-constexpr const char *TransferEndPath = "/transfer-end";
-
 /// A control member: replicates the configuration and handles the calls of operators and gateways. While it
-/// leads, it polls the runners and schedules placements and transfers for all gateways. All functions run on
-/// the thread of the io_context.
+/// leads, it polls the runners and schedules placements and transfers for all gateways. Without the lead it
+/// does the same as a delegate, for gateways that have no contact with the leader: in a failure domain that
+/// is cut off, one coordinator then polls the runners instead of each gateway. All functions run on the
+/// thread of the io_context.
 class Coordinator
 {
 public:
@@ -35,9 +33,9 @@
     /// Handles an operator's request to read or replace the configuration. A member that does not lead
     /// redirects to the leader, or responds with 503 if none is known.
     boost::asio::awaitable<HttpResponse> handleOperator(HttpRequest request);
-    /// Handles a gateway's status exchange, placement request, transfer request or end of a transfer. A
-    /// member without a leader lease responds with 503; to an exchange with the leader's address as well, if
-    /// known.
+    /// Handles a gateway's status exchange, wait for a configuration, placement request, transfer request or
+    /// end of a transfer. A member that does not schedule responds with 503, except for configurations; to
+    /// an exchange with the leader's address as well, if known. Responds with 404 to other calls.
     boost::asio::awaitable<HttpResponse> handleExchange(HttpRequest request);
 
     /// Replication of the configuration. The process runs its gRPC service and transfers the leadership at
@@ -45,16 +43,6 @@
     Replicator &replicator() { return *this->replica; }
 
 private:
-    /// A placement request in the queue.
-    struct PendingPlacement
-    {
-        const FleetPlacementRequest &placement;
-        /// Cancelled to resume the waiting call.
-        boost::asio::steady_timer &wakeUp;
-        /// The chosen runner; nullptr until then.
-        RunnerPool::RunnerPointer runner;
-    };
-
     Coordinator(boost::asio::io_context &io, const NodeSettings &settings, const WireFormat &format);
 
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
@@ -62,29 +50,16 @@
     /// Response to an operator's request that failed for lack of leadership.
     HttpResponse leadershipErrorResponse(const ProposalError &error, std::string_view call,
                                          uint64_t version) const;
-    boost::asio::awaitable<HttpResponse> handleTransferRequest(std::string body);
-    HttpResponse handleTransferEnd(std::string_view body);
-    void grantTransfers();
-    /// Queues the request until a runner has enough free memory or the poll times out.
-    boost::asio::awaitable<HttpResponse> handlePlacement(std::string body);
-    /// Tries to place the queued generations in the order of the queue.
-    void placePending();
-    /// Calls placePending() after a short delay, which batches the load reports of several gateways.
-    void schedulePlacement();
-    /// Chooses a runner and counts the generation as its load; nullptr if none has enough free memory.
-    RunnerPool::RunnerPointer tryPlace(const FleetPlacementRequest &placement);
-    /// nullptr if no runner has enough free memory, or none is known.
-    RunnerPool::RunnerPointer chooseRunner(RunnerCriteria criteria);
-    /// Id of the runner that is to receive the copy; empty if there is none.
-    std::string chooseDestination(const TransferRequest &transfer);
-    /// Polls the runners only while this member leads.
+    boost::asio::awaitable<HttpResponse> handleStatus(std::string body);
+    /// Publishes the configuration that has come into force and takes the engines from it.
+    void applyConfig();
+    /// Whether this member leads, or schedules for gateways without contact with the leader.
+    bool isScheduling() const;
+    /// ip:port at which the leader accepts calls of gateways; empty if unknown.
+    std::string leaderExchangeAddress() const;
+    /// Polls the runners only while this member schedules.
     void checkLeadership();
-    void handleFleetUpdate(bool isUrgent);
-    /// Ends the wait of all open exchanges.
-    void wakeGateways();
-    CoordinatorStatus statusFor(const GatewayStatus &gateway);
-    /// Whether the response to the gateway should not wait.
-    bool hasUpdateFor(const GatewayStatus &gateway) const;
+    void handleFleetUpdate();
 
     boost::asio::io_context &io;
     NodeSettings settings;
@@ -93,25 +68,15 @@
     std::unique_ptr<Replicator> replica;
     ConnectionPool connections;
     std::unique_ptr<FleetReader> fleetReader;
-    /// Cancelled when there is an update for the gateways with an open exchange.
-    boost::asio::steady_timer updateSignal;
     boost::asio::steady_timer leadershipTimer;
-    boost::asio::steady_timer placementTimer;
-    bool isPlacementScheduled = false;
-    FleetLoad fleetLoad;
-    /// By service name, from the configuration in force.
-    std::map<std::string, EngineTraits, std::less<>> engineTraits;
-    /// Counts the updates of the list of runners in this process.
-    uint64_t fleetVersion = 0;
-    std::string encodedFleet;
-    PlacementQueue placementQueue;
-    std::map<PlacementQueue::Ticket, PendingPlacement *> pendingPlacements;
-    TransferQueue transferQueue;
-    /// Timers of waiting calls; cancelled when the transfer is granted.
-    std::map<TransferQueue::Ticket, boost::asio::steady_timer *> pendingTransfers;
-    /// Runners with the load of all gateways, for placements and transfers.
-    RunnerPool runners;
-    Random random{systemSeed()};
+    ConfigPublisher configPublisher;
+    GenerationScheduler scheduler;
+    GatewayExchange exchange;
+    /// Services of model runners, from the configuration in force.
+    std::set<std::string, std::less<>> engineServices;
+    /// The last status of a gateway without contact with the leader.
+    std::optional<TimePoint> delegateUsedAt;
+    bool hadLease = false;
 };
 
 } // namespace eelgrasslift
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -28,21 +28,26 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds{60};
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds{250};
 
-// After this long without contact with the leader, longer than an election, the gateway polls the platform
-// itself.
-constexpr Duration ContactTimeout = std::chrono::milliseconds{1500};
+// After this long without contact with the leader, longer than an election, the gateway accepts a delegate.
+constexpr Duration LeaderContactTimeout = std::chrono::milliseconds{1500};
+// After this long without any coordinator the gateway reads the platform's list itself.
+constexpr Duration ContactTimeout = std::chrono::milliseconds{2500};
 constexpr Duration ContactCheckInterval = std::chrono::milliseconds{250};
+// Interval of the attempts to reach the leader that a delegate names.
+constexpr Duration LeaderAttemptInterval = std::chrono::seconds{1};
 
-// Share of the platform's rate limit that all gateways without contact with the leader use together.
+// Share of the platform's rate limit that all gateways without any coordinator use together.
 constexpr double FallbackListShare = 0.4;
 constexpr Duration MinFallbackListInterval = std::chrono::milliseconds{600};
+// Only runners with generations of this gateway are asked for reports, to learn when they leave.
+constexpr Duration FallbackReportInterval = std::chrono::seconds{1};
 
 FleetReaderSettings fallbackReaderSettings(const NodeSettings &settings)
 {
     FleetReaderSettings result;
     result.listEndpoint = settings.fleetListEndpoint.value_or(Endpoint{});
     result.listInterval = MinFallbackListInterval;
-    result.reportInterval = std::chrono::milliseconds{500};
+    result.reportInterval = FallbackReportInterval;
     return result;
 }
 
@@ -53,6 +58,8 @@
     , loadSettings(std::move(settingsLoader))
     , connections(state.io.get_executor())
     , fallbackReader(state.io, state.format, state.connections, fallbackReaderSettings(state.settings))
+    , coordinators(state.settings.domain)
+    , configSubscriber(state, this->coordinators, this->connections)
     , contactTimer(state.io)
 {
     this->addSeeds(state.settings.seeds);
@@ -62,40 +69,46 @@
 void CoordinatorClient::addSeeds(const std::vector<Endpoint> &seeds)
 {
     const auto port = static_cast<uint16_t>(this->gateway.settings.firstInternalPort + ExchangePortOffset);
-    for (const Endpoint &seed : seeds) {
-        std::string address = Endpoint{seed.address, port}.toString();
-        if (std::find(this->coordinatorAddresses.begin(), this->coordinatorAddresses.end(), address) ==
-            this->coordinatorAddresses.end())
-            this->coordinatorAddresses.push_back(std::move(address));
-    }
+    for (const Endpoint &seed : seeds)
+        this->coordinators.add(Endpoint{seed.address, port}.toString());
 }
 
 void CoordinatorClient::start()
 {
-    this->startedAt = steadyNow();
-    this->currentIndex = this->gateway.random.below(std::max<size_t>(this->coordinatorAddresses.size(), 1));
-    this->fallbackReader.onUpdate([this](bool) {
-        if (!this->hasLeaderContact)
+    this->lastLeaderContact = steadyNow();
+    this->lastContact = this->lastLeaderContact;
+    this->fallbackReader.onUpdate([this] {
+        if (this->fallbackReader.isActive())
             this->gateway.applyFleet(this->fallbackReader.entries());
     });
+    this->fallbackReader.setReportFilter([this](const RunnerEntry &entry) {
+        const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
+        return runner && runner->ownLoad.activeRequests > 0;
+    });
     asio::co_spawn(this->gateway.io, this->exchangeLoop(), asio::detached);
+    this->configSubscriber.start();
     this->checkContact();
 }
 
+bool CoordinatorClient::hasLeaderContact() const
+{
+    return steadyNow() - this->lastLeaderContact < LeaderContactTimeout;
+}
+
 void CoordinatorClient::checkContact()
 {
     const TimePoint now = steadyNow();
-    const bool isInContact = now - this->lastLeaderContact.value_or(this->startedAt) < ContactTimeout;
-    if (isInContact != this->hasLeaderContact) {
-        this->hasLeaderContact = isInContact;
+    const bool isInContact = this->hasLeaderContact();
+    if (isInContact != this->wasInContact) {
+        this->wasInContact = isInContact;
         logInfo(isInContact ? "lead-regained" : "lead-lost",
                 {{"config",
                   this->gateway.routes() ? std::to_string(this->gateway.routes()->version()) : "none"},
-                 {"last_contact_ms", this->lastLeaderContact
-                                             ? std::to_string(toMilliseconds(now - *this->lastLeaderContact))
-                                             : "never"}});
+                 {"last_contact_ms", std::to_string(toMilliseconds(now - this->lastLeaderContact))},
+                 {"cause", this->lastFailure}});
     }
     if (this->gateway.settings.fleetListEndpoint) {
+        const bool isAlone = now - this->lastContact >= ContactTimeout;
         const double share = this->gateway.settings.fleetCallsPerSecond * FallbackListShare;
         this->fallbackReader.setListInterval(
                 std::max(MinFallbackListInterval, fromSeconds(this->gatewayCount / std::max(share, 0.1))));
@@ -107,9 +120,12 @@
             }
             this->fallbackReader.setEngineServices(std::move(engines));
         }
-        if (!isInContact && !this->fallbackReader.isActive())
+        if (isAlone && !this->fallbackReader.isActive())
             this->fallbackReader.setKnownRunners(this->gateway.runners.entries());
-        this->fallbackReader.setActive(!isInContact);
+        this->fallbackReader.setActive(isAlone);
+        // The list that the gateway reads itself has no version of a coordinator.
+        if (isAlone)
+            this->fleetSource = 0;
     }
     this->contactTimer.expires_after(ContactCheckInterval);
     this->contactTimer.async_wait([this](const boost::system::error_code &error) {
@@ -118,23 +134,32 @@
     });
 }
 
+std::string CoordinatorClient::nextAddress()
+{
+    const TimePoint now = steadyNow();
+    const bool triesLeader = !this->namedLeader.empty() && this->namedLeader != this->schedulerAddress &&
+                             now - this->lastLeaderAttempt >= LeaderAttemptInterval;
+    if (triesLeader) {
+        this->lastLeaderAttempt = now;
+        return this->namedLeader;
+    }
+    return this->isScheduled() ? this->schedulerAddress
+                               : this->coordinators.choose(now, this->gateway.random);
+}
+
 asio::awaitable<void> CoordinatorClient::exchangeLoop()
 {
     boost::system::error_code ignored;
     asio::steady_timer retryTimer(this->gateway.io);
     for (;;) {
-        bool hasSucceeded = false;
-        if (!this->coordinatorAddresses.empty()) {
-            const std::string address =
-                    this->coordinatorAddresses[this->currentIndex % this->coordinatorAddresses.size()];
-            hasSucceeded = co_await this->exchangeOnce(address);
-        }
+        const std::string address = this->nextAddress();
+        const bool hasSucceeded = !address.empty() && co_await this->exchangeOnce(address);
         if (hasSucceeded) {
             this->consecutiveFailures = 0;
             continue;
         }
         ++this->consecutiveFailures;
-        if (this->consecutiveFailures % (this->coordinatorAddresses.size() + 1) == 0) {
+        if (this->consecutiveFailures % (this->coordinators.size() + 1) == 0) {
             const auto settings = this->loadSettings();
             if (const auto *newSettings = std::get_if<NodeSettings>(&settings))
                 this->addSeeds(newSettings->seeds);
@@ -148,62 +173,78 @@
 {
     GatewayStatus status;
     status.gateway = this->gateway.settings.name;
-    status.configVersion = this->gateway.routes() ? this->gateway.routes()->version() : 0;
+    status.domain = this->gateway.settings.domain;
     status.fleetVersion = this->fleetVersion;
-    status.fleetTerm = this->fleetTerm;
+    status.fleetSource = this->fleetSource;
+    status.acceptsDelegate = !this->hasLeaderContact();
     status.loads = this->gateway.ownLoads();
-    OutgoingCall call{"POST", "/exchange", encodeStatus(status)};
+    OutgoingCall call{"POST", StatusPath, encodeStatus(status)};
+    const TimePoint startedAt = steadyNow();
     auto result = co_await this->connections.call(address, std::move(call), ExchangeTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response != nullptr && response->result_int() == 200) {
-        auto decoded = decodeCoordinatorStatus(response->body());
-        if (auto *newStatus = std::get_if<CoordinatorStatus>(&decoded)) {
-            this->applyStatus(std::move(*newStatus));
+        const auto decoded = decodeCoordinatorStatus(response->body());
+        if (const auto *newStatus = std::get_if<CoordinatorStatus>(&decoded)) {
+            this->applyStatus(address, *newStatus);
             co_return true;
         }
         logWarning("exchange-unreadable",
                    {{"from", address}, {"cause", std::get<ExchangeError>(decoded).detail}});
     }
-    if (response == nullptr)
+    this->lastFailure = address + " " +
+                        (response == nullptr ? std::string(toString(std::get<HttpFailure>(result)))
+                                             : std::to_string(response->result_int())) +
+                        " after " + std::to_string(toMilliseconds(steadyNow() - startedAt)) + " ms";
+    if (address == this->schedulerAddress)
+        this->schedulerAddress.clear();
+    if (address == this->namedLeader)
+        this->namedLeader.clear();
+    if (response == nullptr) {
         this->connections.dropIdle(address);
-    const auto leader = response == nullptr ? boost::beast::string_view{}
-                                            : (*response)[boost::beast::http::field::location];
-    const auto found = std::find(this->coordinatorAddresses.begin(), this->coordinatorAddresses.end(),
-                                 std::string_view(leader.data(), leader.size()));
-    if (!leader.empty() && found != this->coordinatorAddresses.end())
-        this->currentIndex = static_cast<size_t>(found - this->coordinatorAddresses.begin());
-    else if (!leader.empty()) {
-        this->coordinatorAddresses.emplace_back(leader);
-        this->currentIndex = this->coordinatorAddresses.size() - 1;
+        this->coordinators.recordFailure(address, steadyNow());
+        co_return false;
+    }
+    // A coordinator that does not schedule names the leader; it is tried at once.
+    const auto leader = (*response)[boost::beast::http::field::location];
+    if (!leader.empty() && std::string_view(leader.data(), leader.size()) != address) {
+        this->namedLeader = std::string(leader);
+        this->coordinators.add(this->namedLeader);
+        this->lastLeaderAttempt = {};
     } else {
-        ++this->currentIndex;
+        this->coordinators.recordFailure(address, steadyNow());
     }
     co_return false;
 }
 
 asio::awaitable<std::optional<PlacementResult>> CoordinatorClient::place(FleetPlacementRequest request)
 {
-    if (!this->hasLeaderContact || this->coordinatorAddresses.empty())
+    if (!this->isScheduled())
         co_return std::nullopt;
     request.gateway = this->gateway.settings.name;
     OutgoingCall call{"POST", PlacementPath, encodePlacementRequest(request)};
-    auto result = co_await this->connections.call(this->currentAddress(), std::move(call), PlacementTimeout);
+    auto result = co_await this->connections.call(this->schedulerAddress, std::move(call), PlacementTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->result_int() != 200)
         co_return std::nullopt;
     auto decoded = decodePlacementResult(response->body());
-    if (auto *placement = std::get_if<PlacementResult>(&decoded))
-        co_return std::move(*placement);
-    co_return std::nullopt;
+    auto *placement = std::get_if<PlacementResult>(&decoded);
+    if (placement == nullptr)
+        co_return std::nullopt;
+    if (placement->runner && !this->gateway.runners.find(placement->runner->id)) {
+        FleetChanges addition;
+        addition.entries.push_back(*placement->runner);
+        this->gateway.runners.applyChanges(addition, steadyNow());
+    }
+    co_return std::move(*placement);
 }
 
 asio::awaitable<std::optional<TransferPermit>> CoordinatorClient::requestTransfer(TransferRequest request)
 {
-    if (!this->hasLeaderContact || this->coordinatorAddresses.empty())
+    if (!this->isScheduled())
         co_return std::nullopt;
     request.gateway = this->gateway.settings.name;
     OutgoingCall call{"POST", TransferPath, encodeTransferRequest(request)};
-    auto result = co_await this->connections.call(this->currentAddress(), std::move(call), TransferTimeout);
+    auto result = co_await this->connections.call(this->schedulerAddress, std::move(call), TransferTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->result_int() != 200)
         co_return std::nullopt;
@@ -220,33 +261,41 @@
             [this, ticket]() -> asio::awaitable<void> {
                 const TransferPermit permit{ticket, {}};
                 OutgoingCall call{"POST", TransferEndPath, encodeTransferPermit(permit)};
-                co_await this->connections.call(this->currentAddress(), std::move(call), ExchangeTimeout);
+                co_await this->connections.call(this->schedulerAddress, std::move(call), ExchangeTimeout);
             },
             asio::detached);
 }
 
-void CoordinatorClient::applyStatus(CoordinatorStatus status)
+void CoordinatorClient::applyStatus(const std::string &address, const CoordinatorStatus &status)
 {
-    this->lastLeaderContact = steadyNow();
-    this->gatewayCount = std::max<uint32_t>(status.gatewayCount, 1);
-    this->gateway.retryBudget.setGatewayCount(this->gatewayCount);
-    const std::string leader = this->currentAddress();
-    for (std::string &address : status.coordinatorAddresses) {
-        if (std::find(this->coordinatorAddresses.begin(), this->coordinatorAddresses.end(), address) ==
-            this->coordinatorAddresses.end())
-            this->coordinatorAddresses.push_back(std::move(address));
+    const TimePoint now = steadyNow();
+    this->lastContact = now;
+    if (status.isLeader) {
+        this->lastLeaderContact = now;
+        this->namedLeader.clear();
+        this->gatewayCount = std::max<uint32_t>(status.gatewayCount, 1);
+    } else {
+        // A delegate knows only a part of the gateways.
+        this->namedLeader = status.leaderAddress == address ? std::string{} : status.leaderAddress;
+        this->gatewayCount = std::max(status.gatewayCount, this->gatewayCount);
     }
-    this->currentIndex = static_cast<size_t>(
-            std::find(this->coordinatorAddresses.begin(), this->coordinatorAddresses.end(), leader) -
-            this->coordinatorAddresses.begin());
-    if (status.config)
-        this->gateway.applyConfig(*status.config);
+    if (this->schedulerAddress != address) {
+        this->schedulerAddress = address;
+        logInfo("scheduler-changed", {{"coordinator", address}, {"leads", status.isLeader ? "yes" : "no"}});
+    }
+    this->gateway.retryBudget.setGatewayCount(this->gatewayCount);
+    this->coordinators.setMembers(status.coordinatorAddresses);
+    this->coordinators.recordResponse(address, status.domain);
     if (status.fleet) {
-        this->fleetVersion = status.fleetVersion;
-        this->fleetTerm = status.fleetTerm;
-        this->gateway.applyFleet(*status.fleet);
+        this->fleetVersion = status.fleet->version;
+        this->fleetSource = status.fleetSource;
+        this->gateway.runners.applyChanges(*status.fleet, now);
     }
     this->gateway.runners.setOtherLoad(status.otherLoads);
+    this->gateway.runners.setMemoryUtilization(status.memoryUtilization);
+    this->gateway.handleFleetUpdate();
+    if (status.isLeader)
+        this->configSubscriber.announce(status.configVersion, address);
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/coordinatorclient.h
+++ b/src/gateway/coordinatorclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configsubscriber.h"
 #include "gateway/exchange.h"
 #include "gateway/fleetreader.h"
 #include "gateway/gatewayprocess.h"
@@ -7,9 +8,10 @@
 
 namespace eelgrasslift {
 
-/// A gateway's client of the leading coordinator. Exchanges status with it continuously: sends the gateway's
-/// own load and receives the configuration, the list of runners and the load of the other gateways. Without
-/// contact for a while, the gateway polls the platform's list of runners itself.
+/// A gateway's client of the coordinators. Exchanges status with the leader continuously: sends the gateway's
+/// own load and receives changes of the list of runners and the load of the other gateways. Without contact
+/// with the leader for a while it uses another coordinator as a delegate, and without any coordinator it
+/// reads the platform's list of runners itself.
 class CoordinatorClient : public FleetScheduler
 {
 public:
@@ -26,34 +28,40 @@
 
 private:
     boost::asio::awaitable<void> exchangeLoop();
-    /// One exchange with the coordinator; returns false if it failed, after choosing the coordinator to try
-    /// next.
+    /// One exchange with the coordinator; returns false if it failed.
     boost::asio::awaitable<bool> exchangeOnce(std::string address);
-    void applyStatus(CoordinatorStatus status);
-    void selectNext();
-    /// Starts and stops the fallback polling as contact with the leader is lost and regained.
+    /// The coordinator for the next exchange; empty if none is known.
+    std::string nextAddress();
+    void applyStatus(const std::string &address, const CoordinatorStatus &status);
+    /// Records contact with a coordinator that schedules, and starts and stops the fallback polling as it is
+    /// lost and regained.
     void checkContact();
-    std::string currentAddress() const
-    {
-        return this->coordinatorAddresses[this->currentIndex % this->coordinatorAddresses.size()];
-    }
+    bool hasLeaderContact() const;
+    /// Whether a coordinator schedules for this gateway.
+    bool isScheduled() const { return !this->schedulerAddress.empty(); }
 
     GatewayState &gateway;
     SettingsLoader loadSettings;
     ConnectionPool connections;
     /// Polls the runners while there is no contact with the leader.
     FleetReader fallbackReader;
-    std::vector<std::string> coordinatorAddresses;
-    /// Index of the coordinator that is believed to lead.
-    size_t currentIndex = 0;
+    CoordinatorDirectory coordinators;
+    ConfigSubscriber configSubscriber;
+    /// ip:port of the coordinator that schedules for this gateway; empty without one.
+    std::string schedulerAddress;
+    /// ip:port of the leader that another coordinator has named; empty if none is named or it has failed.
+    std::string namedLeader;
     uint32_t consecutiveFailures = 0;
     uint64_t fleetVersion = 0;
-    uint64_t fleetTerm = 0;
-    /// Last successful exchange.
-    std::optional<TimePoint> lastLeaderContact;
-    TimePoint startedAt{};
+    uint64_t fleetSource = 0;
+    /// Last successful exchange with the leader, and with any coordinator; the start before the first one.
+    TimePoint lastLeaderContact{};
+    TimePoint lastContact{};
+    TimePoint lastLeaderAttempt{};
+    /// Why the last failed exchange failed, for the log.
+    std::string lastFailure;
     uint32_t gatewayCount = 1;
-    bool hasLeaderContact = true;
+    bool wasInContact = true;
     boost::asio::steady_timer contactTimer;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <nlohmann/json.hpp>
+#include <zlib.h>
 
 namespace eelgrasslift {
 
@@ -31,7 +32,7 @@
     return {json.at(0), json.at(1), json.at(2)};
 }
 
-Json toJson(const std::map<std::string, RunnerLoad, std::less<>> &loads)
+Json toJson(const RunnerLoads &loads)
 {
     Json json = Json::object();
     for (const auto &[id, load] : loads)
@@ -39,9 +40,9 @@
     return json;
 }
 
-std::map<std::string, RunnerLoad, std::less<>> loadsFrom(const Json &json)
+RunnerLoads loadsFrom(const Json &json)
 {
-    std::map<std::string, RunnerLoad, std::less<>> loads;
+    RunnerLoads loads;
     for (const auto &[id, load] : json.items())
         loads.emplace(id, RunnerLoad{load.at(0).get<uint32_t>(), forecastFrom(load.at(1)),
                                      load.at(2).get<double>()});
@@ -50,60 +51,95 @@
 
 Json toJson(const RunnerEntry &entry)
 {
-    Json json{{"id", entry.id},
-              {"service", entry.service},
-              {"address", entry.address},
-              {"domain", entry.domain},
-              {"slots", entry.slots},
-              {"leaving", entry.isLeaving},
-              {"seems_leaving", entry.seemsLeaving},
-              {"warm", toMilliseconds(entry.warmUpRemaining)},
-              {"started", entry.startedAtMs},
-              {"silent", entry.isUnresponsive}};
-    if (entry.report) {
-        json["report"] = {{"queue", entry.report->queueDepth},
-                          {"running", entry.report->running},
-                          {"used", entry.report->memoryUsed},
-                          {"total", entry.report->memoryTotal},
-                          {"leaving", entry.report->isLeaving}};
-        if (entry.report->timeUntilStop)
-            json["report"]["leaves"] = toMilliseconds(*entry.report->timeUntilStop);
-    }
-    return json;
+    const bool isLeaving = entry.isLeaving || (entry.report && entry.report->isLeaving);
+    Json stopMs;
+    if (entry.report && entry.report->timeUntilStop)
+        stopMs = toMilliseconds(*entry.report->timeUntilStop);
+    return {entry.id,           entry.service,
+            entry.address,      entry.domain,
+            entry.slots,        isLeaving,
+            entry.seemsLeaving, toMilliseconds(entry.warmUpRemaining),
+            entry.startedAtMs,  entry.isUnresponsive,
+            std::move(stopMs)};
 }
 
 RunnerEntry entryFrom(const Json &json)
 {
     RunnerEntry entry;
-    entry.id = json.at("id");
-    entry.service = json.at("service");
-    entry.address = json.at("address");
-    entry.domain = json.at("domain");
-    entry.slots = json.at("slots");
-    entry.isLeaving = json.at("leaving");
-    entry.seemsLeaving = json.at("seems_leaving");
-    entry.warmUpRemaining = std::chrono::milliseconds{json.at("warm").get<int64_t>()};
-    entry.startedAtMs = json.at("started");
-    entry.isUnresponsive = json.at("silent");
-    if (const auto report = json.find("report"); report != json.end()) {
-        RunnerReport decoded;
-        decoded.queueDepth = report->at("queue");
-        decoded.running = report->at("running");
-        decoded.memoryUsed = report->at("used");
-        decoded.memoryTotal = report->at("total");
-        decoded.isLeaving = report->at("leaving");
-        if (const auto leaves = report->find("leaves"); leaves != report->end())
-            decoded.timeUntilStop = std::chrono::milliseconds{leaves->get<int64_t>()};
-        entry.report = decoded;
+    entry.id = json.at(0);
+    entry.service = json.at(1);
+    entry.address = json.at(2);
+    entry.domain = json.at(3);
+    entry.slots = json.at(4);
+    entry.isLeaving = json.at(5);
+    entry.seemsLeaving = json.at(6);
+    entry.warmUpRemaining = std::chrono::milliseconds{json.at(7).get<int64_t>()};
+    entry.startedAtMs = json.at(8);
+    entry.isUnresponsive = json.at(9);
+    if (const Json &stopMs = json.at(10); !stopMs.is_null()) {
+        RunnerReport report;
+        report.isLeaving = entry.isLeaving;
+        report.timeUntilStop = std::chrono::milliseconds{stopMs.get<int64_t>()};
+        entry.report = report;
     }
     return entry;
 }
 
+Json toJson(const FleetChanges &changes)
+{
+    Json entries = Json::array();
+    for (const RunnerEntry &entry : changes.entries)
+        entries.push_back(toJson(entry));
+    return {{"version", changes.version},
+            {"complete", changes.isComplete},
+            {"entries", std::move(entries)},
+            {"removed", changes.removedIds}};
+}
+
+FleetChanges changesFrom(const Json &json)
+{
+    FleetChanges changes;
+    changes.version = json.at("version");
+    changes.isComplete = json.at("complete");
+    for (const Json &entry : json.at("entries"))
+        changes.entries.push_back(entryFrom(entry));
+    changes.removedIds = json.at("removed").get<std::vector<std::string>>();
+    return changes;
+}
+
+std::string encode(const Json &json)
+{
+    std::string text;
+    Json::to_msgpack(json, text);
+    return text;
+}
+
+Json::binary_t compress(std::string_view text)
+{
+    uLongf size = compressBound(text.size());
+    std::vector<uint8_t> data(size);
+    // Cannot fail: the buffer has the size that zlib asks for.
+    ::compress(data.data(), &size, reinterpret_cast<const Bytef *>(text.data()), text.size());
+    data.resize(size);
+    return Json::binary_t(std::move(data));
+}
+
+std::optional<std::string> decompress(const Json::binary_t &data, size_t size)
+{
+    std::string text(size, '\0');
+    uLongf actualSize = size;
+    const int status =
+            uncompress(reinterpret_cast<Bytef *>(text.data()), &actualSize, data.data(), data.size());
+    if (status != Z_OK || actualSize != size)
+        return std::nullopt;
+    return text;
+}
+
 template <typename Value, typename Read>
 Result<Value, ExchangeError> decode(std::string_view body, Read read)
 {
     try {
-        return read(Json::parse(body));
+        return read(Json::from_msgpack(body));
     } catch (const Json::exception &error) {
         return ExchangeError{error.what()};
     }
@@ -113,12 +149,12 @@
 
 std::string encodeStatus(const GatewayStatus &status)
 {
-    const Json json{{"gateway", status.gateway},
-                    {"config", status.configVersion},
-                    {"fleet", status.fleetVersion},
-                    {"term", status.fleetTerm},
-                    {"loads", toJson(status.loads)}};
-    return json.dump();
+    return encode({{"gateway", status.gateway},
+                   {"domain", status.domain},
+                   {"fleet", status.fleetVersion},
+                   {"source", status.fleetSource},
+                   {"delegate", status.acceptsDelegate},
+                   {"loads", toJson(status.loads)}});
 }
 
 Result<GatewayStatus, ExchangeError> decodeGatewayStatus(std::string_view body)
@@ -126,9 +162,10 @@
     return decode<GatewayStatus>(body, [](const Json &json) {
         GatewayStatus status;
         status.gateway = json.at("gateway");
-        status.configVersion = json.at("config");
+        status.domain = json.at("domain");
         status.fleetVersion = json.at("fleet");
-        status.fleetTerm = json.at("term");
+        status.fleetSource = json.at("source");
+        status.acceptsDelegate = json.at("delegate");
         status.loads = loadsFrom(json.at("loads"));
         return status;
     });
@@ -140,7 +177,7 @@
                     {"service", request.service},      {"size", toJson(request.size)},
                     {"made", request.generatedTokens}, {"worth", request.value},
                     {"excluded", request.excluded}};
-    return json.dump();
+    return encode(json);
 }
 
 Result<TransferRequest, ExchangeError> decodeTransferRequest(std::string_view body)
@@ -170,7 +207,7 @@
                     {"priority", request.priority},
                     {"route_priority", request.routePriority},
                     {"waited", toMilliseconds(request.waited)}};
-    return json.dump();
+    return encode(json);
 }
 
 Result<FleetPlacementRequest, ExchangeError> decodePlacementRequest(std::string_view body)
@@ -193,17 +230,25 @@
 
 std::string encodePlacementResult(const PlacementResult &result)
 {
-    return Json{{"runner", result.runnerId}}.dump();
+    Json json{{"runner", result.runnerId}};
+    if (result.runner)
+        json["entry"] = toJson(*result.runner);
+    return encode(json);
 }
 
 Result<PlacementResult, ExchangeError> decodePlacementResult(std::string_view body)
 {
-    return decode<PlacementResult>(body, [](const Json &json) { return PlacementResult{json.at("runner")}; });
+    return decode<PlacementResult>(body, [](const Json &json) {
+        PlacementResult result{json.at("runner"), std::nullopt};
+        if (const auto entry = json.find("entry"); entry != json.end())
+            result.runner = entryFrom(*entry);
+        return result;
+    });
 }
 
 std::string encodeTransferPermit(const TransferPermit &permit)
 {
-    return Json{{"ticket", permit.ticket}, {"destination", permit.destinationId}}.dump();
+    return encode(Json{{"ticket", permit.ticket}, {"destination", permit.destinationId}});
 }
 
 Result<TransferPermit, ExchangeError> decodeTransferPermit(std::string_view body)
@@ -213,28 +258,20 @@
     });
 }
 
-std::string encodeFleet(const std::vector<RunnerEntry> &fleet)
-{
-    Json json = Json::array();
-    for (const RunnerEntry &entry : fleet)
-        json.push_back(toJson(entry));
-    return json.dump();
-}
-
-std::string encodeStatus(const CoordinatorStatus &status, std::string_view encodedFleet)
+std::string encodeStatus(const CoordinatorStatus &status)
 {
     Json json{{"coordinators", status.coordinatorAddresses},
+              {"leads", status.isLeader},
+              {"leader", status.leaderAddress},
+              {"domain", status.domain},
               {"gateways", status.gatewayCount},
-              {"number", status.fleetVersion},
-              {"term", status.fleetTerm},
-              {"others", toJson(status.otherLoads)}};
-    if (status.config)
-        json["config"] = *status.config;
-    std::string text = json.dump();
-    if (encodedFleet.empty())
-        return text;
-    text.pop_back();
-    return text.append(",\"fleet\":").append(encodedFleet).append("}");
+              {"config", status.configVersion},
+              {"source", status.fleetSource},
+              {"others", toJson(status.otherLoads)},
+              {"memory", status.memoryUtilization}};
+    if (status.fleet)
+        json["fleet"] = toJson(*status.fleet);
+    return encode(json);
 }
 
 Result<CoordinatorStatus, ExchangeError> decodeCoordinatorStatus(std::string_view body)
@@ -242,20 +279,47 @@
     return decode<CoordinatorStatus>(body, [](const Json &json) {
         CoordinatorStatus status;
         status.coordinatorAddresses = json.at("coordinators").get<std::vector<std::string>>();
+        status.isLeader = json.at("leads");
+        status.leaderAddress = json.at("leader");
+        status.domain = json.at("domain");
         status.gatewayCount = json.at("gateways");
-        status.fleetVersion = json.at("number");
-        status.fleetTerm = json.at("term");
+        status.configVersion = json.at("config");
+        status.fleetSource = json.at("source");
         status.otherLoads = loadsFrom(json.at("others"));
-        if (const auto config = json.find("config"); config != json.end())
-            status.config = config->get<std::string>();
-        if (const auto fleet = json.find("fleet"); fleet != json.end()) {
-            std::vector<RunnerEntry> entries;
-            for (const Json &entry : *fleet)
-                entries.push_back(entryFrom(entry));
-            status.fleet = std::move(entries);
-        }
+        for (const auto &[service, share] : json.at("memory").items())
+            status.memoryUtilization.emplace(service, share.get<double>());
+        if (const auto fleet = json.find("fleet"); fleet != json.end())
+            status.fleet = changesFrom(*fleet);
         return status;
     });
 }
 
+std::string encodeConfigUpdate(const ConfigUpdate &update)
+{
+    Json json{{"domain", update.domain}};
+    if (update.body) {
+        json["size"] = update.body->size();
+        json["body"] = Json::binary(compress(*update.body));
+    }
+    return encode(json);
+}
+
+Result<ConfigUpdate, ExchangeError> decodeConfigUpdate(std::string_view body)
+{
+    return decode<ConfigUpdate>(body, [](const Json &json) -> Result<ConfigUpdate, ExchangeError> {
+        ConfigUpdate update;
+        update.domain = json.at("domain");
+        const auto data = json.find("body");
+        if (data == json.end())
+            return update;
+        const auto size = json.at("size").get<size_t>();
+        if (size > MaxConfigBytes)
+            return ExchangeError{"configuration of " + std::to_string(size) + " bytes"};
+        update.body = decompress(data->get_binary(), size);
+        if (!update.body)
+            return ExchangeError{"configuration cannot be decompressed"};
+        return update;
+    });
+}
+
 } // namespace eelgrasslift
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -114,18 +114,15 @@
 void FleetReader::applyList(std::vector<RunnerEntry> entries)
 {
     ++this->listCount;
-    bool isUrgent = entries.size() != this->knownEntries.size();
     for (RunnerEntry &entry : entries) {
         const auto previous = std::find_if(this->knownEntries.begin(), this->knownEntries.end(),
                                            [&](const RunnerEntry &other) { return other.id == entry.id; });
         if (previous == this->knownEntries.end()) {
-            isUrgent = true;
             logInfo("runner-listed",
                     {{"runner", entry.id}, {"service", entry.service}, {"address", entry.address}});
             continue;
         }
         if (entry.isLeaving && !previous->isLeaving) {
-            isUrgent = true;
             logInfo("runner-leaving", {{"runner", entry.id}, {"source", "list"}});
         }
         if (previous->startedAtMs == entry.startedAtMs) {
@@ -141,7 +138,7 @@
     std::erase_if(this->missedReports, isUnlisted);
     std::erase_if(this->detectors, isUnlisted);
     if (this->updateCallback)
-        this->updateCallback(isUrgent);
+        this->updateCallback();
 }
 
 asio::awaitable<void> FleetReader::pollReports()
@@ -153,7 +150,8 @@
         if (!this->active)
             continue;
         for (const RunnerEntry &entry : this->knownEntries) {
-            if (this->engineServices.contains(entry.service))
+            if (this->engineServices.contains(entry.service) &&
+                (!this->reportFilter || this->reportFilter(entry)))
                 asio::co_spawn(this->io, this->readReport(entry.id, entry.address), asio::detached);
         }
     }
@@ -188,15 +186,15 @@
     entry->report = report;
     this->detectors[id].recordReport(report.isLeaving, steadyNow());
     this->updateSeemsLeaving(*entry);
-    const bool isUrgent = report.isLeaving && !wasLeaving;
-    if (isUrgent)
-        logInfo("runner-leaving",
-                {{"runner", id},
-                 {"source", "report"},
-                 {"leaves_ms",
-                  report.timeUntilStop ? std::to_string(toMilliseconds(*report.timeUntilStop)) : "unknown"}});
-    if (this->updateCallback && isUrgent)
-        this->updateCallback(true);
+    if (!report.isLeaving || wasLeaving)
+        co_return;
+    logInfo("runner-leaving",
+            {{"runner", id},
+             {"source", "report"},
+             {"leaves_ms",
+              report.timeUntilStop ? std::to_string(toMilliseconds(*report.timeUntilStop)) : "unknown"}});
+    if (this->updateCallback)
+        this->updateCallback();
 }
 
 asio::awaitable<void> FleetReader::pollHealth()
@@ -242,7 +240,7 @@
     logInfo(seemsLeaving ? "runner-seems-leaving" : "runner-seems-staying",
             {{"runner", entry.id}, {"source", "health"}, {"leaving", entry.isLeaving ? "yes" : "unknown"}});
     if (this->updateCallback)
-        this->updateCallback(true);
+        this->updateCallback();
 }
 
 void FleetReader::recordMissedReport(RunnerEntry &entry)
@@ -252,7 +250,7 @@
     entry.isUnresponsive = true;
     logWarning("runner-silent", {{"runner", entry.id}, {"address", entry.address}});
     if (this->updateCallback)
-        this->updateCallback(false);
+        this->updateCallback();
 }
 
 RunnerEntry *FleetReader::find(std::string_view id)
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -42,10 +42,15 @@
     void setKnownRunners(std::vector<RunnerEntry> entries);
     bool isActive() const { return this->active; }
 
+    /// Limits the report requests to the runners for which the filter returns true.
+    void setReportFilter(std::function<bool(const RunnerEntry &)> filter)
+    {
+        this->reportFilter = std::move(filter);
+    }
+
     /// Sets a callback that runs after a list is read, and when a runner starts to leave, begins or ceases to
-    /// seem leaving, or becomes unresponsive; not after every report. isUrgent is set if runners were added
-    /// or removed or their leaving state has changed.
-    void onUpdate(std::function<void(bool isUrgent)> callback) { this->updateCallback = std::move(callback); }
+    /// seem leaving, or becomes unresponsive; not after every report.
+    void onUpdate(std::function<void()> callback) { this->updateCallback = std::move(callback); }
 
     /// The runners as last read.
     const std::vector<RunnerEntry> &entries() const { return this->knownEntries; }
@@ -78,7 +83,8 @@
     std::map<std::string, uint32_t, std::less<>> missedReports;
     /// By runner id.
     std::map<std::string, LeavingDetector, std::less<>> detectors;
-    std::function<void(bool)> updateCallback;
+    std::function<void()> updateCallback;
+    std::function<bool(const RunnerEntry &)> reportFilter;
     boost::asio::steady_timer listTimer;
     boost::asio::steady_timer reportTimer;
     boost::asio::steady_timer healthTimer;
--- a/src/gateway/fleetscheduler.h
+++ b/src/gateway/fleetscheduler.h
@@ -64,6 +64,8 @@
     /// Id of the chosen runner; empty if no suitable runner has enough free memory or none is known, and the
     /// gateway should retry.
     std::string runnerId;
+    /// The chosen runner, which the gateway may not have in its list yet.
+    std::optional<RunnerEntry> runner;
 };
 
 /// Scheduling decisions that require knowledge of the load of all gateways. Implemented by a client of the
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -47,6 +47,11 @@
 void GatewayState::applyFleet(std::span<const RunnerEntry> entries)
 {
     this->runners.setFleet(entries, steadyNow());
+    this->handleFleetUpdate();
+}
+
+void GatewayState::handleFleetUpdate()
+{
     this->notifyCapacityFreed();
     this->checkStreamsOnLeavingRunners();
 }
@@ -63,9 +68,9 @@
     }
 }
 
-std::map<std::string, RunnerLoad, std::less<>> GatewayState::ownLoads() const
+RunnerLoads GatewayState::ownLoads() const
 {
-    std::map<std::string, RunnerLoad, std::less<>> loads;
+    RunnerLoads loads;
     for (const auto &[id, runner] : this->runners.runners()) {
         if (runner->ownLoad.activeRequests > 0 || runner->ownLoad.memory.peak() > 0)
             loads.emplace(id, runner->ownLoad);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -45,11 +45,14 @@
     /// one.
     bool applyConfig(std::string_view body);
 
-    /// Replaces the list of runners. Streams on leaving runners may migrate.
+    /// Replaces the list of runners.
     void applyFleet(std::span<const RunnerEntry> entries);
+    /// Wakes requests that wait for capacity and lets streams on leaving runners migrate, after the runners
+    /// or their load have changed.
+    void handleFleetUpdate();
 
     /// Load of this gateway's requests in flight, by runner id; for the exchange with the coordinator.
-    std::map<std::string, RunnerLoad, std::less<>> ownLoads() const;
+    RunnerLoads ownLoads() const;
 
     /// Registers a stream to be notified when its runner is leaving.
     void addStream(StreamSession &session) { this->streams.insert(&session); }
--- a/src/libgateway/fleetload.cpp
+++ b/src/libgateway/fleetload.cpp
@@ -1,5 +1,7 @@
 #include "libgateway/fleetload.h"
 
+#include <algorithm>
+
 namespace eelgrasslift {
 
 namespace {
@@ -72,21 +74,44 @@
     });
 }
 
-RunnerLoads FleetLoad::totalExcluding(std::string_view name) const
+RunnerLoads FleetLoad::totalExcluding(std::string_view name, std::span<const std::string> runners) const
 {
-    RunnerLoads result = this->sum;
     const auto found = this->gateways.find(name);
-    if (found == this->gateways.end())
-        return result;
-    for (const auto &[runner, load] : found->second.reported) {
-        if (const auto known = result.find(runner); known != result.end())
-            known->second -= load;
-    }
-    for (const Placement &placement : found->second.pendingPlacements) {
-        if (const auto known = result.find(placement.runner); known != result.end())
-            known->second -= placement.load;
+    RunnerLoads result;
+    for (const std::string &runner : runners) {
+        const auto total = this->sum.find(runner);
+        if (total == this->sum.end())
+            continue;
+        RunnerLoad others = total->second;
+        if (found != this->gateways.end())
+            others -= ownLoadOn(found->second, runner);
+        if (others.activeRequests > 0 || others.memory.peak() > 0)
+            result.emplace(runner, others);
     }
     return result;
 }
 
+bool FleetLoad::hasLoadOn(std::string_view name, std::span<const std::string> runners) const
+{
+    const auto found = this->gateways.find(name);
+    if (found == this->gateways.end())
+        return false;
+    return std::ranges::any_of(runners, [&](const std::string &runner) {
+        const RunnerLoad load = ownLoadOn(found->second, runner);
+        return load.activeRequests > 0 || load.memory.peak() > 0;
+    });
+}
+
+RunnerLoad FleetLoad::ownLoadOn(const Gateway &gateway, std::string_view runner)
+{
+    RunnerLoad load;
+    if (const auto reported = gateway.reported.find(runner); reported != gateway.reported.end())
+        load += reported->second;
+    for (const Placement &placement : gateway.pendingPlacements) {
+        if (placement.runner == runner)
+            load += placement.load;
+    }
+    return load;
+}
+
 } // namespace eelgrasslift
--- a/src/libgateway/fleetload.h
+++ b/src/libgateway/fleetload.h
@@ -3,6 +3,7 @@
 #include "libgateway/fleetview.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,8 +37,10 @@
 
     /// Load of all gateways together.
     const RunnerLoads &total() const { return this->sum; }
-    /// Load of all gateways but one; returned to that gateway as the load of the others.
-    RunnerLoads totalExcluding(std::string_view gateway) const;
+    /// Load of all gateways but one on some runners; returned to that gateway as the load of the others.
+    RunnerLoads totalExcluding(std::string_view gateway, std::span<const std::string> runners) const;
+    /// Whether the gateway has load on any of the runners.
+    bool hasLoadOn(std::string_view gateway, std::span<const std::string> runners) const;
     /// Number of gateways that have reported and were not removed.
     size_t gatewayCount() const { return this->gateways.size(); }
 
@@ -56,6 +59,8 @@
         TimePoint lastReportAt{};
     };
 
+    /// Load that the gateway has reported or that was placed for it since.
+    static RunnerLoad ownLoadOn(const Gateway &gateway, std::string_view runner);
     void add(std::string_view runner, const RunnerLoad &load);
     void subtract(std::string_view runner, const RunnerLoad &load);
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -3,7 +3,9 @@
 // Public header of libgateway: routing, retry, placement and migration decisions of gateways and
 // coordinators. The library does no I/O; callers pass the current time.
 
+#include "libgateway/coordinatordirectory.h"
 #include "libgateway/eventsplitter.h"
+#include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
 #include "libgateway/fleetview.h"
 #include "libgateway/generationtime.h"
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -58,30 +58,44 @@
             std::max(this->prefillUntil.value_or(now), now) + fromSeconds(tokens / PrefillTokensPerSecond);
 }
 
+RunnerPool::RunnerPointer RunnerPool::updatedRunner(const RunnerEntry &entry, TimePoint now) const
+{
+    const auto found = this->runnersById.find(entry.id);
+    const bool isSame = found != this->runnersById.end() && found->second->entry.address == entry.address &&
+                        found->second->entry.startedAtMs == entry.startedAtMs;
+    RunnerPointer runner = isSame ? found->second : std::make_shared<Runner>();
+    const bool wasLeaving = isSame && runner->entry.isLeaving;
+    runner->entry = entry;
+    runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving);
+    if (entry.warmUpRemaining > Duration::zero())
+        runner->warmUpUntil = now + entry.warmUpRemaining;
+    if (entry.report && entry.report->timeUntilStop)
+        runner->stopsAt = std::min(now + *entry.report->timeUntilStop - ReportAge,
+                                   runner->stopsAt.value_or(TimePoint::max()));
+    return runner;
+}
+
 void RunnerPool::setFleet(std::span<const RunnerEntry> entries, TimePoint now)
 {
     std::map<std::string, RunnerPointer, std::less<>> next;
-    for (const RunnerEntry &entry : entries) {
-        auto found = this->runnersById.find(entry.id);
-        const bool isSame = found != this->runnersById.end() &&
-                            found->second->entry.address == entry.address &&
-                            found->second->entry.startedAtMs == entry.startedAtMs;
-        RunnerPointer runner = isSame ? found->second : std::make_shared<Runner>();
-        const bool wasLeaving = isSame && runner->entry.isLeaving;
-        runner->entry = entry;
-        runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving);
-        runner->lastListedAt = now;
-        if (entry.warmUpRemaining > Duration::zero())
-            runner->warmUpUntil = now + entry.warmUpRemaining;
-        if (entry.report && entry.report->timeUntilStop)
-            runner->stopsAt = std::min(now + *entry.report->timeUntilStop - ReportAge,
-                                       runner->stopsAt.value_or(TimePoint::max()));
-        next.emplace(entry.id, std::move(runner));
-    }
+    for (const RunnerEntry &entry : entries)
+        next.emplace(entry.id, this->updatedRunner(entry, now));
     this->runnersById = std::move(next);
 }
 
-void RunnerPool::setOtherLoad(const std::map<std::string, RunnerLoad, std::less<>> &loads)
+void RunnerPool::applyChanges(const FleetChanges &changes, TimePoint now)
+{
+    if (changes.isComplete) {
+        this->setFleet(changes.entries, now);
+        return;
+    }
+    for (const std::string &id : changes.removedIds)
+        this->runnersById.erase(id);
+    for (const RunnerEntry &entry : changes.entries)
+        this->runnersById.insert_or_assign(entry.id, this->updatedRunner(entry, now));
+}
+
+void RunnerPool::setOtherLoad(const RunnerLoads &loads)
 {
     for (const auto &[id, runner] : this->runnersById) {
         const auto found = loads.find(id);
@@ -103,6 +117,8 @@
 
 double RunnerPool::memoryUtilization(std::string_view service, const EngineTraits &engine) const
 {
+    if (const auto known = this->knownUtilization.find(service); known != this->knownUtilization.end())
+        return known->second;
     double usedTokens = 0;
     double capacity = 0;
     for (const auto &[id, runner] : this->runnersById) {
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "libgateway/fleetview.h"
+#include "libgateway/fleetchangelog.h"
+#include "libgateway/fleetload.h"
 #include "libgateway/outputlengthdistribution.h"
 #include "libgateway/servingconfig.h"
 
@@ -70,8 +71,6 @@
     struct Runner
     {
         RunnerEntry entry;
-        /// When the runner was in the list for the last time.
-        TimePoint lastListedAt{};
         /// The runner is slow until then.
         TimePoint warmUpUntil{};
         /// When a leaving runner stops, if it reports that.
@@ -103,8 +102,16 @@
     /// Replaces the list of runners. Runners with the same id, address and start time as before keep their
     /// state. Of these, a leaving runner remains so, also if a later list is out of date.
     void setFleet(std::span<const RunnerEntry> entries, TimePoint now);
+    /// Applies changes to the list of runners; the rules of setFleet() hold.
+    void applyChanges(const FleetChanges &changes, TimePoint now);
     /// Sets the load of the other gateways by runner id; runners without an entry have none.
-    void setOtherLoad(const std::map<std::string, RunnerLoad, std::less<>> &loads);
+    void setOtherLoad(const RunnerLoads &loads);
+    /// Sets the memory utilization by service that the coordinator has computed from the load of all
+    /// runners; memoryUtilization() returns it.
+    void setMemoryUtilization(std::map<std::string, double, std::less<>> utilization)
+    {
+        this->knownUtilization = std::move(utilization);
+    }
 
     /// Marks a runner as leaving after it has stated so itself; ignores unknown ids.
     void markLeaving(std::string_view id);
@@ -140,7 +147,11 @@
     static double costOf(const Runner &runner, const RunnerCriteria &criteria,
                          const MemoryForecast &requiredMemory, const EngineTraits *engine, TimePoint now);
 
+    /// Returns the runner's object, which keeps its state unless the runner was restarted.
+    RunnerPointer updatedRunner(const RunnerEntry &entry, TimePoint now) const;
+
     std::map<std::string, RunnerPointer, std::less<>> runnersById;
+    std::map<std::string, double, std::less<>> knownUtilization;
 };
 
 } // namespace eelgrasslift
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -17,6 +17,40 @@
     return std::move(std::get<Value>(result));
 }
 
+RunnerEntry sampleEntry()
+{
+    RunnerEntry entry;
+    entry.id = "r1";
+    entry.service = "s";
+    entry.address = "10.0.0.9:8080";
+    entry.domain = "kapana";
+    entry.slots = 24;
+    entry.isLeaving = true;
+    entry.seemsLeaving = true;
+    entry.warmUpRemaining = 300ms;
+    entry.startedAtMs = 42;
+    entry.isUnresponsive = true;
+    entry.report = RunnerReport{2, 5, 18000, 21855, true, 1500ms};
+    return entry;
+}
+
+void checkEntry(const RunnerEntry &result, const RunnerEntry &entry)
+{
+    CHECK(result.id == entry.id);
+    CHECK(result.service == entry.service);
+    CHECK(result.address == entry.address);
+    CHECK(result.domain == entry.domain);
+    CHECK(result.slots == entry.slots);
+    CHECK(result.isLeaving == entry.isLeaving);
+    CHECK(result.seemsLeaving == entry.seemsLeaving);
+    CHECK(result.warmUpRemaining == entry.warmUpRemaining);
+    CHECK(result.startedAtMs == entry.startedAtMs);
+    CHECK(result.isUnresponsive == entry.isUnresponsive);
+    REQUIRE(result.report);
+    CHECK(result.report->isLeaving == entry.report->isLeaving);
+    CHECK(result.report->timeUntilStop == entry.report->timeUntilStop);
+}
+
 } // namespace
 
 // Guards against fields that one side writes and the other does not read: the coordinator would refuse the
@@ -60,7 +94,14 @@
     CHECK(result.routePriority == request.routePriority);
     CHECK(result.waited == request.waited);
     CHECK(result.excluded == request.excluded);
-    CHECK(decoded(decodePlacementResult(encodePlacementResult({"r7"}))).runnerId == "r7");
+    const PlacementResult empty = decoded(decodePlacementResult(encodePlacementResult({})));
+    CHECK(empty.runnerId.empty());
+    CHECK_FALSE(empty.runner);
+    const PlacementResult placed =
+            decoded(decodePlacementResult(encodePlacementResult({"r1", sampleEntry()})));
+    CHECK(placed.runnerId == "r1");
+    REQUIRE(placed.runner);
+    checkEntry(*placed.runner, sampleEntry());
 }
 
 TEST_CASE("A transfer permit is decoded as it was encoded", "[exchange]")
@@ -74,91 +115,107 @@
 {
     GatewayStatus status;
     status.gateway = "g1";
-    status.configVersion = 7;
+    status.domain = "kapana";
     status.fleetVersion = 12;
-    status.fleetTerm = 3;
+    status.fleetSource = 0xfedcba9876543210;
+    status.acceptsDelegate = true;
     status.loads.emplace("r1", RunnerLoad{2, SampleForecast, 3000});
     const GatewayStatus result = decoded(decodeGatewayStatus(encodeStatus(status)));
     CHECK(result.gateway == "g1");
-    CHECK(result.configVersion == 7);
+    CHECK(result.domain == "kapana");
     CHECK(result.fleetVersion == 12);
-    CHECK(result.fleetTerm == 3);
+    CHECK(result.fleetSource == 0xfedcba9876543210);
+    CHECK(result.acceptsDelegate);
     CHECK(result.loads.at("r1").activeRequests == 2);
     CHECK(result.loads.at("r1").memory.tokens() == SampleForecast.tokens());
     CHECK(result.loads.at("r1").prefillTokens == 3000);
 }
 
-TEST_CASE("A coordinator's status is decoded as it was encoded with and without the list of runners",
+TEST_CASE("A coordinator's status is decoded as it was encoded with and without changes of the list",
           "[exchange]")
 {
-    RunnerEntry entry;
-    entry.id = "r1";
-    entry.service = "s";
-    entry.address = "10.0.0.9:8080";
-    entry.domain = "kapana";
-    entry.slots = 24;
-    entry.isLeaving = true;
-    entry.seemsLeaving = true;
-    entry.warmUpRemaining = 300ms;
-    entry.startedAtMs = 42;
-    entry.isUnresponsive = true;
-    RunnerReport report;
-    report.queueDepth = 2;
-    report.running = 5;
-    report.memoryUsed = 18000;
-    report.memoryTotal = 21855;
-    report.isLeaving = true;
-    report.timeUntilStop = 1500ms;
-    entry.report = report;
     CoordinatorStatus status;
     status.coordinatorAddresses = {"10.0.0.1:7201"};
+    status.isLeader = false;
+    status.leaderAddress = "10.0.0.2:7201";
+    status.domain = "kapana";
     status.gatewayCount = 9;
-    status.config = "{}";
-    status.fleetVersion = 5;
-    status.fleetTerm = 2;
+    status.configVersion = 7;
+    status.fleetSource = 2;
     status.otherLoads.emplace("r1", RunnerLoad{1, SampleForecast, 0});
+    status.memoryUtilization.emplace("s", 0.75);
 
-    const CoordinatorStatus withoutFleet = decoded(decodeCoordinatorStatus(encodeStatus(status, {})));
+    const CoordinatorStatus withoutFleet = decoded(decodeCoordinatorStatus(encodeStatus(status)));
     CHECK_FALSE(withoutFleet.fleet);
     CHECK(withoutFleet.coordinatorAddresses == status.coordinatorAddresses);
+    CHECK_FALSE(withoutFleet.isLeader);
+    CHECK(withoutFleet.leaderAddress == "10.0.0.2:7201");
+    CHECK(withoutFleet.domain == "kapana");
     CHECK(withoutFleet.gatewayCount == 9);
-    CHECK(withoutFleet.config == status.config);
-    CHECK(withoutFleet.fleetVersion == 5);
-    CHECK(withoutFleet.fleetTerm == 2);
+    CHECK(withoutFleet.configVersion == 7);
+    CHECK(withoutFleet.fleetSource == 2);
     CHECK(withoutFleet.otherLoads.at("r1").memory.tokens() == SampleForecast.tokens());
+    CHECK(withoutFleet.memoryUtilization == status.memoryUtilization);
 
-    const std::string fleet = encodeFleet({entry});
-    const CoordinatorStatus result = decoded(decodeCoordinatorStatus(encodeStatus(status, fleet)));
+    status.fleet = FleetChanges{5, true, {sampleEntry()}, {"r9"}};
+    const CoordinatorStatus result = decoded(decodeCoordinatorStatus(encodeStatus(status)));
     REQUIRE(result.fleet);
-    REQUIRE(result.fleet->size() == 1);
-    const RunnerEntry &decodedEntry = result.fleet->front();
-    CHECK(decodedEntry.id == entry.id);
-    CHECK(decodedEntry.service == entry.service);
-    CHECK(decodedEntry.address == entry.address);
-    CHECK(decodedEntry.domain == entry.domain);
-    CHECK(decodedEntry.slots == entry.slots);
-    CHECK(decodedEntry.isLeaving);
-    CHECK(decodedEntry.seemsLeaving);
-    CHECK(decodedEntry.warmUpRemaining == entry.warmUpRemaining);
-    CHECK(decodedEntry.startedAtMs == entry.startedAtMs);
-    CHECK(decodedEntry.isUnresponsive);
-    REQUIRE(decodedEntry.report);
-    CHECK(decodedEntry.report->queueDepth == report.queueDepth);
-    CHECK(decodedEntry.report->running == report.running);
-    CHECK(decodedEntry.report->memoryUsed == report.memoryUsed);
-    CHECK(decodedEntry.report->memoryTotal == report.memoryTotal);
-    CHECK(decodedEntry.report->isLeaving);
-    CHECK(decodedEntry.report->timeUntilStop == report.timeUntilStop);
+    CHECK(result.fleet->version == 5);
+    CHECK(result.fleet->isComplete);
+    CHECK(result.fleet->removedIds == std::vector<std::string>{"r9"});
+    REQUIRE(result.fleet->entries.size() == 1);
+    checkEntry(result.fleet->entries.front(), sampleEntry());
 }
 
+// Load pattern: 295 gateways fetch a configuration with 1,400 routes at once, over links of 10 Mbit/s.
+TEST_CASE("A large configuration is decoded as it was encoded, from a tenth of its bytes", "[exchange]")
+{
+    std::string body;
+    for (int route = 0; route < 1400; ++route)
+        body += R"({"name":"r-)" + std::to_string(route) + R"(","host":"a.example","timeout_ms":6000,)" +
+                R"("slo_ms":1500,"kind":"streaming","service":"huvo11a","public":false})";
+    const std::string encoded = encodeConfigUpdate({"kapana", body});
+    CHECK(encoded.size() < body.size() / 10);
+    const ConfigUpdate update = decoded(decodeConfigUpdate(encoded));
+    CHECK(update.domain == "kapana");
+    CHECK(update.body == body);
+    CHECK_FALSE(decoded(decodeConfigUpdate(encodeConfigUpdate({"kapana", std::nullopt}))).body);
+}
+
+// Guards against a peer that makes a gateway reserve memory, or put a truncated configuration in force.
+TEST_CASE("A damaged configuration is decoded to an error", "[exchange]")
+{
+    const std::string encoded = encodeConfigUpdate({"kapana", std::string(500, 'a')});
+    // The size is written as a 16-bit integer, 500 = 0x01f4.
+    const size_t sizeAt = encoded.find("\x01\xf4");
+    REQUIRE(sizeAt != std::string::npos);
+    std::string larger = encoded;
+    larger[sizeAt] = '\x02';
+    std::string smaller = encoded;
+    smaller[sizeAt] = '\x00';
+    const std::string truncated = encoded.substr(0, encoded.size() - 4);
+    const std::string oversized = encodeConfigUpdate({"kapana", std::string(MaxConfigBytes + 1, 'a')});
+    for (const std::string &body : {larger, smaller, truncated, oversized})
+        CHECK(std::holds_alternative<ExchangeError>(decodeConfigUpdate(body)));
+}
+
+// Guards against a process that ends because of a message of another version of the program, or a cut one.
 TEST_CASE("Malformed bodies are decoded to errors", "[exchange]")
 {
-    const std::string text =
-            GENERATE("", "{", "[]", "{\"gateway\":3}", R"({"gateway":"g","loads":{"r":[1]}})");
-    INFO(text);
-    CHECK(std::holds_alternative<ExchangeError>(decodeGatewayStatus(text)));
-    CHECK(std::holds_alternative<ExchangeError>(decodeTransferRequest(text)));
-    CHECK(std::holds_alternative<ExchangeError>(decodePlacementRequest(text)));
-    CHECK(std::holds_alternative<ExchangeError>(decodeTransferPermit(text)));
-    CHECK(std::holds_alternative<ExchangeError>(decodeCoordinatorStatus(text)));
+    GatewayStatus status;
+    status.gateway = "g1";
+    std::string truncated = encodeStatus(status);
+    truncated.resize(truncated.size() / 2);
+    const std::string body = GENERATE_COPY(
+            std::string(), std::string("{"), std::string("\x80"), std::string("\x90"), std::string("\xc1"),
+            std::string("\x81\xa7gateway\x03"), std::string(R"({"gateway":"g","config":7,"loads":{}})"),
+            std::string("\xdf\xff\xff\xff\xff"), std::string("\xdd\xff\xff\xff\xff"), truncated);
+    CAPTURE(body);
+    CHECK(std::holds_alternative<ExchangeError>(decodeGatewayStatus(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodeTransferRequest(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodePlacementRequest(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodePlacementResult(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodeTransferPermit(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodeCoordinatorStatus(body)));
+    CHECK(std::holds_alternative<ExchangeError>(decodeConfigUpdate(body)));
 }
