gateway: bound what a peer's endless bytes cost, skip interim responses, log failed tasks

Cause, each shown by a test that failed before the change (tests/hostile, no bench needed): - a chunk extension or trailer without end was read for ever: the buffer in front of the parser had no limit, and the deadline did not end a read for which bytes were always there (the test did not end in 20 s); - an event without end was buffered without a limit and searched from its start with each read; - a response of up to 16 MB was buffered for each request, whatever the others held, on VMs of 88 MB; - a 1xx response was passed on as the final one; - a resumable stream that sent a byte now and then never counted as stalled before its deadline. - An exception in a coroutine ended it without a word, a loop for good (found by reading). Ruled out by test: a second copy of an answer, late, on a reused connection does not reach the next caller; a slow stream whose events arrive in parts is not cut; heads and interim responses without end. Change: MaxParseBufferBytes for every parser's buffer in both halves, a limit for an event and for all responses that are received at once, at most two interim responses, TrickleTimeout, spawnTask and spawnLoop.

--- a/src/eelgrasslift/callerconnection.h
+++ b/src/eelgrasslift/callerconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eelgrasslift/callererror.h"
+#include "eelgrasslift/httpclient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -85,7 +86,7 @@
     boost::asio::awaitable<bool> waitForFirstByte();
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxParseBufferBytes};
     bool isWatchCancelled = false;
 };
 
--- a/src/eelgrasslift/engineconnection.cpp
+++ b/src/eelgrasslift/engineconnection.cpp
@@ -137,7 +137,7 @@
     if (error)
         co_return EngineFailure::ConnectionBroken;
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxParseBufferBytes};
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     co_await http::async_read_header(this->stream, buffer, parser,
--- a/src/eelgrasslift/httpclient.cpp
+++ b/src/eelgrasslift/httpclient.cpp
@@ -69,7 +69,7 @@
 
     boost::system::error_code error;
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxParseBufferBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxBytes);
     if (!error)
--- a/src/eelgrasslift/httpclient.h
+++ b/src/eelgrasslift/httpclient.h
@@ -18,6 +18,10 @@
 /// and TimedOut the server may have received the request.
 enum class HttpFailure { NotConnected, Broken, TimedOut };
 
+/// Capacity of the buffer in front of an HTTP parser. It holds what the parser cannot consume yet, such as an
+/// incomplete header, chunk extension or trailer; a peer that sends one without end gets an error.
+constexpr size_t MaxParseBufferBytes = size_t{128} << 10;
+
 /// Name of the failure in logs.
 std::string_view toString(HttpFailure failure);
 
--- a/src/eelgrasslift/orderexecutor.cpp
+++ b/src/eelgrasslift/orderexecutor.cpp
@@ -300,7 +300,7 @@
     boost::system::error_code error;
     stream.expires_at(std::chrono::steady_clock::time_point(order.deadline.time_since_epoch()));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxParseBufferBytes};
     HttpResponse response;
     if (!error)
         co_await http::async_read(stream, buffer, response, asio::redirect_error(asio::use_awaitable, error));
--- a/src/eelgrasslift/servicecallrunner.cpp
+++ b/src/eelgrasslift/servicecallrunner.cpp
@@ -176,7 +176,7 @@
     boost::system::error_code error;
     HttpRequest message = toHttpRequest(this->request, attempt.placed.endpoint);
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxParseBufferBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxResponseBytes);
     if (!error)
--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -34,6 +34,35 @@
 constexpr int MaxStrayResponses = 2;
 constexpr size_t MaxResponseBytes = size_t{16} << 20;
 
+// Responses of this size are always buffered.
+constexpr size_t SmallResponseBytes = size_t{64} << 10;
+// Larger ones share this much of a gateway's memory.
+constexpr size_t MaxBufferedResponseBytes = size_t{24} << 20;
+
+/// Counts the bytes of a response that is being received, for as long as the object exists.
+class ResponseBuffer
+{
+public:
+    explicit ResponseBuffer(size_t &total)
+        : total(total)
+    {}
+    ~ResponseBuffer() { this->total -= this->size; }
+    ResponseBuffer(const ResponseBuffer &) = delete;
+    ResponseBuffer &operator=(const ResponseBuffer &) = delete;
+
+    /// Returns false if the response is large and there is no memory left for it.
+    bool resize(size_t newSize)
+    {
+        this->total += newSize - this->size;
+        this->size = newSize;
+        return this->size <= SmallResponseBytes || this->total <= MaxBufferedResponseBytes;
+    }
+
+private:
+    size_t &total;
+    size_t size = 0;
+};
+
 bool requiresNotRunHeader(unsigned status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -128,11 +157,18 @@
         if (this->context.request.method() == http::verb::head)
             parser.skip(true);
         boost::system::error_code error;
-        co_await http::async_read(connection->stream, connection->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        ResponseBuffer buffered(this->gateway.bufferedResponseBytes);
+        while (!parser.is_done() && !error) {
+            co_await http::async_read_some(connection->stream, connection->buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            if (!buffered.resize(parser.get().body().size()))
+                co_return SendResult{SendOutcome::Unknown, std::nullopt, "answer-too-large"};
+        }
         if (error)
             co_return SendResult{SendOutcome::Unknown, std::nullopt,
                                  error == beast::error::timeout ? "runner-silent" : "runner-broke-off"};
+        if (isInterim(parser.get()))
+            continue;
         const bool isUnbounded = parser.need_eof();
         ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser.get());
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
--- a/src/gateway/configsubscriber.cpp
+++ b/src/gateway/configsubscriber.cpp
@@ -2,9 +2,8 @@
 
 #include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -35,7 +34,7 @@
 
 void ConfigSubscriber::start()
 {
-    asio::co_spawn(this->gateway.io, this->run(), asio::detached);
+    spawnLoop(this->gateway.io, "configuration", [this] { return this->run(); });
 }
 
 void ConfigSubscriber::announce(uint64_t version, const std::string &leaderAddress)
@@ -49,13 +48,10 @@
     if (this->isFetchingFromLeader || steadyNow() - *this->missingSince < MaxFollowerDelay)
         return;
     this->isFetchingFromLeader = true;
-    asio::co_spawn(
-            this->gateway.io,
-            [this, leaderAddress]() -> asio::awaitable<void> {
-                co_await this->fetch(leaderAddress);
-                this->isFetchingFromLeader = false;
-            },
-            asio::detached);
+    spawnTask(this->gateway.io, "configuration", [this, leaderAddress]() -> asio::awaitable<void> {
+        co_await this->fetch(leaderAddress);
+        this->isFetchingFromLeader = false;
+    });
 }
 
 asio::awaitable<void> ConfigSubscriber::run()
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -19,7 +19,7 @@
     {}
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxParseBufferBytes};
     /// ip:port of the peer.
     std::string address;
     /// Whether an earlier request was sent on it.
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -3,9 +3,8 @@
 #include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
 #include "gateway/coordinator.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -85,7 +84,7 @@
         const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
         return runner && runner->ownLoad.activeRequests > 0;
     });
-    asio::co_spawn(this->gateway.io, this->exchangeLoop(), asio::detached);
+    spawnLoop(this->gateway.io, "exchange", [this] { return this->exchangeLoop(); });
     this->configSubscriber.start();
     this->checkContact();
 }
@@ -256,14 +255,10 @@
 
 void CoordinatorClient::finishTransfer(uint64_t ticket)
 {
-    asio::co_spawn(
-            this->gateway.io,
-            [this, ticket]() -> asio::awaitable<void> {
-                const TransferPermit permit{ticket, {}};
-                OutgoingCall call{"POST", TransferEndPath, encodeTransferPermit(permit)};
-                co_await this->connections.call(this->schedulerAddress, std::move(call), ExchangeTimeout);
-            },
-            asio::detached);
+    spawnTask(this->gateway.io, "transfer-end", [this, ticket]() -> asio::awaitable<void> {
+        OutgoingCall call{"POST", TransferEndPath, encodeTransferPermit({ticket, {}})};
+        co_await this->connections.call(this->schedulerAddress, std::move(call), ExchangeTimeout);
+    });
 }
 
 void CoordinatorClient::applyStatus(const std::string &address, const CoordinatorStatus &status)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,7 +60,7 @@
     /// Changes of the list of runners since the gateway's version; absent if there are none.
     std::optional<FleetChanges> fleet;
     /// Load of all other gateways on the plain services and on the model runners of the gateway's failure
-    /// domain, by runner id.
+    /// domain, in a small fleet of all domains, by runner id.
     RunnerLoads otherLoads;
     /// Share of the KV cache of all usable runners that is expected to be in use, by model service.
     std::map<std::string, double, std::less<>> memoryUtilization;
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -2,9 +2,8 @@
 
 #include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -52,10 +51,10 @@
     this->listTimer.cancel();
     if (!this->isStarted) {
         this->isStarted = true;
-        asio::co_spawn(this->io, this->pollLists(), asio::detached);
-        asio::co_spawn(this->io, this->pollReports(), asio::detached);
+        spawnLoop(this->io, "list", [this] { return this->pollLists(); });
+        spawnLoop(this->io, "reports", [this] { return this->pollReports(); });
         if (this->settings.healthInterval > Duration::zero())
-            asio::co_spawn(this->io, this->pollHealth(), asio::detached);
+            spawnLoop(this->io, "health", [this] { return this->pollHealth(); });
     }
 }
 
@@ -152,7 +151,7 @@
         for (const RunnerEntry &entry : this->knownEntries) {
             if (this->engineServices.contains(entry.service) &&
                 (!this->reportFilter || this->reportFilter(entry)))
-                asio::co_spawn(this->io, this->readReport(entry.id, entry.address), asio::detached);
+                spawnTask(this->io, "report", this->readReport(entry.id, entry.address));
         }
     }
 }
@@ -209,8 +208,7 @@
             const auto service = this->engineServices.find(entry.service);
             if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving)
                 continue;
-            asio::co_spawn(this->io, this->checkHealth(entry.id, entry.address, service->second),
-                           asio::detached);
+            spawnTask(this->io, "health-check", this->checkHealth(entry.id, entry.address, service->second));
         }
     }
 }
--- a/src/gateway/gatewayexchange.cpp
+++ b/src/gateway/gatewayexchange.cpp
@@ -16,6 +16,9 @@
 // Long-poll timeout of an exchange: the gateway's next one reports its load and shows it that the coordinator
 // is alive.
 constexpr Duration ExchangePollTimeout = std::chrono::milliseconds{300};
+// A gateway of a fleet with more model runners gets the load of its own failure domain only, which bounds its
+// traffic to some kilobytes a second.
+constexpr size_t MaxEnginesOfAllDomains = 64;
 // Memory fills up over seconds.
 constexpr Duration UtilizationInterval = std::chrono::milliseconds{200};
 
@@ -38,9 +41,11 @@
     bool isPlainChanged = false;
     this->plainRunners.clear();
     this->enginesByDomain.clear();
+    this->engineCount = 0;
     for (const RunnerEntry &entry : entries) {
         const bool isEngine = engines.contains(entry.service);
         (isEngine ? this->enginesByDomain[entry.domain] : this->plainRunners).push_back(entry.id);
+        this->engineCount += isEngine ? 1 : 0;
         isPlainChanged = isPlainChanged || (!isEngine && std::ranges::count(changed, entry.id) > 0);
     }
     if (isFirst || isPlainChanged) {
@@ -84,10 +89,11 @@
         if (!changes.isEmpty())
             status.fleet = std::move(changes);
     }
-    status.otherLoads = this->scheduler.load().totalExcluding(gateway.gateway, this->plainRunners);
-    if (const auto engines = this->enginesByDomain.find(gateway.domain);
-        engines != this->enginesByDomain.end())
-        status.otherLoads.merge(this->scheduler.load().totalExcluding(gateway.gateway, engines->second));
+    status.otherLoads = this->scheduler.loadOfOthers(gateway.gateway, this->plainRunners);
+    for (const auto &[domain, engines] : this->enginesByDomain) {
+        if (domain == gateway.domain || this->engineCount <= MaxEnginesOfAllDomains)
+            status.otherLoads.merge(this->scheduler.loadOfOthers(gateway.gateway, engines));
+    }
     if (now - this->utilizationAt >= UtilizationInterval) {
         this->utilizationAt = now;
         this->memoryUtilization = this->scheduler.memoryUtilization();
--- a/src/gateway/gatewayexchange.h
+++ b/src/gateway/gatewayexchange.h
@@ -35,6 +35,7 @@
     /// Ids of the runners of plain services, and of model runners by failure domain.
     std::vector<std::string> plainRunners;
     std::map<std::string, std::vector<std::string>, std::less<>> enginesByDomain;
+    size_t engineCount = 0;
     /// Timers of waiting exchanges by gateway; cancelled to end the wait.
     std::map<std::string, boost::asio::steady_timer *, std::less<>> waiting;
     std::map<std::string, double, std::less<>> memoryUtilization;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -6,9 +6,8 @@
 #include "gateway/coordinatorclient.h"
 #include "gateway/httpservice.h"
 #include "gateway/streamsession.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,6 +40,23 @@
 constexpr Duration ConfigurationWait = std::chrono::milliseconds{700};
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds{50};
 
+/// Counts a request as open for as long as the object exists.
+class OpenRequest
+{
+public:
+    explicit OpenRequest(size_t &openRequests)
+        : count(openRequests)
+    {
+        ++this->count;
+    }
+    ~OpenRequest() { --this->count; }
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+    size_t &count;
+};
+
 /// A caller's connection; handles its requests one after the other.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
@@ -111,9 +127,8 @@
             co_return false;
         }
         this->stream.expires_never();
-        ++this->gateway.openRequests;
+        const OpenRequest openRequest(this->gateway.openRequests);
         co_await this->handleRequest(writer, parser.release(), arrived);
-        --this->gateway.openRequests;
         co_return writer.isKeptAlive() && this->stream.socket().is_open();
     }
 
@@ -183,26 +198,24 @@
     void watchForDisconnect(const std::shared_ptr<RequestSession> &session)
     {
         this->watchedSession = session;
-        asio::co_spawn(
-                this->gateway.io,
-                [self = this->shared_from_this(),
-                 weakSession = std::weak_ptr<RequestSession>(session)]() -> asio::awaitable<void> {
-                    boost::system::error_code error;
-                    co_await self->stream.socket().async_wait(
-                            tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-                    const auto activeSession = weakSession.lock();
-                    if (!activeSession || self->watchedSession.lock() != activeSession)
-                        co_return;
-                    char byte = 0;
-                    const auto received = error ? 0
-                                                : ::recv(self->stream.socket().native_handle(), &byte,
-                                                         sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-                    const bool isDisconnected =
-                            received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-                    if (isDisconnected)
-                        activeSession->abandon();
-                },
-                asio::detached);
+        spawnTask(this->gateway.io, "disconnect-watch",
+                  [self = this->shared_from_this(),
+                   weakSession = std::weak_ptr<RequestSession>(session)]() -> asio::awaitable<void> {
+                      boost::system::error_code error;
+                      co_await self->stream.socket().async_wait(
+                              tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+                      const auto activeSession = weakSession.lock();
+                      if (!activeSession || self->watchedSession.lock() != activeSession)
+                          co_return;
+                      char byte = 0;
+                      const auto received = error ? 0
+                                                  : ::recv(self->stream.socket().native_handle(), &byte,
+                                                           sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+                      const bool isDisconnected =
+                              received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+                      if (isDisconnected)
+                          activeSession->abandon();
+                  });
     }
 
     asio::awaitable<void> sendError(ResponseWriter &writer, const RequestContext &context, unsigned status,
@@ -222,7 +235,7 @@
 
     GatewayState &gateway;
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxParseBufferBytes};
     std::weak_ptr<RequestSession> watchedSession;
     bool isIdle = false;
 };
@@ -256,7 +269,7 @@
         if (!openAcceptor(this->acceptor, *this->settings.callerListen) ||
             !this->readiness.listen(*this->settings.readinessListen))
             return ExitFailed;
-        asio::co_spawn(this->io, this->accept(), asio::detached);
+        spawnLoop(this->io, "accept", [this] { return this->accept(); });
         this->coordinatorClient.start();
         this->signals.async_wait([this](const boost::system::error_code &error, int) {
             if (!error)
@@ -282,7 +295,7 @@
             auto session = std::make_shared<CallerSession>(this->state, std::move(socket));
             std::erase_if(this->sessions, [](const auto &weakSession) { return weakSession.expired(); });
             this->sessions.push_back(session);
-            asio::co_spawn(this->io, session->run(), asio::detached);
+            spawnTask(this->io, "caller", session->run());
         }
     }
 
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -31,6 +31,8 @@
     GatewayMetrics metrics;
     Random random{systemSeed()};
     size_t openRequests = 0;
+    /// Bytes of responses of plain services that are being received.
+    size_t bufferedResponseBytes = 0;
     bool isDraining = false;
     /// When the process exits; set when it begins to shut down.
     std::optional<TimePoint> shutdownAt;
--- a/src/gateway/generationscheduler.cpp
+++ b/src/gateway/generationscheduler.cpp
@@ -56,6 +56,22 @@
     this->placementTimer.cancel();
 }
 
+RunnerLoads GenerationScheduler::loadOfOthers(std::string_view gateway,
+                                              std::span<const std::string> runnerIds) const
+{
+    RunnerLoads loads = this->fleetLoad.totalExcluding(gateway, runnerIds);
+    for (const std::string &id : runnerIds) {
+        const RunnerPool::RunnerPointer runner = this->runners.find(id);
+        if (!runner || !runner->entry.report)
+            continue;
+        const RunnerLoad own = this->fleetLoad.ownLoad(gateway, id);
+        RunnerLoad &load = loads[id];
+        load.memory.raiseCurrent(static_cast<double>(runner->entry.report->memoryUsed) -
+                                 own.memory.currentTokens());
+    }
+    return loads;
+}
+
 std::map<std::string, double, std::less<>> GenerationScheduler::memoryUtilization()
 {
     this->runners.setOtherLoad(this->fleetLoad.total());
--- a/src/gateway/generationscheduler.h
+++ b/src/gateway/generationscheduler.h
@@ -35,6 +35,8 @@
     HttpResponse endTransfer(std::string_view body);
 
     const FleetLoad &load() const { return this->fleetLoad; }
+    /// Load of all gateways but one on some runners; at least the memory that the runners report.
+    RunnerLoads loadOfOthers(std::string_view gateway, std::span<const std::string> runnerIds) const;
     /// Share of the KV cache that is expected to be in use, by service.
     std::map<std::string, double, std::less<>> memoryUtilization();
 
--- a/src/gateway/httpservice.cpp
+++ b/src/gateway/httpservice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/httpservice.h"
 
 #include "eelgrasslift/logging.h"
+#include "gateway/task.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -60,7 +61,7 @@
 {
     if (!openAcceptor(this->acceptor, endpoint))
         return false;
-    asio::co_spawn(this->io, this->accept(), asio::detached);
+    spawnLoop(this->io, "accept", [this] { return this->accept(); });
     return true;
 }
 
@@ -77,7 +78,7 @@
         tcp::socket socket =
                 co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error)
-            asio::co_spawn(this->io, this->serve(std::move(socket)), asio::detached);
+            spawnTask(this->io, "serve", this->serve(std::move(socket)));
     }
 }
 
@@ -86,7 +87,7 @@
     beast::tcp_stream stream(std::move(socket));
     boost::system::error_code error;
     stream.socket().set_option(tcp::no_delay(true), error);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxParseBufferBytes};
     for (;;) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(MaxBodyBytes);
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
 #include "gateway/httpservice.h"
+#include "gateway/task.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,10 @@
 // limit of routes, and shorter than the time after which callers disconnect.
 constexpr Duration StallTimeout = std::chrono::milliseconds{700};
 
+// A resumable stream that sends bytes but completes no event for this long continues on another runner too. A
+// runner may take a while between the first and the last byte of an event, so it is longer.
+constexpr Duration TrickleTimeout = 2 * StallTimeout;
+
 // Share of the route's pause limit after which a generation continues from its backup; the remainder is for
 // the continuation itself. Prefill of two other prompts on the same runner delays events by less.
 constexpr double StallTimeoutShare = 0.65;
@@ -333,19 +338,26 @@
 asio::awaitable<StreamSession::RelayResult> StreamSession::receive(const RunnerConnectionPointer &connection,
                                                                    bool isContinuation)
 {
-    auto parser = std::make_unique<Parser>();
-    parser->body_limit(boost::none);
+    std::unique_ptr<Parser> parser;
     boost::system::error_code error;
     const Route &route = *this->context.route;
     const Duration headerTimeout =
             firstEventTimeout(route.isResumable, route.latencyObjective, this->remainingTime());
     connection->stream.expires_after(std::max(headerTimeout, Duration{1}));
-    co_await http::async_read_header(connection->stream, connection->buffer, *parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::error::timeout)
-        co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
-    if (error)
-        co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off", std::nullopt};
+    for (int interimCount = 0; !parser || isInterim(parser->get()); ++interimCount) {
+        if (interimCount > MaxInterimResponses)
+            co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "interim-answers",
+                                  std::nullopt};
+        parser = std::make_unique<Parser>();
+        parser->body_limit(boost::none);
+        co_await http::async_read_header(connection->stream, connection->buffer, *parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error == beast::error::timeout)
+            co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
+        if (error)
+            co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off",
+                                  std::nullopt};
+    }
     const ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser->get());
     if (!responseMetadata.requestId.empty() && responseMetadata.requestId != this->context.metadata.id)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "stray-answer", std::nullopt};
@@ -416,7 +428,7 @@
 {
     std::array<char, ReadBufferBytes> bytes{};
     if (this->backup.runner())
-        asio::co_spawn(this->gateway.io, this->watchForStall(connection), asio::detached);
+        spawnTask(this->gateway.io, "stall-watch", this->watchForStall(connection));
     while (!parser.is_done()) {
         boost::system::error_code error;
         parser.get().body().data = bytes.data();
@@ -446,6 +458,12 @@
         if (error)
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off",
                                   std::nullopt};
+        if (this->splitter.isTooLarge())
+            co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-too-large",
+                                  std::nullopt};
+        if (this->remainingTime() <= Duration::zero() || this->isTrickling())
+            co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-stalled",
+                                  std::nullopt};
     }
     if (this->splitter.hasPartialEvent())
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-cut-short", std::nullopt};
@@ -454,6 +472,12 @@
                           SendOutcome::Answered, "complete", std::nullopt};
 }
 
+bool StreamSession::isTrickling() const
+{
+    return this->context.route->isResumable && this->runFirstEventAt && this->lastEventAt &&
+           steadyNow() - *this->lastEventAt > TrickleTimeout;
+}
+
 void StreamSession::recordEvents(uint64_t previousCount)
 {
     const TimePoint now = steadyNow();
@@ -612,7 +636,7 @@
         return;
     }
     this->isMigrating = true;
-    asio::co_spawn(this->gateway.io, this->migrate(), asio::detached);
+    spawnTask(this->gateway.io, "migration", this->migrate());
 }
 
 asio::awaitable<void> StreamSession::migrate()
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -91,6 +91,8 @@
     /// Updates times and loads after complete events arrived; previousCount is the number of events before
     /// them.
     void recordEvents(uint64_t previousCount);
+    /// Whether the runner of a resumable stream sends bytes but has completed no event for too long.
+    bool isTrickling() const;
     /// Load of the generation at a new runner.
     RunnerLoad expectedLoad() const;
     GenerationSize size() const { return this->context.metadata.size.value_or(GenerationSize{}); }
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -31,6 +31,15 @@
     std::optional<GenerationSize> size;
 };
 
+/// Whether the response only precedes the final one; it has no body.
+inline bool isInterim(const ResponseHeader &header)
+{
+    return header.result_int() < 200;
+}
+
+/// Interim responses that are skipped before the final one; a runner that sends more is in trouble.
+constexpr int MaxInterimResponses = 2;
+
 /// Header fields that the gateway sets on each attempt to send a request to a runner. Empty and absent values
 /// are not sent.
 struct AttemptHeaders
--- a/src/libgateway/eventsplitter.cpp
+++ b/src/libgateway/eventsplitter.cpp
@@ -2,38 +2,23 @@
 
 namespace eelgrasslift {
 
-namespace {
-
-/// Returns the position after the empty line that ends the event at from; npos if the event is incomplete.
-size_t endOfEvent(std::string_view text, size_t from)
-{
-    size_t line = from;
-    for (;;) {
-        const size_t end = text.find('\n', line);
-        if (end == std::string_view::npos)
-            return end;
-        const size_t length = end - line;
-        if (length == 0 || (length == 1 && text[line] == '\r'))
-            return end + 1;
-        line = end + 1;
-    }
-}
-
-} // namespace
-
 std::string_view EventSplitter::feed(std::string_view bytes)
 {
     this->pending.append(bytes);
+    const std::string_view text = this->pending;
     size_t from = 0;
-    for (;;) {
-        const size_t end = endOfEvent(this->pending, from);
-        if (end == std::string_view::npos)
-            break;
-        this->recordEvent(std::string_view(this->pending).substr(from, end - from));
-        from = end;
+    for (size_t end = text.find('\n', this->lineStart); end != std::string_view::npos;
+         end = text.find('\n', this->lineStart)) {
+        const std::string_view line = text.substr(this->lineStart, end - this->lineStart);
+        this->lineStart = end + 1;
+        if (!line.empty() && line != "\r")
+            continue;
+        this->recordEvent(text.substr(from, this->lineStart - from));
+        from = this->lineStart;
     }
     this->completeEvents = this->pending.substr(0, from);
     this->pending.erase(0, from);
+    this->lineStart -= from;
     return this->completeEvents;
 }
 
--- a/src/libgateway/eventsplitter.h
+++ b/src/libgateway/eventsplitter.h
@@ -25,14 +25,28 @@
     /// Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !this->pending.empty(); }
 
+    /// Whether the incomplete event is larger than any event may be: the bytes are no event stream, and the
+    /// rest is not worth reading.
+    bool isTooLarge() const { return this->pending.size() > MaxEventBytes; }
+
     /// Discards the incomplete event of a runner that stopped.
-    void discardPartialEvent() { this->pending.clear(); }
+    void discardPartialEvent()
+    {
+        this->pending.clear();
+        this->lineStart = 0;
+    }
+
+    /// Some hundred times the size of an event with a few tokens; a hundred streams with an event of this
+    /// size fit into the memory of a small VM.
+    static constexpr size_t MaxEventBytes = size_t{256} << 10;
 
 private:
     void recordEvent(std::string_view event);
 
     std::string completeEvents;
     std::string pending;
+    /// Start of the last line of pending, which may continue; earlier lines are not empty.
+    size_t lineStart = 0;
     std::optional<std::string> lastEventId;
     uint64_t events = 0;
 };
--- a/src/libgateway/fleetload.cpp
+++ b/src/libgateway/fleetload.cpp
@@ -91,13 +91,16 @@
     return result;
 }
 
-bool FleetLoad::hasLoadOn(std::string_view name, std::span<const std::string> runners) const
+RunnerLoad FleetLoad::ownLoad(std::string_view name, std::string_view runner) const
 {
     const auto found = this->gateways.find(name);
-    if (found == this->gateways.end())
-        return false;
+    return found == this->gateways.end() ? RunnerLoad{} : ownLoadOn(found->second, runner);
+}
+
+bool FleetLoad::hasLoadOn(std::string_view name, std::span<const std::string> runners) const
+{
     return std::ranges::any_of(runners, [&](const std::string &runner) {
-        const RunnerLoad load = ownLoadOn(found->second, runner);
+        const RunnerLoad load = this->ownLoad(name, runner);
         return load.activeRequests > 0 || load.memory.peak() > 0;
     });
 }
--- a/src/libgateway/fleetload.h
+++ b/src/libgateway/fleetload.h
@@ -39,6 +39,8 @@
     const RunnerLoads &total() const { return this->sum; }
     /// Load of all gateways but one on some runners; returned to that gateway as the load of the others.
     RunnerLoads totalExcluding(std::string_view gateway, std::span<const std::string> runners) const;
+    /// Load of one gateway on a runner.
+    RunnerLoad ownLoad(std::string_view gateway, std::string_view runner) const;
     /// Whether the gateway has load on any of the runners.
     bool hasLoadOn(std::string_view gateway, std::span<const std::string> runners) const;
     /// Number of gateways that have reported and were not removed.
--- a/src/libgateway/memoryforecast.h
+++ b/src/libgateway/memoryforecast.h
@@ -2,6 +2,7 @@
 
 #include "libgateway/outputlengthdistribution.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 
@@ -37,6 +38,9 @@
     /// make the result negative.
     MemoryForecast &operator-=(const MemoryForecast &other);
 
+    /// Raises the memory in use now to at least the given amount.
+    void raiseCurrent(double tokens) { this->samples.front() = std::max(this->samples.front(), tokens); }
+
     /// Maximum over all points in time.
     double peak() const;
     /// Memory in use now.
--- a/tests/gateway/test_eventsplitter.cpp
+++ b/tests/gateway/test_eventsplitter.cpp
@@ -29,3 +29,21 @@
     CHECK(splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(splitter.lastId() == "2");
 }
+
+// Guards against a runner that never ends an event: the buffered bytes were searched from the start with each
+// read, and 31 MB took 8 s of processor time.
+TEST_CASE("An event beyond the limit is too large, and one at the limit is not", "[eventsplitter]")
+{
+    EventSplitter splitter;
+    const std::string line(1024, 'a');
+    splitter.feed("id: 1\n\n");
+    for (size_t size = 0; size + line.size() <= EventSplitter::MaxEventBytes; size += line.size())
+        splitter.feed(line);
+    CHECK_FALSE(splitter.isTooLarge());
+    splitter.feed("b");
+    CHECK(splitter.isTooLarge());
+    splitter.discardPartialEvent();
+    CHECK_FALSE(splitter.isTooLarge());
+    CHECK(splitter.feed("id: 2\n\nid:") == "id: 2\n\n");
+    CHECK(splitter.lastId() == "2");
+}
--- /dev/null
+++ b/tests/hostile/gatewayfixture.cpp
@@ -0,0 +1,208 @@
+#include "gatewayfixture.h"
+
+#include "gateway/callsession.h"
+#include "gateway/clock.h"
+#include "gateway/streamsession.h"
+#include "gateway/task.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <catch2/catch.hpp>
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto TestTimeout = std::chrono::seconds{20};
+
+const std::string Config = R"({"version":1,"routes":[
+{"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":3000,"slo_ms":100,"priority":0,
+ "service":"p","max_attempts":1,"public":true},
+{"name":"unsafe","host":"h","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":3000,"slo_ms":100,
+ "priority":0,"service":"p","max_attempts":1,"public":true},
+{"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":3000,"slo_ms":1000,
+ "priority":0,"service":"p","max_attempts":2,"public":true,"stream_resume":true}],
+"services":[{"name":"p"}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
+
+/// Stands in for the coordinators: none can be reached.
+class NoScheduler : public FleetScheduler
+{
+public:
+    asio::awaitable<std::optional<PlacementResult>> place(FleetPlacementRequest) override
+    {
+        co_return std::nullopt;
+    }
+    asio::awaitable<std::optional<TransferPermit>> requestTransfer(TransferRequest) override
+    {
+        co_return std::nullopt;
+    }
+    void finishTransfer(uint64_t) override {}
+};
+
+NoScheduler noScheduler;
+
+NodeSettings settingsWithRetries()
+{
+    NodeSettings settings;
+    settings.retryBudgetExtra = 100;
+    return settings;
+}
+
+tcp::endpoint anyPort()
+{
+    return {asio::ip::address_v4::loopback(), 0};
+}
+
+asio::awaitable<void> runSession(GatewayState &gateway, boost::beast::tcp_stream caller,
+                                 RequestContext context)
+{
+    const bool isDraining = false;
+    ResponseWriter writer(caller, true, isDraining);
+    std::shared_ptr<RequestSession> session;
+    if (context.route->kind == RouteKind::Streaming)
+        session = std::make_shared<StreamSession>(gateway, writer, std::move(context));
+    else
+        session = std::make_shared<CallSession>(gateway, writer, std::move(context));
+    co_await session->run();
+    boost::system::error_code ignored;
+    caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<void> readResponse(tcp::socket caller, std::function<void(const CallerView &)> ended)
+{
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    boost::system::error_code error;
+    co_await http::async_read(caller, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    CallerView view;
+    view.status = parser.is_header_done() ? parser.get().result_int() : 0;
+    view.body = parser.get().body();
+    view.isComplete = !error && parser.is_done();
+    ended(view);
+}
+
+} // namespace
+
+asio::awaitable<bool> sendBytes(tcp::socket &connection, std::string bytes)
+{
+    boost::system::error_code error;
+    co_await asio::async_write(connection, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<uint64_t> sendEndlessly(tcp::socket &connection, std::string bytes)
+{
+    while (bytes.size() < 4096)
+        bytes += bytes;
+    uint64_t count = 0;
+    while (co_await sendBytes(connection, bytes))
+        count += bytes.size();
+    co_return count;
+}
+
+ScriptedRunner::ScriptedRunner(asio::io_context &context, Script runnerScript)
+    : io(context)
+    , acceptor(context, anyPort())
+    , script(std::move(runnerScript))
+{
+    spawnTask(this->io, "runner", this->accept());
+}
+
+std::string ScriptedRunner::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+}
+
+asio::awaitable<void> ScriptedRunner::accept()
+{
+    for (;;) {
+        tcp::socket connection = co_await this->acceptor.async_accept(asio::use_awaitable);
+        spawnTask(this->io, "runner-connection", this->serve(std::move(connection)));
+    }
+}
+
+asio::awaitable<void> ScriptedRunner::serve(tcp::socket connection)
+{
+    std::string received;
+    for (;;) {
+        boost::system::error_code error;
+        const size_t size =
+                co_await asio::async_read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n",
+                                                asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            break;
+        std::string head = received.substr(0, size);
+        received.erase(0, size);
+        co_await this->script(connection, ++this->requests, std::move(head));
+    }
+    ++this->closed;
+}
+
+GatewayFixture::GatewayFixture(ScriptedRunner::Script script)
+    : settings(settingsWithRetries())
+    , gateway(this->io, this->settings, this->format)
+    , runner(this->io, std::move(script))
+{
+    this->gateway.fleetScheduler = &noScheduler;
+    REQUIRE(this->gateway.applyConfig(Config));
+    RunnerEntry entry;
+    entry.id = "r1";
+    entry.service = "p";
+    entry.address = this->runner.address();
+    entry.slots = 6;
+    RunnerEntry other = entry;
+    other.id = "r2";
+    this->gateway.applyFleet(std::vector{entry, other});
+}
+
+void GatewayFixture::runUntil(const std::function<bool()> &condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (!condition() && std::chrono::steady_clock::now() < deadline)
+        this->io.run_one_for(std::chrono::milliseconds{100});
+    REQUIRE(condition());
+}
+
+CallerView GatewayFixture::call(const std::string &path, const std::string &requestId)
+{
+    std::optional<CallerView> result;
+    this->start(path, requestId, [&](const CallerView &view) { result = view; });
+    this->runUntil([&] { return result.has_value(); });
+    return *result;
+}
+
+void GatewayFixture::start(const std::string &path, const std::string &requestId,
+                           std::function<void(const CallerView &)> ended)
+{
+    tcp::acceptor acceptor(this->io, anyPort());
+    tcp::socket caller(this->io);
+    caller.connect(acceptor.local_endpoint());
+    boost::beast::tcp_stream accepted(acceptor.accept());
+    RequestContext context;
+    context.request = HttpRequest(http::verb::get, path, 11);
+    context.request.set(http::field::host, "h");
+    context.request.set("X-Attempt-Id", requestId);
+    context.metadata = this->format.decodeRequest(context.request);
+    context.table = this->gateway.routes();
+    context.route = context.table->match("h", path);
+    REQUIRE(context.route != nullptr);
+    context.service = "p";
+    context.arrived = steadyNow();
+    context.deadline = context.arrived + context.route->timeout;
+    spawnTask(this->io, "session", runSession(this->gateway, std::move(accepted), std::move(context)));
+    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(ended)));
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/tests/hostile/gatewayfixture.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gateway/gatewaystate.h"
+#include "platform/platform.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+
+namespace eelgrasslift {
+
+/// A runner on loopback that sends what a test tells it.
+class ScriptedRunner
+{
+public:
+    /// Sends the response to one request on the connection. requestCount counts all requests, from 1 on; head
+    /// is the request line and header.
+    using Script = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket &connection,
+                                                              int requestCount, std::string head)>;
+
+    ScriptedRunner(boost::asio::io_context &io, Script script);
+
+    /// ip:port
+    std::string address() const;
+    int requestCount() const { return this->requests; }
+    /// Connections that were closed by either side.
+    int closedCount() const { return this->closed; }
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket connection);
+
+    boost::asio::io_context &io;
+    boost::asio::ip::tcp::acceptor acceptor;
+    Script script;
+    int requests = 0;
+    int closed = 0;
+};
+
+/// What the caller of a request has seen.
+struct CallerView
+{
+    /// 0 if there was no response.
+    unsigned status = 0;
+    std::string body;
+    /// The response has the end that its header announces.
+    bool isComplete = false;
+};
+
+/// Sessions of a gateway with one runner, without a coordinator. Requests go to the paths /safe/, /unsafe/
+/// and /stream/, the last one resumable, with a timeout of 3 s.
+class GatewayFixture
+{
+public:
+    explicit GatewayFixture(ScriptedRunner::Script script);
+
+    /// Sends a request through a session and returns what its caller gets. Fails the test if the session has
+    /// not ended after 20 s.
+    CallerView call(const std::string &path, const std::string &requestId);
+
+    /// Starts a request and calls ended with what its caller got.
+    void start(const std::string &path, const std::string &requestId,
+               std::function<void(const CallerView &)> ended);
+
+    /// Runs the connections until the condition holds; fails the test if it does not within 20 s.
+    void runUntil(const std::function<bool()> &condition);
+
+    boost::asio::io_context io{1};
+    NodeSettings settings;
+    platform::PlatformFormat format;
+    GatewayState gateway;
+    ScriptedRunner runner;
+};
+
+/// Writes the bytes; returns false if the peer has closed the connection.
+boost::asio::awaitable<bool> sendBytes(boost::asio::ip::tcp::socket &connection, std::string bytes);
+/// Writes the bytes again and again until the peer closes the connection. Returns how many were written.
+boost::asio::awaitable<uint64_t> sendEndlessly(boost::asio::ip::tcp::socket &connection, std::string bytes);
+
+} // namespace eelgrasslift
