--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -27,14 +27,7 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds{60};
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds{250};
 
-// After this long without contact with the leader, longer than an election, the gateway accepts a delegate.
-constexpr Duration LeaderContactTimeout = std::chrono::milliseconds{1500};
-// After this long without any coordinator the gateway reads the platform's list itself.
-constexpr Duration ContactTimeout = std::chrono::milliseconds{2500};
 constexpr Duration ContactCheckInterval = std::chrono::milliseconds{250};
-// Interval of the attempts to reach the leader that a delegate names.
-constexpr Duration LeaderAttemptInterval = std::chrono::seconds{1};
-
 // Share of the platform's rate limit that all gateways without any coordinator use together.
 constexpr double FallbackListShare = 0.4;
 constexpr Duration MinFallbackListInterval = std::chrono::milliseconds{600};
@@ -59,6 +52,7 @@
     , fallbackReader(state.io, state.format, state.connections, fallbackReaderSettings(state.settings))
     , coordinators(state.settings.domain)
     , configSubscriber(state, this->coordinators, this->connections)
+    , contact(steadyNow())
     , contactTimer(state.io)
 {
     this->addSeeds(state.settings.seeds);
@@ -74,8 +68,6 @@
 
 void CoordinatorClient::start()
 {
-    this->lastLeaderContact = steadyNow();
-    this->lastContact = this->lastLeaderContact;
     this->fallbackReader.onUpdate([this] {
         if (this->fallbackReader.isActive())
             this->gateway.applyFleet(this->fallbackReader.entries());
@@ -89,25 +81,20 @@
     this->checkContact();
 }
 
-bool CoordinatorClient::hasLeaderContact() const
-{
-    return steadyNow() - this->lastLeaderContact < LeaderContactTimeout;
-}
-
 void CoordinatorClient::checkContact()
 {
     const TimePoint now = steadyNow();
-    const bool isInContact = this->hasLeaderContact();
+    const bool isInContact = this->contact.hasLeaderContact(now);
     if (isInContact != this->wasInContact) {
         this->wasInContact = isInContact;
         logInfo(isInContact ? "lead-regained" : "lead-lost",
                 {{"config",
                   this->gateway.routes() ? std::to_string(this->gateway.routes()->version()) : "none"},
-                 {"last_contact_ms", std::to_string(toMilliseconds(now - this->lastLeaderContact))},
+                 {"last_contact_ms", std::to_string(toMilliseconds(this->contact.sinceLeaderContact(now)))},
                  {"cause", this->lastFailure}});
     }
     if (this->gateway.settings.fleetListEndpoint) {
-        const bool isAlone = now - this->lastContact >= ContactTimeout;
+        const bool isAlone = this->contact.isAlone(now);
         const double share = this->gateway.settings.fleetCallsPerSecond * FallbackListShare;
         this->fallbackReader.setListInterval(
                 std::max(MinFallbackListInterval, fromSeconds(this->gatewayCount / std::max(share, 0.1))));
@@ -133,25 +120,14 @@
     });
 }
 
-std::string CoordinatorClient::nextAddress()
-{
-    const TimePoint now = steadyNow();
-    const bool triesLeader = !this->namedLeader.empty() && this->namedLeader != this->schedulerAddress &&
-                             now - this->lastLeaderAttempt >= LeaderAttemptInterval;
-    if (triesLeader) {
-        this->lastLeaderAttempt = now;
-        return this->namedLeader;
-    }
-    return this->isScheduled() ? this->schedulerAddress
-                               : this->coordinators.choose(now, this->gateway.random);
-}
-
 asio::awaitable<void> CoordinatorClient::exchangeLoop()
 {
     boost::system::error_code ignored;
     asio::steady_timer retryTimer(this->gateway.io);
     for (;;) {
-        const std::string address = this->nextAddress();
+        std::string address = this->contact.nextAddress(steadyNow());
+        if (address.empty())
+            address = this->coordinators.choose(steadyNow(), this->gateway.random);
         const bool hasSucceeded = !address.empty() && co_await this->exchangeOnce(address);
         if (hasSucceeded) {
             this->consecutiveFailures = 0;
@@ -175,7 +151,7 @@
     status.domain = this->gateway.settings.domain;
     status.fleetVersion = this->fleetVersion;
     status.fleetSource = this->fleetSource;
-    status.acceptsDelegate = !this->hasLeaderContact();
+    status.acceptsDelegate = !this->contact.hasLeaderContact(steadyNow());
     status.loads = this->gateway.ownLoads();
     OutgoingCall call{"POST", StatusPath, encodeStatus(status)};
     const TimePoint startedAt = steadyNow();
@@ -194,34 +170,29 @@
                         (response == nullptr ? std::string(toString(std::get<HttpFailure>(result)))
                                              : std::to_string(response->result_int())) +
                         " after " + std::to_string(toMilliseconds(steadyNow() - startedAt)) + " ms";
-    if (address == this->schedulerAddress)
-        this->schedulerAddress.clear();
-    if (address == this->namedLeader)
-        this->namedLeader.clear();
-    if (response == nullptr) {
-        this->connections.dropIdle(address);
-        this->coordinators.recordFailure(address, steadyNow());
+    const auto location = response == nullptr ? boost::beast::string_view{}
+                                              : (*response)[boost::beast::http::field::location];
+    const std::string leader(location);
+    if (!leader.empty() && leader != address) {
+        this->contact.recordRedirect(address, leader);
+        this->coordinators.add(leader);
         co_return false;
     }
-    // A coordinator that does not schedule names the leader; it is tried at once.
-    const auto leader = (*response)[boost::beast::http::field::location];
-    if (!leader.empty() && std::string_view(leader.data(), leader.size()) != address) {
-        this->namedLeader = std::string(leader);
-        this->coordinators.add(this->namedLeader);
-        this->lastLeaderAttempt = {};
-    } else {
-        this->coordinators.recordFailure(address, steadyNow());
-    }
+    this->contact.recordFailure(address);
+    this->coordinators.recordFailure(address, steadyNow());
+    if (response == nullptr)
+        this->connections.dropIdle(address);
     co_return false;
 }
 
 asio::awaitable<std::optional<PlacementResult>> CoordinatorClient::place(FleetPlacementRequest request)
 {
-    if (!this->isScheduled())
+    if (this->contact.scheduler().empty())
         co_return std::nullopt;
     request.gateway = this->gateway.settings.name;
     OutgoingCall call{"POST", PlacementPath, encodePlacementRequest(request)};
-    auto result = co_await this->connections.call(this->schedulerAddress, std::move(call), PlacementTimeout);
+    auto result =
+            co_await this->connections.call(this->contact.scheduler(), std::move(call), PlacementTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->result_int() != 200)
         co_return std::nullopt;
@@ -239,11 +210,12 @@
 
 asio::awaitable<std::optional<TransferPermit>> CoordinatorClient::requestTransfer(TransferRequest request)
 {
-    if (!this->isScheduled())
+    if (this->contact.scheduler().empty())
         co_return std::nullopt;
     request.gateway = this->gateway.settings.name;
     OutgoingCall call{"POST", TransferPath, encodeTransferRequest(request)};
-    auto result = co_await this->connections.call(this->schedulerAddress, std::move(call), TransferTimeout);
+    auto result =
+            co_await this->connections.call(this->contact.scheduler(), std::move(call), TransferTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->result_int() != 200)
         co_return std::nullopt;
@@ -257,27 +229,18 @@
 {
     spawnTask(this->gateway.io, "transfer-end", [this, ticket]() -> asio::awaitable<void> {
         OutgoingCall call{"POST", TransferEndPath, encodeTransferPermit({ticket, {}})};
-        co_await this->connections.call(this->schedulerAddress, std::move(call), ExchangeTimeout);
+        co_await this->connections.call(this->contact.scheduler(), std::move(call), ExchangeTimeout);
     });
 }
 
 void CoordinatorClient::applyStatus(const std::string &address, const CoordinatorStatus &status)
 {
     const TimePoint now = steadyNow();
-    this->lastContact = now;
-    if (status.isLeader) {
-        this->lastLeaderContact = now;
-        this->namedLeader.clear();
-        this->gatewayCount = std::max<uint32_t>(status.gatewayCount, 1);
-    } else {
-        // A delegate knows only a part of the gateways.
-        this->namedLeader = status.leaderAddress == address ? std::string{} : status.leaderAddress;
-        this->gatewayCount = std::max(status.gatewayCount, this->gatewayCount);
-    }
-    if (this->schedulerAddress != address) {
-        this->schedulerAddress = address;
+    if (this->contact.scheduler() != address)
         logInfo("scheduler-changed", {{"coordinator", address}, {"leads", status.isLeader ? "yes" : "no"}});
-    }
+    this->contact.recordStatus(address, status.isLeader, status.leaderAddress, now);
+    // A delegate knows only a part of the gateways.
+    this->gatewayCount = std::max(status.gatewayCount, status.isLeader ? 1U : this->gatewayCount);
     this->gateway.retryBudget.setGatewayCount(this->gatewayCount);
     this->coordinators.setMembers(status.coordinatorAddresses);
     this->coordinators.recordResponse(address, status.domain);
--- a/src/gateway/coordinatorclient.h
+++ b/src/gateway/coordinatorclient.h
@@ -30,15 +30,9 @@
     boost::asio::awaitable<void> exchangeLoop();
     /// One exchange with the coordinator; returns false if it failed.
     boost::asio::awaitable<bool> exchangeOnce(std::string address);
-    /// The coordinator for the next exchange; empty if none is known.
-    std::string nextAddress();
     void applyStatus(const std::string &address, const CoordinatorStatus &status);
-    /// Records contact with a coordinator that schedules, and starts and stops the fallback polling as it is
-    /// lost and regained.
+    /// Logs that contact with the leader is lost or regained, and starts and stops the fallback polling.
     void checkContact();
-    bool hasLeaderContact() const;
-    /// Whether a coordinator schedules for this gateway.
-    bool isScheduled() const { return !this->schedulerAddress.empty(); }
 
     GatewayState &gateway;
     SettingsLoader loadSettings;
@@ -47,17 +41,10 @@
     FleetReader fallbackReader;
     CoordinatorDirectory coordinators;
     ConfigSubscriber configSubscriber;
-    /// ip:port of the coordinator that schedules for this gateway; empty without one.
-    std::string schedulerAddress;
-    /// ip:port of the leader that another coordinator has named; empty if none is named or it has failed.
-    std::string namedLeader;
+    SchedulerContact contact;
     uint32_t consecutiveFailures = 0;
     uint64_t fleetVersion = 0;
     uint64_t fleetSource = 0;
-    /// Last successful exchange with the leader, and with any coordinator; the start before the first one.
-    TimePoint lastLeaderContact{};
-    TimePoint lastContact{};
-    TimePoint lastLeaderAttempt{};
     /// Why the last failed exchange failed, for the log.
     std::string lastFailure;
     uint32_t gatewayCount = 1;
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -17,6 +17,7 @@
 #include "libgateway/retrycontroller.h"
 #include "libgateway/routetable.h"
 #include "libgateway/runnerpool.h"
+#include "libgateway/schedulercontact.h"
 #include "libgateway/servingconfig.h"
 #include "libgateway/sharedretrybudget.h"
 #include "libgateway/stalldetector.h"
--- /dev/null
+++ b/src/libgateway/schedulercontact.cpp
@@ -0,0 +1,40 @@
+#include "libgateway/schedulercontact.h"
+
+namespace eelgrasslift {
+
+void SchedulerContact::recordStatus(std::string_view address, bool isLeader, std::string_view leaderAddress,
+                                    TimePoint now)
+{
+    this->schedulerAddress = address;
+    this->lastContact = now;
+    if (isLeader)
+        this->lastLeaderContact = now;
+    this->namedLeader = isLeader || leaderAddress == address ? std::string_view{} : leaderAddress;
+}
+
+void SchedulerContact::recordRedirect(std::string_view address, std::string_view leaderAddress)
+{
+    this->recordFailure(address);
+    if (leaderAddress == address)
+        return;
+    this->namedLeader = leaderAddress;
+    this->nextLeaderAttempt = {};
+}
+
+void SchedulerContact::recordFailure(std::string_view address)
+{
+    if (this->schedulerAddress == address)
+        this->schedulerAddress.clear();
+    if (this->namedLeader == address)
+        this->namedLeader.clear();
+}
+
+std::string SchedulerContact::nextAddress(TimePoint now)
+{
+    if (this->namedLeader.empty() || now < this->nextLeaderAttempt)
+        return this->schedulerAddress;
+    this->nextLeaderAttempt = now + LeaderAttemptInterval;
+    return this->namedLeader;
+}
+
+} // namespace eelgrasslift
