--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -46,44 +46,19 @@
 // Share of a runner's memory that its generations may be expected to occupy at once. The remainder is for
 // generations that last longer than expected.
 constexpr double MemoryLimit = 0.95;
-// Generations from leaving runners may use a little more, since they are lost otherwise.
-constexpr double CopyMemoryLimit = 0.97;
-// Backups are made only while all runners together, and the one that keeps the backup, have plenty of free
-// memory.
-constexpr double BackupFleetMemoryLimit = 0.4;
-constexpr double BackupMemoryLimit = 0.7;
 
 // Penalty for a runner in another failure domain, since the stream stalls if the domains are partitioned.
 // Equals the prefill of two prompts, a wait that the latency objective still allows.
 constexpr double GenerationCrossDomainSeconds = 0.6;
 
-// A backup occupies memory and link bandwidth for as long as the generation lasts; one with fewer remaining
-// tokens completes before a crash is likely.
-constexpr double MinRemainingTokensForBackup = 100;
-
-// A copy to another failure domain takes twice as long on the link. The penalty is compared with the wait at
-// a busier runner.
-constexpr double CopyCrossDomainSeconds = 1.0;
-
 // The same for all generations. Runners preempt others for more urgent ones: short urgent generations then
 // delay the prefill of long ones repeatedly, and gain no more than the wait for one prompt. The operator's
 // priorities order the generations that wait for a runner instead.
 constexpr uint32_t RunnerPriority = 1;
 
-// A copy takes some hundred milliseconds on the link, and the destination may queue it behind others.
-constexpr Duration CopyTimeout = std::chrono::milliseconds{2500};
-
-// Memory for a copy becomes free when another generation ends; trying at each event would not find it sooner.
-constexpr Duration MigrationRetryDelay = std::chrono::milliseconds{80};
-
-// A copy whose source has stopped is complete after this time or never will be.
-constexpr Duration MigrationWait = std::chrono::milliseconds{150};
-
 // Bounds the continuations of a generation, which could otherwise alternate endlessly between failing
 // runners.
 constexpr int MaxContinuations = 12;
-constexpr uint32_t MaxRefusedContinuations = 3;
-constexpr Duration ContinuationRetryDelay = std::chrono::milliseconds{40};
 
 constexpr size_t ReadBufferBytes = 8192;
 constexpr size_t MaxErrorResponseBytes = 65536;
@@ -271,23 +246,6 @@
     }
 }
 
-void StreamSession::chooseBackup(const RunnerPool::Runner &primary)
-{
-    this->backup.release();
-    const EngineTraits *engine = this->context.engine();
-    const bool isWorthwhile = engine != nullptr && engine->supportsBackup &&
-                              !this->context.route->isResumable &&
-                              this->remainingTokens() >= MinRemainingTokensForBackup;
-    if (!isWorthwhile ||
-        this->gateway.runners.memoryUtilization(this->context.service, *engine) > BackupFleetMemoryLimit)
-        return;
-    // A backup in the gateway's own failure domain stays reachable when the runner's domain does not.
-    const RunnerPool::RunnerPointer runner =
-            this->chooseCopyDestination(primary, this->gateway.settings.domain, BackupMemoryLimit);
-    if (runner)
-        this->backup = RunnerLoadReservation(runner, RunnerLoad{0, this->expectedMemory(), 0});
-}
-
 asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
 {
     const RunnerPool::Runner &runner = *destination.runner;
@@ -498,12 +456,6 @@
     this->load.setMemory(this->expectedMemory());
 }
 
-bool StreamSession::isBackupReachable() const
-{
-    const RunnerPool::RunnerPointer &backupRunner = this->backup.runner();
-    return backupRunner && !backupRunner->entry.isExpectedToLeave() && !backupRunner->entry.isUnresponsive;
-}
-
 asio::awaitable<void> StreamSession::watchForStall(RunnerConnectionPointer connection)
 {
     const auto self = this->shared_from_this();
@@ -544,186 +496,4 @@
             {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))}};
 }
 
-std::optional<StreamSession::Destination> StreamSession::takeBackupDestination()
-{
-    const RunnerPool::RunnerPointer runner = this->backup.runner();
-    this->backup.release();
-    if (!runner)
-        return std::nullopt;
-    // The runner may have restarted under the same id and lost the backup.
-    if (this->gateway.runners.find(runner->entry.id) != runner)
-        return std::nullopt;
-    return Destination{runner,
-                       this->gateway.format.copyReference(runner->entry.address, this->context.metadata.id),
-                       "backup"};
-}
-
-asio::awaitable<std::optional<StreamSession::Destination>>
-StreamSession::planContinuation(const RelayResult &failed, Destination previous)
-{
-    boost::system::error_code ignored;
-    if (this->isMigrating) {
-        this->migrationDone.expires_after(MigrationWait);
-        co_await this->migrationDone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
-        // The copy may still be in transit, or the runner is full for a moment.
-        if (++this->refusedContinuations > MaxRefusedContinuations)
-            co_return std::nullopt;
-        asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
-        co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        co_return previous;
-    }
-    this->refusedContinuations = 0;
-    if (this->completedMigration) {
-        const std::optional<Destination> destination = std::move(this->completedMigration);
-        this->completedMigration.reset();
-        this->gateway.metrics.countContinuation("move", true);
-        co_return destination;
-    }
-    // A runner that refused the request has produced nothing to continue from.
-    const bool isResponseStarted = this->writer.isResponseStarted();
-    if (!isResponseStarted && isCertainlyNotRun(failed.outcome)) {
-        this->triedRunners.insert(this->lastRunnerId);
-        co_return std::nullopt;
-    }
-    if (!this->context.route->isResumable) {
-        auto destination = this->takeBackupDestination();
-        this->gateway.metrics.countContinuation("backup", destination.has_value());
-        co_return destination;
-    }
-    if (!isResponseStarted) {
-        this->triedRunners.insert(this->lastRunnerId);
-        co_return std::nullopt;
-    }
-    this->triedRunners.insert(this->lastRunnerId);
-    if (!this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow()))
-        co_return std::nullopt;
-    const RunnerPool::RunnerPointer runner = co_await this->place();
-    this->gateway.metrics.countContinuation("resume", runner != nullptr);
-    if (!runner)
-        co_return std::nullopt;
-    co_return Destination{runner, {}, "resume"};
-}
-
-void StreamSession::handleRunnerLeaving(Duration timeUntilStop)
-{
-    const EngineTraits *engine = this->context.engine();
-    if (this->isMigrating || this->completedMigration || !this->load.runner() || !this->activeConnection ||
-        engine == nullptr)
-        return;
-    if (steadyNow() < this->nextMigrationAt)
-        return;
-    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave();
-    const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
-    const LeavingGeneration generation{this->remainingTokens(),
-                                       this->generatedTokens(),
-                                       this->runFirstEventAt.has_value(),
-                                       age,
-                                       hasBackup,
-                                       engine->supportsMigration && !this->context.route->isResumable};
-    const MigrationAction action = planMigration(generation, timeUntilStop);
-    if (action == MigrationAction::Stay)
-        return;
-    logInfo("runner-leaving-during-generation",
-            {{"request", this->context.metadata.id},
-             {"runner", this->load.runner()->entry.id},
-             {"until_gone_ms", std::to_string(toMilliseconds(timeUntilStop))},
-             {"events", std::to_string(this->splitter.eventCount())},
-             {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
-    if (action == MigrationAction::SwitchToBackup) {
-        this->disconnectRunner();
-        return;
-    }
-    this->isMigrating = true;
-    spawnTask(this->gateway.io, "migration", this->migrate());
-}
-
-asio::awaitable<void> StreamSession::migrate()
-{
-    const auto self = this->shared_from_this();
-    const RunnerPool::RunnerPointer source = this->load.runner();
-    TransferRequest transferRequest;
-    transferRequest.sourceId = source->entry.id;
-    transferRequest.service = this->context.service;
-    transferRequest.size = this->size();
-    transferRequest.generatedTokens = this->generatedTokens();
-    transferRequest.value = generationValue(
-            {transferRequest.size.promptTokens, transferRequest.generatedTokens + this->remainingTokens()});
-    transferRequest.excluded.assign(this->fullRunners.begin(), this->fullRunners.end());
-    const std::optional<TransferPermit> permit =
-            co_await this->gateway.fleetScheduler->requestTransfer(std::move(transferRequest));
-    RunnerPool::RunnerPointer destination =
-            permit ? this->gateway.runners.find(permit->destinationId) : nullptr;
-    if (!destination)
-        destination = this->chooseCopyDestination(*source, source->entry.domain, CopyMemoryLimit);
-    const auto isStillOnSource = [&] {
-        return this->load.runner() == source && this->activeConnection && !this->isAbandoned;
-    };
-    if (destination && isStillOnSource()) {
-        const RunnerLoadReservation reservation(destination, this->expectedLoad());
-        const std::optional<std::string> reference = co_await this->copyMemory(source, destination);
-        if (reference)
-            this->completedMigration = Destination{destination, *reference, "move"};
-        // The destination generates again what the source has produced since the copy, from the caller's last
-        // event on.
-        if (reference && isStillOnSource())
-            this->disconnectRunner();
-    }
-    if (permit)
-        this->gateway.fleetScheduler->finishTransfer(permit->ticket);
-    if (!this->completedMigration)
-        this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
-    this->isMigrating = false;
-    this->migrationDone.cancel();
-}
-
-void StreamSession::disconnectRunner()
-{
-    boost::system::error_code ignored;
-    this->activeConnection->stream.socket().close(ignored);
-}
-
-RunnerPool::RunnerPointer StreamSession::chooseCopyDestination(const RunnerPool::Runner &source,
-                                                               std::string_view domain,
-                                                               double memoryLimit) const
-{
-    std::set<std::string> excluded = this->fullRunners;
-    excluded.insert(source.entry.id);
-    RunnerCriteria criteria{
-            this->context.service, domain, this->context.metadata.size, &excluded, memoryLimit,
-            CopyCrossDomainSeconds};
-    criteria.generatedTokens = this->generatedTokens();
-    auto placed =
-            this->gateway.runners.choose(criteria, this->context.engine(), steadyNow(), this->gateway.random);
-    const auto *runner = std::get_if<RunnerPool::RunnerPointer>(&placed);
-    return runner == nullptr ? nullptr : *runner;
-}
-
-asio::awaitable<std::optional<std::string>> StreamSession::copyMemory(RunnerPool::RunnerPointer source,
-                                                                      RunnerPool::RunnerPointer destination)
-{
-    const WireFormat &format = this->gateway.format;
-    const CopyRequest copyRequest{this->context.metadata.id, destination->entry.address};
-    const TimePoint started = steadyNow();
-    OutgoingCall call = format.copyCall(copyRequest);
-    auto result =
-            co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout);
-    const auto *response = std::get_if<HttpResponse>(&result);
-    const unsigned status = response == nullptr ? 0 : response->result_int();
-    logInfo("generation-copied", {{"request", this->context.metadata.id},
-                                  {"from", source->entry.id},
-                                  {"to", destination->entry.id},
-                                  {"status", std::to_string(status)},
-                                  {"ms", std::to_string(toMilliseconds(steadyNow() - started))}});
-    if (status == 503)
-        this->fullRunners.insert(destination->entry.id);
-    if (status != 200)
-        co_return std::nullopt;
-    const auto copyResult = format.decodeCopyResult(response->body());
-    if (std::holds_alternative<DecodeError>(copyResult))
-        co_return std::nullopt;
-    co_return format.copyReference(source->entry.address, std::get<CopyResult>(copyResult).handle);
-}
-
 } // namespace eelgrasslift
