gateway: correct comments on who polls and schedules

Comments and two unused includes only, after reading the diff; no behaviour changes. Cause: the comments still named the leader where a delegate can act now.

--- a/src/gateway/configsubscriber.cpp
+++ b/src/gateway/configsubscriber.cpp
@@ -49,6 +49,7 @@
         return;
     this->isFetchingFromLeader = true;
     spawnTask(this->gateway.io, "configuration", [this, leaderAddress]() -> asio::awaitable<void> {
+        // A failure is logged; the next announcement starts another try.
         co_await this->fetch(leaderAddress);
         this->isFetchingFromLeader = false;
     });
--- a/src/gateway/coordinatorclient.h
+++ b/src/gateway/coordinatorclient.h
@@ -37,7 +37,7 @@
     GatewayState &gateway;
     SettingsLoader loadSettings;
     ConnectionPool connections;
-    /// Polls the runners while there is no contact with the leader.
+    /// Polls the runners while no coordinator can be reached.
     FleetReader fallbackReader;
     CoordinatorDirectory coordinators;
     ConfigSubscriber configSubscriber;
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -24,7 +24,7 @@
 };
 
 /// Polls the platform's list of runners, and the load reports and health checks of model runners, while it is
-/// active. Used by the leading coordinator, and by gateways without contact with one.
+/// active. Used by coordinators that schedule, and by gateways that reach no coordinator.
 class FleetReader
 {
 public:
--- a/src/gateway/fleetscheduler.h
+++ b/src/gateway/fleetscheduler.h
@@ -69,14 +69,14 @@
 };
 
 /// Scheduling decisions that require knowledge of the load of all gateways. Implemented by a client of the
-/// leading coordinator; used by stream sessions.
+/// coordinators; used by stream sessions.
 class FleetScheduler
 {
 public:
     virtual ~FleetScheduler() = default;
 
     /// Chooses a runner, and waits a short time for one with enough free memory. Returns nothing if no
-    /// leading coordinator can be reached; the gateway then chooses by itself.
+    /// coordinator schedules for the gateway, which then chooses by itself.
     virtual boost::asio::awaitable<std::optional<PlacementResult>> place(FleetPlacementRequest request) = 0;
 
     /// Waits until the copy may start. Returns nothing if it was not permitted in time or no leading
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -5,8 +5,6 @@
 #include "gateway/httpservice.h"
 #include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
--- a/src/libgateway/fleetchangelog.h
+++ b/src/libgateway/fleetchangelog.h
@@ -29,7 +29,7 @@
 /// Versioned list of runners that returns the changes since an earlier version.
 ///
 /// Load pattern: 295 gateways ask three times a second for a list of 127 runners that is read anew each 400
-/// ms, while a few runners an hour start or leave. The whole list takes 30 KB.
+/// ms, and of which a few change between two reads. The whole list takes 30 KB.
 class FleetChangeLog
 {
 public:
