--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <list>
 #include <sys/socket.h>
 
@@ -81,14 +82,22 @@
     void closeIfIdle()
     {
         boost::system::error_code ignored;
-        const bool hasBytes = this->stream.socket().is_open() && this->stream.socket().available(ignored) > 0;
-        if (this->isIdle && !hasBytes)
+        if (this->isIdle && !this->hasUnreadBytes())
             this->stream.socket().close(ignored);
     }
 
+    /// Whether a part of a request has arrived that is not counted as open yet.
+    bool hasPartialRequest() { return this->isReadingRequest || this->hasUnreadBytes(); }
+
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    bool hasUnreadBytes()
+    {
+        boost::system::error_code ignored;
+        return this->stream.socket().is_open() && this->stream.socket().available(ignored) > 0;
+    }
+
     CallerLimits limits() const
     {
         return this->gateway.routes() ? this->gateway.routes()->config().limits : CallerLimits{};
@@ -112,6 +121,7 @@
             if (error)
                 co_return false;
         }
+        this->isReadingRequest = true;
         this->stream.expires_after(callerLimits.headerTimeout);
         co_await http::async_read_header(this->stream, this->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
@@ -121,6 +131,7 @@
             co_await http::async_read(this->stream, this->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
         }
+        this->isReadingRequest = false;
         ResponseWriter writer(this->stream, !error && parser.keep_alive(), this->gateway.isDraining);
         if (error) {
             co_await this->sendParseError(writer, error);
@@ -238,6 +249,7 @@
     beast::flat_buffer buffer{MaxParseBufferBytes};
     std::weak_ptr<RequestSession> watchedSession;
     bool isIdle = false;
+    bool isReadingRequest = false;
 };
 
 /// Listeners, signal handlers and drain of a gateway.
@@ -279,7 +291,8 @@
         logInfo("gateway-started",
                 {{"callers", this->settings.callerListen->toString()}, {"domain", this->settings.domain}});
         this->io.run();
-        logInfo("gateway-stopped");
+        logInfo("gateway-stopped", {{"open_requests", std::to_string(this->state.openRequests)},
+                                    {"partial_requests", std::to_string(this->countPartialRequests())}});
         return ExitOk;
     }
 
@@ -346,6 +359,14 @@
         });
     }
 
+    size_t countPartialRequests() const
+    {
+        return static_cast<size_t>(std::ranges::count_if(this->sessions, [](const auto &weakSession) {
+            const auto session = weakSession.lock();
+            return session && session->hasPartialRequest();
+        }));
+    }
+
     void performActions(const std::vector<DrainAction> &actions)
     {
         boost::system::error_code ignored;
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -83,7 +83,8 @@
                                  {"runner", this->lastRunnerId},
                                  {"sends", std::to_string(this->sendCount)},
                                  {"config", std::to_string(this->context.table->version())},
-                                 {"ms", std::to_string(toMilliseconds(now - this->context.arrived))}};
+                                 {"ms", std::to_string(toMilliseconds(now - this->context.arrived))},
+                                 {"draining", this->gateway.isDraining ? "yes" : "no"}};
     std::ranges::move(this->endLogFields(), std::back_inserter(fields));
     logInfo("request-ended", fields);
 }
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -286,8 +286,10 @@
         boost::system::error_code ignored;
         connection->stream.socket().close(ignored);
     }
-    if (result.relayOutcome == RelayOutcome::Stalled)
+    if (result.relayOutcome == RelayOutcome::Stalled) {
+        this->lastDisconnect = Disconnect{this->lastRunnerId, DisconnectReason::Stall};
         this->gateway.connections.dropIdle(runner.entry.address);
+    }
     co_return result;
 }
 
@@ -474,11 +476,24 @@
                                        {"runner", this->lastRunnerId},
                                        {"events", std::to_string(this->splitter.eventCount())},
                                        {"backup", this->backup.runner()->entry.id}});
-        this->disconnectRunner();
+        this->disconnectRunner(DisconnectReason::Stall);
         co_return;
     }
 }
 
+std::string_view StreamSession::toString(DisconnectReason reason)
+{
+    switch (reason) {
+    case DisconnectReason::Backup:
+        return "backup";
+    case DisconnectReason::Copy:
+        return "copy";
+    case DisconnectReason::Stall:
+        return "stall";
+    }
+    return "unknown";
+}
+
 std::vector<LogField> StreamSession::endLogFields() const
 {
     const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
@@ -491,7 +506,10 @@
             {"max_tokens", std::to_string(std::lround(size.maxOutputTokens))},
             {"sent_ms", sinceArrival(this->firstSentAt)},
             {"first_event_ms", sinceArrival(this->firstEventAt)},
-            {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))}};
+            {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))},
+            {"disconnected_from", this->lastDisconnect ? this->lastDisconnect->runnerId : "none"},
+            {"disconnected_for",
+             std::string(this->lastDisconnect ? toString(this->lastDisconnect->reason) : "none")}};
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -32,6 +32,16 @@
     /// How the relay of an attempt to the caller ended.
     enum class RelayOutcome { Complete, Broken, Stalled, Refused, CallerDisconnected };
 
+    /// Why the gateway itself closed its connection to a runner that was still connected.
+    enum class DisconnectReason { Backup, Copy, Stall };
+    static std::string_view toString(DisconnectReason reason);
+
+    struct Disconnect
+    {
+        std::string runnerId;
+        DisconnectReason reason;
+    };
+
     /// Runner of the next attempt and, if it continues from a copy of the KV cache, the reference to that
     /// copy.
     struct Destination
@@ -79,7 +89,7 @@
     boost::asio::awaitable<std::optional<std::string>> copyMemory(RunnerPool::RunnerPointer source,
                                                                   RunnerPool::RunnerPointer destination);
     /// Ends the current attempt, so that the session continues from a copy.
-    void disconnectRunner();
+    void disconnectRunner(DisconnectReason reason);
     /// Disconnects from the runner if the stream stalls while a backup is reachable.
     boost::asio::awaitable<void> watchForStall(RunnerConnectionPointer connection);
     bool isBackupReachable() const;
@@ -119,6 +129,8 @@
     /// First event from the current runner.
     std::optional<TimePoint> runFirstEventAt;
 
+    /// The last one of the request, for the log.
+    std::optional<Disconnect> lastDisconnect;
     StallDetector stallDetector;
     /// Consecutive continuations from a copy that the runner refused.
     uint32_t refusedContinuations = 0;
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -156,7 +156,7 @@
              {"events", std::to_string(this->splitter.eventCount())},
              {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
     if (action == MigrationAction::SwitchToBackup) {
-        this->disconnectRunner();
+        this->disconnectRunner(DisconnectReason::Backup);
         return;
     }
     this->isMigrating = true;
@@ -192,7 +192,7 @@
         // The destination generates again what the source has produced since the copy, from the caller's last
         // event on.
         if (reference && isStillOnSource())
-            this->disconnectRunner();
+            this->disconnectRunner(DisconnectReason::Copy);
     }
     if (permit)
         this->gateway.fleetScheduler->finishTransfer(permit->ticket);
@@ -202,8 +202,9 @@
     this->migrationDone.cancel();
 }
 
-void StreamSession::disconnectRunner()
+void StreamSession::disconnectRunner(DisconnectReason reason)
 {
+    this->lastDisconnect = Disconnect{this->lastRunnerId, reason};
     boost::system::error_code ignored;
     this->activeConnection->stream.socket().close(ignored);
 }
