gateway: leave a runner only after another one has accepted the stream

Cause: handleRunnerLeaving(), migrate(), watchForStall() and the stall timeout of resumable streams closed the connection to the runner first and looked for a place to continue afterwards. If the copy's holder refused four times within 120 ms or closed the connection, or no runner, or no retry of the budget, was left for a resumable stream, the session closed the caller's connection. The runner had not broken off, so the loss was the gateway's own.

Change: the session keeps the current connection and stops reading from it while it asks the next runner. It closes it when that runner has accepted, or after 250 ms, since two runners may work on one request for 400 ms; if the request was refused before, the stream goes on where it was. planFailedSwitch() decides without input and output. A resumable stream now stalls by StallDetector as others do, so that a pause of the gateway itself or unread bytes count as no stall. A stall that nothing can be done about is checked again one timeout later; the check was due at once, over and over for 30 ms.

Evidence: tests/hostile/test_runnerswitch.cpp, 13 cases of leaving and slow runners: on the code before, 8 fail (each one in which the other runner refuses or closes the connection: the answer is cut); all pass now.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -58,19 +58,28 @@
 // runners.
 constexpr int MaxContinuations = 12;
 
+// How long the runner that a stream leaves stays connected after the request was sent to the next one. A
+// refusal arrives within a round trip; two runners may work on the same request for 400 ms, as specified by
+// the users.
+constexpr Duration MaxRunnerOverlap = std::chrono::milliseconds{250};
+
 constexpr size_t ReadBufferBytes = 8192;
 constexpr size_t MaxErrorResponseBytes = 65536;
 
+Duration stallTimeout(const Route &route)
+{
+    if (route.isResumable || route.pauseLimit <= Duration::zero())
+        return StallTimeout;
+    return std::chrono::duration_cast<Duration>(route.pauseLimit * StallTimeoutShare);
+}
+
 } // namespace
 
 StreamSession::StreamSession(GatewayState &state, ResponseWriter &writer, RequestContext requestContext)
     : RequestSession(state, writer, std::move(requestContext))
     , retryController(this->context.route->isIdempotent(), this->context.route->maxAttempts,
                       this->context.deadline)
-    , stallDetector(this->context.route->pauseLimit > Duration::zero()
-                            ? std::chrono::duration_cast<Duration>(this->context.route->pauseLimit *
-                                                                   StallTimeoutShare)
-                            : StallTimeout)
+    , stallDetector(stallTimeout(*this->context.route))
     , migrationDone(state.io)
 {
     this->migrationDone.expires_at(std::chrono::steady_clock::time_point::max());
@@ -166,7 +175,7 @@
     const auto self = this->shared_from_this();
     this->gateway.retryBudget.countRequest(this->context.service, this->context.arrived);
     std::optional<Destination> next;
-    for (int continuations = 0;;) {
+    for (;;) {
         if (!next) {
             RunnerPool::RunnerPointer runner = co_await this->place();
             if (this->isAbandoned) {
@@ -180,15 +189,15 @@
             }
             next = Destination{runner, {}, "placed"};
         }
-        const Destination destination = *next;
+        this->current = *next;
         next.reset();
         const TimePoint sentAt = steadyNow();
-        RelayResult result = co_await this->relay(destination);
+        RelayResult result = co_await this->relay();
         const bool isHealthy = result.relayOutcome == RelayOutcome::Complete ||
                                result.relayOutcome == RelayOutcome::CallerDisconnected ||
-                               destination.runner->entry.isExpectedToLeave() || this->completedMigration ||
+                               this->current.runner->entry.isExpectedToLeave() || this->completedMigration ||
                                this->isMigrating;
-        RunnerPool::recordSend(*destination.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
+        RunnerPool::recordSend(*this->current.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
                                steadyNow() - sentAt, steadyNow());
         this->retryController.recordOutcome(result.outcome);
         if (result.relayOutcome == RelayOutcome::Complete) {
@@ -201,9 +210,9 @@
             co_return;
         }
         const bool canContinue =
-                ++continuations <= MaxContinuations && this->remainingTime() > Duration::zero();
+                ++this->continuationCount <= MaxContinuations && this->remainingTime() > Duration::zero();
         if (canContinue)
-            next = co_await this->planContinuation(result, destination);
+            next = co_await this->planContinuation(result, this->current);
         if (this->isAbandoned) {
             this->recordEnd(499, "caller-gone");
             this->writer.abort();
@@ -211,7 +220,7 @@
         }
         if (next) {
             logInfo("generation-continues", {{"request", this->context.metadata.id},
-                                             {"from", destination.runner->entry.id},
+                                             {"from", this->current.runner->entry.id},
                                              {"to", next->runner->entry.id},
                                              {"cause", std::string(result.cause)},
                                              {"way", std::string(next->method)},
@@ -230,7 +239,7 @@
         if (step == NextStep::Retry) {
             this->gateway.metrics.retries.Increment();
             logInfo("request-repeated", {{"request", this->context.metadata.id},
-                                         {"runner", destination.runner->entry.id},
+                                         {"runner", this->current.runner->entry.id},
                                          {"cause", std::string(result.cause)}});
             continue;
         }
@@ -244,27 +253,58 @@
     }
 }
 
-asio::awaitable<StreamSession::RelayResult> StreamSession::relay(Destination destination)
+asio::awaitable<StreamSession::RelayResult> StreamSession::relay()
+{
+    this->requestedSwitch.reset();
+    auto opened = co_await this->open(this->current, nullptr);
+    auto *stream = std::get_if<RunnerStream>(&opened);
+    RelayResult result;
+    if (stream == nullptr) {
+        result = std::move(std::get<RelayResult>(opened));
+    } else {
+        this->adopt(*stream);
+        result = co_await this->forwardEvents(*stream);
+        this->forwardedConnection.reset();
+        this->load.release();
+        // Without a first event the backup is empty.
+        if (!this->runFirstEventAt)
+            this->backup.release();
+        if (result.relayOutcome != RelayOutcome::Complete) {
+            this->splitter.discardPartialEvent();
+            boost::system::error_code ignored;
+            stream->connection->stream.socket().close(ignored);
+        }
+    }
+    this->activeConnection.reset();
+    this->gateway.notifyCapacityFreed();
+    if (result.relayOutcome == RelayOutcome::Stalled)
+        this->gateway.connections.dropIdle(this->current.runner->entry.address);
+    co_return result;
+}
+
+asio::awaitable<Result<StreamSession::RunnerStream, StreamSession::RelayResult>>
+StreamSession::open(Destination destination, RunnerConnectionPointer previous)
 {
     const RunnerPool::Runner &runner = *destination.runner;
     const bool isContinuation = !destination.continueFrom.empty();
-    this->lastRunnerId = runner.entry.id;
-    this->load = RunnerLoadReservation(destination.runner, this->expectedLoad());
-    this->runFirstEventAt.reset();
-    this->chooseBackup(runner);
-    const RunnerConnectionPointer connection = co_await this->gateway.connections.acquire(
+    RunnerStream stream;
+    stream.load = RunnerLoadReservation(destination.runner, this->expectedLoad());
+    stream.backup = this->chooseBackup(runner);
+    stream.connection = co_await this->gateway.connections.acquire(
             runner.entry.address, std::min(ConnectTimeout, this->remainingTime()));
-    if (!connection || this->isAbandoned)
+    this->lastRunnerId = runner.entry.id;
+    if (!stream.connection || this->isAbandoned)
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "not-connected",
                               std::nullopt};
     ++this->sendCount;
+    stream.sentAt = steadyNow();
     if (!this->firstSentAt)
-        this->firstSentAt = steadyNow();
-    this->activeConnection = connection;
+        this->firstSentAt = stream.sentAt;
+    this->activeConnection = stream.connection;
     AttemptHeaders attempt;
     attempt.priority = RunnerPriority;
-    if (this->backup.runner())
-        attempt.backupAddress = this->backup.runner()->entry.address;
+    if (stream.backup.runner())
+        attempt.backupAddress = stream.backup.runner()->entry.address;
     attempt.continueFrom = destination.continueFrom;
     if (this->splitter.lastId())
         attempt.lastEventId = *this->splitter.lastId();
@@ -272,43 +312,41 @@
         attempt.lastEventId = *this->context.metadata.lastEventId;
     HttpRequest request = this->makeRunnerRequest(runner, attempt);
     boost::system::error_code error;
-    connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
-    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
-    RelayResult result = co_await this->receive(connection, isContinuation);
-    this->activeConnection.reset();
-    this->load.release();
-    this->gateway.notifyCapacityFreed();
-    // Without a first event the backup is empty.
-    if (!this->runFirstEventAt)
-        this->backup.release();
-    if (result.relayOutcome != RelayOutcome::Complete) {
-        this->splitter.discardPartialEvent();
-        boost::system::error_code ignored;
-        connection->stream.socket().close(ignored);
+    asio::steady_timer overlapTimer(this->gateway.io, MaxRunnerOverlap);
+    if (previous) {
+        overlapTimer.async_wait([previous](const boost::system::error_code &timerError) {
+            boost::system::error_code ignored;
+            if (!timerError)
+                previous->stream.socket().close(ignored);
+        });
     }
-    if (result.relayOutcome == RelayOutcome::Stalled) {
-        this->lastDisconnect = Disconnect{this->lastRunnerId, DisconnectReason::Stall};
-        this->gateway.connections.dropIdle(runner.entry.address);
+    stream.connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
+    co_await http::async_write(stream.connection->stream, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    std::optional<RelayResult> failure = co_await this->receiveHeader(stream, isContinuation);
+    if (failure) {
+        boost::system::error_code ignored;
+        stream.connection->stream.socket().close(ignored);
+        co_return std::move(*failure);
     }
-    co_return result;
+    co_return std::move(stream);
 }
 
-asio::awaitable<StreamSession::RelayResult> StreamSession::receive(const RunnerConnectionPointer &connection,
-                                                                   bool isContinuation)
+asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::receiveHeader(RunnerStream &stream,
+                                                                                        bool isContinuation)
 {
-    std::unique_ptr<Parser> parser;
     boost::system::error_code error;
     const Route &route = *this->context.route;
     const Duration headerTimeout =
             firstEventTimeout(route.isResumable, route.latencyObjective, this->remainingTime());
-    connection->stream.expires_after(std::max(headerTimeout, Duration{1}));
-    for (int interimCount = 0; !parser || isInterim(parser->get()); ++interimCount) {
+    stream.connection->stream.expires_after(std::max(headerTimeout, Duration{1}));
+    for (int interimCount = 0; !stream.parser || isInterim(stream.parser->get()); ++interimCount) {
         if (interimCount > MaxInterimResponses)
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "interim-answers",
                                   std::nullopt};
-        parser = std::make_unique<Parser>();
-        parser->body_limit(boost::none);
-        co_await http::async_read_header(connection->stream, connection->buffer, *parser,
+        stream.parser = std::make_unique<Parser>();
+        stream.parser->body_limit(boost::none);
+        co_await http::async_read_header(stream.connection->stream, stream.connection->buffer, *stream.parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (error == beast::error::timeout)
             co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
@@ -316,33 +354,32 @@
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off",
                                   std::nullopt};
     }
-    const ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser->get());
-    if (!responseMetadata.requestId.empty() && responseMetadata.requestId != this->context.metadata.id)
+    const ResponseHeader &header = stream.parser->get().base();
+    stream.metadata = this->gateway.format.decodeResponse(header);
+    if (!stream.metadata.requestId.empty() && stream.metadata.requestId != this->context.metadata.id)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "stray-answer", std::nullopt};
-    const unsigned status = parser->get().result_int();
+    const unsigned status = header.result_int();
     if (status < 200 || status >= 300)
-        co_return co_await this->receiveErrorResponse(connection, *parser);
-    const bool isUntrusted = parser->get().find(http::field::content_encoding) != parser->get().end() ||
-                             (!responseMetadata.isSealed && !isContinuation);
+        co_return co_await this->receiveErrorResponse(stream.connection, *stream.parser);
+    const bool isUntrusted = header.find(http::field::content_encoding) != header.end() ||
+                             (!stream.metadata.isSealed && !isContinuation);
     if (isUntrusted)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "answer-not-from-runner",
                               std::nullopt};
-    if (!this->writer.isResponseStarted()) {
-        ResponseHeader header = parser->get().base();
-        for (const auto name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
-            header.erase(name);
-        const bool isSent = co_await this->writer.beginStream(std::move(header));
-        if (!isSent)
-            co_return RelayResult{RelayOutcome::CallerDisconnected, SendOutcome::Unknown, "caller-gone",
-                                  std::nullopt};
-    }
-    RelayResult result = co_await this->forwardEvents(connection, *parser);
-    if (result.relayOutcome == RelayOutcome::Complete) {
-        ResponseMetadata finalMetadata = responseMetadata;
-        finalMetadata.isClosing = finalMetadata.isClosing || parser->need_eof() || !parser->keep_alive();
-        this->gateway.connections.release(connection, finalMetadata);
-    }
-    co_return result;
+    co_return std::nullopt;
+}
+
+void StreamSession::adopt(RunnerStream &stream)
+{
+    this->load = std::move(stream.load);
+    this->backup = std::move(stream.backup);
+    this->runFirstEventAt.reset();
+    this->requestedSwitch.reset();
+    this->activeConnection = stream.connection;
+    this->forwardedConnection = stream.connection;
+    this->stallDetector.start(steadyNow());
+    if (this->backup.runner() || this->context.route->isResumable)
+        spawnTask(this->gateway.io, "stall-watch", watchForStall(this->weak_from_this(), stream.connection));
 }
 
 asio::awaitable<StreamSession::RelayResult>
@@ -381,35 +418,50 @@
                           "runner-status", std::move(response)};
 }
 
-asio::awaitable<StreamSession::RelayResult>
-StreamSession::forwardEvents(const RunnerConnectionPointer &connection, Parser &parser)
+asio::awaitable<StreamSession::RelayResult> StreamSession::forwardEvents(RunnerStream &stream)
 {
+    const RelayResult callerDisconnected{RelayOutcome::CallerDisconnected, SendOutcome::Unknown,
+                                         "caller-gone", std::nullopt};
+    if (!this->writer.isResponseStarted()) {
+        ResponseHeader header = stream.parser->get().base();
+        for (const auto name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
+            header.erase(name);
+        const bool isSent = co_await this->writer.beginStream(std::move(header));
+        if (!isSent)
+            co_return callerDisconnected;
+    }
     std::array<char, ReadBufferBytes> bytes{};
-    if (this->backup.runner())
-        spawnTask(this->gateway.io, "stall-watch", this->watchForStall(connection));
-    while (!parser.is_done()) {
+    while (!stream.parser->is_done()) {
+        if (this->isAbandoned)
+            co_return callerDisconnected;
+        if (this->requestedSwitch) {
+            std::optional<RelayResult> failure = co_await this->switchRunner(stream);
+            if (failure)
+                co_return std::move(*failure);
+            continue;
+        }
+        Parser &parser = *stream.parser;
         boost::system::error_code error;
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
         parser.get().body().more = true;
-        const bool hasEvents = this->splitter.eventCount() > 0;
-        const Duration readTimeout = this->context.route->isResumable && hasEvents
-                                             ? std::min(StallTimeout, this->remainingTime())
-                                             : this->remainingTime();
-        connection->stream.expires_after(std::max(readTimeout, Duration{1}));
-        co_await http::async_read_some(connection->stream, connection->buffer, parser,
+        stream.connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
+        co_await http::async_read_some(stream.connection->stream, stream.connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
-        if (error == http::error::need_buffer)
+        // requestSwitch() cancels the read; the connection stays usable.
+        const bool isCancelled = error == asio::error::operation_aborted && this->requestedSwitch;
+        if (error == http::error::need_buffer || isCancelled)
             error = {};
         const std::string_view received(bytes.data(), bytes.size() - parser.get().body().size);
         const uint64_t previousCount = this->splitter.eventCount();
         const std::string_view events = this->splitter.feed(received);
+        if (this->context.route->isResumable && !received.empty())
+            this->stallDetector.recordProgress(steadyNow());
         if (!events.empty()) {
             this->recordEvents(previousCount);
             const bool isSent = co_await this->writer.sendChunk(events);
             if (!isSent || this->isAbandoned)
-                co_return RelayResult{RelayOutcome::CallerDisconnected, SendOutcome::Unknown, "caller-gone",
-                                      std::nullopt};
+                co_return callerDisconnected;
         }
         if (error == beast::error::timeout)
             co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-silent", std::nullopt};
@@ -419,13 +471,19 @@
         if (this->splitter.isTooLarge())
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-too-large",
                                   std::nullopt};
-        if (this->remainingTime() <= Duration::zero() || this->isTrickling())
+        if (this->remainingTime() <= Duration::zero())
             co_return RelayResult{RelayOutcome::Stalled, SendOutcome::Unknown, "runner-stalled",
                                   std::nullopt};
+        if (this->isTrickling())
+            this->requestSwitch(SwitchReason::Stall);
     }
     if (this->splitter.hasPartialEvent())
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-cut-short", std::nullopt};
     const bool isEnded = co_await this->writer.endStream();
+    ResponseMetadata metadata = stream.metadata;
+    metadata.isClosing = metadata.isClosing || stream.parser->need_eof() || !stream.parser->keep_alive();
+    if (isEnded)
+        this->gateway.connections.release(stream.connection, metadata);
     co_return RelayResult{isEnded ? RelayOutcome::Complete : RelayOutcome::CallerDisconnected,
                           SendOutcome::Answered, "complete", std::nullopt};
 }
@@ -456,44 +514,6 @@
     this->load.setMemory(this->expectedMemory());
 }
 
-asio::awaitable<void> StreamSession::watchForStall(RunnerConnectionPointer connection)
-{
-    const auto self = this->shared_from_this();
-    asio::steady_timer timer(this->gateway.io);
-    this->stallDetector.start(steadyNow());
-    for (;;) {
-        boost::system::error_code ignored;
-        timer.expires_after(std::max<Duration>(this->stallDetector.nextCheck() - steadyNow(), Duration{1}));
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (this->activeConnection != connection || this->isAbandoned)
-            co_return;
-        const bool hasUnreadBytes = connection->stream.socket().available(ignored) > 0;
-        if (!this->stallDetector.check(steadyNow(), hasUnreadBytes) || !this->runFirstEventAt)
-            continue;
-        if (!this->isBackupReachable() || this->isMigrating)
-            continue;
-        logInfo("generation-stalled", {{"request", this->context.metadata.id},
-                                       {"runner", this->lastRunnerId},
-                                       {"events", std::to_string(this->splitter.eventCount())},
-                                       {"backup", this->backup.runner()->entry.id}});
-        this->disconnectRunner(DisconnectReason::Stall);
-        co_return;
-    }
-}
-
-std::string_view StreamSession::toString(DisconnectReason reason)
-{
-    switch (reason) {
-    case DisconnectReason::Backup:
-        return "backup";
-    case DisconnectReason::Copy:
-        return "copy";
-    case DisconnectReason::Stall:
-        return "stall";
-    }
-    return "unknown";
-}
-
 std::vector<LogField> StreamSession::endLogFields() const
 {
     const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
@@ -507,9 +527,9 @@
             {"sent_ms", sinceArrival(this->firstSentAt)},
             {"first_event_ms", sinceArrival(this->firstEventAt)},
             {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))},
-            {"disconnected_from", this->lastDisconnect ? this->lastDisconnect->runnerId : "none"},
+            {"disconnected_from", this->lastSwitch ? this->lastSwitch->first : "none"},
             {"disconnected_for",
-             std::string(this->lastDisconnect ? toString(this->lastDisconnect->reason) : "none")}};
+             std::string(this->lastSwitch ? toString(this->lastSwitch->second) : "none")}};
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -11,7 +11,8 @@
 
 /// Handles one request whose response is a stream of events. Before the first event the request may be
 /// retried as the route allows. After it, a failed attempt is continued on another runner: from a copy of the
-/// generation's KV cache, or after the last complete event if the stream is resumable.
+/// generation's KV cache, or after the last complete event if the stream is resumable. A stream whose runner
+/// is leaving or slow stays connected to it until another runner has accepted the continuation.
 class StreamSession : public RequestSession, public std::enable_shared_from_this<StreamSession>
 {
 public:
@@ -32,15 +33,9 @@
     /// How the relay of an attempt to the caller ended.
     enum class RelayOutcome { Complete, Broken, Stalled, Refused, CallerDisconnected };
 
-    /// Why the gateway itself closed its connection to a runner that was still connected.
-    enum class DisconnectReason { Backup, Copy, Stall };
-    static std::string_view toString(DisconnectReason reason);
-
-    struct Disconnect
-    {
-        std::string runnerId;
-        DisconnectReason reason;
-    };
+    /// Why the stream should go on at another runner while its current one is still connected.
+    enum class SwitchReason { Backup, Copy, Stall };
+    static std::string_view toString(SwitchReason reason);
 
     /// Runner of the next attempt and, if it continues from a copy of the KV cache, the reference to that
     /// copy.
@@ -65,21 +60,48 @@
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /// The response of a runner that has accepted the request; its body follows.
+    struct RunnerStream
+    {
+        RunnerConnectionPointer connection;
+        std::unique_ptr<Parser> parser;
+        ResponseMetadata metadata;
+        TimePoint sentAt{};
+        /// Load on the runner.
+        RunnerLoadReservation load;
+        /// Load on the runner that keeps an incremental copy of the KV cache.
+        RunnerLoadReservation backup;
+    };
+
     /// Chooses a runner; waits for one with enough free memory as long as the first event can still be on
     /// time. nullptr if there is none.
     boost::asio::awaitable<RunnerPool::RunnerPointer> place();
-    /// Sends the request to the destination and forwards the response until the attempt ends.
-    boost::asio::awaitable<RelayResult> relay(Destination destination);
-    boost::asio::awaitable<RelayResult> receive(const RunnerConnectionPointer &connection,
-                                                bool isContinuation);
+    /// Sends the request to the current destination and forwards the response until it ends, also from other
+    /// runners to which the stream switches meanwhile.
+    boost::asio::awaitable<RelayResult> relay();
+    /// Sends the request to the destination and waits until it is accepted. Closes the previous connection,
+    /// if any, when both runners may have worked on the request for too long.
+    boost::asio::awaitable<Result<RunnerStream, RelayResult>> open(Destination destination,
+                                                                   RunnerConnectionPointer previous);
+    /// Waits for the header of the response to a request that was sent on the connection of the stream, and
+    /// stores the header there. Returns nothing if the request was accepted.
+    boost::asio::awaitable<std::optional<RelayResult>> receiveHeader(RunnerStream &stream,
+                                                                     bool isContinuation);
     boost::asio::awaitable<RelayResult> receiveErrorResponse(const RunnerConnectionPointer &connection,
                                                              Parser &parser);
-    boost::asio::awaitable<RelayResult> forwardEvents(const RunnerConnectionPointer &connection,
-                                                      Parser &parser);
+    /// Makes the stream the one whose events are forwarded.
+    void adopt(RunnerStream &stream);
+    boost::asio::awaitable<RelayResult> forwardEvents(RunnerStream &stream);
+    /// Asks forwardEvents() to continue the stream at another runner.
+    void requestSwitch(SwitchReason reason);
+    /// Tries to continue at another runner. Returns nothing if the stream goes on, there or at its current
+    /// runner.
+    boost::asio::awaitable<std::optional<RelayResult>> switchRunner(RunnerStream &stream);
+    boost::asio::awaitable<std::optional<Destination>> chooseSwitchDestination(SwitchReason reason);
     /// Decides where to continue after a failed attempt; nothing if the stream cannot be continued.
     boost::asio::awaitable<std::optional<Destination>> planContinuation(const RelayResult &failed,
                                                                         Destination previous);
-    /// Copies the KV cache to another runner and disconnects from the current one.
+    /// Copies the KV cache to another runner and lets the stream switch to it.
     boost::asio::awaitable<void> migrate();
     /// Runner for a copy of the KV cache, with at most the given share of its memory in use; nullptr if there
     /// is none.
@@ -88,16 +110,17 @@
     /// Copies the generation's KV cache; returns the reference to the copy, or nothing if that failed.
     boost::asio::awaitable<std::optional<std::string>> copyMemory(RunnerPool::RunnerPointer source,
                                                                   RunnerPool::RunnerPointer destination);
-    /// Ends the current attempt, so that the session continues from a copy.
-    void disconnectRunner(DisconnectReason reason);
-    /// Disconnects from the runner if the stream stalls while a backup is reachable.
-    boost::asio::awaitable<void> watchForStall(RunnerConnectionPointer connection);
+    /// Checks for a stall whenever one is due, as long as the events of the connection are forwarded.
+    static boost::asio::awaitable<void> watchForStall(std::weak_ptr<StreamSession> stream,
+                                                      RunnerConnectionPointer connection);
+    /// Lets the stream switch to another runner if it has stalled.
+    void checkForStall();
     bool isBackupReachable() const;
-    /// Releases the backup; returns it as destination, or nothing if there is none.
-    std::optional<Destination> takeBackupDestination();
+    /// The backup as destination, or nothing if there is none.
+    std::optional<Destination> backupDestination() const;
     /// Chooses a runner for the backup if the generation is long enough and the runners have plenty of free
-    /// memory.
-    void chooseBackup(const RunnerPool::Runner &primary);
+    /// memory; empty otherwise.
+    RunnerLoadReservation chooseBackup(const RunnerPool::Runner &primary) const;
     /// Updates times and loads after complete events arrived; previousCount is the number of events before
     /// them.
     void recordEvents(uint64_t previousCount);
@@ -115,7 +138,9 @@
 
     EventSplitter splitter;
     RetryController retryController;
-    /// Load on the runner of the current attempt.
+    /// Destination of the current or last attempt.
+    Destination current;
+    /// Load on the runner whose events are forwarded.
     RunnerLoadReservation load;
     std::set<std::string> triedRunners;
     /// Runners that rejected a copy of the KV cache for lack of memory.
@@ -129,14 +154,21 @@
     /// First event from the current runner.
     std::optional<TimePoint> runFirstEventAt;
 
-    /// The last one of the request, for the log.
-    std::optional<Disconnect> lastDisconnect;
+    /// Connection whose events are forwarded; nullptr between attempts.
+    RunnerConnectionPointer forwardedConnection;
+    std::optional<SwitchReason> requestedSwitch;
+    bool isSwitching = false;
+    /// Earliest time of the next switch; set when one failed.
+    TimePoint nextSwitchAt{};
+    /// Attempts to continue the stream.
+    int continuationCount = 0;
+    /// The runner that the stream left last while it was still connected, and why; for the log.
+    std::optional<std::pair<std::string, SwitchReason>> lastSwitch;
+
     StallDetector stallDetector;
-    /// Consecutive continuations from a copy that the runner refused.
+    /// Refusals of the current continuation.
     uint32_t refusedContinuations = 0;
     bool isMigrating = false;
-    /// Earliest time of the next migration; set when one failed.
-    TimePoint nextMigrationAt{};
     /// Destination of a successful copy, until the session continues there.
     std::optional<Destination> completedMigration;
     /// Cancelled when a migration ends.
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -36,30 +36,35 @@
 // Memory for a copy becomes free when another generation ends; trying at each event would not find it sooner.
 constexpr Duration MigrationRetryDelay = std::chrono::milliseconds{80};
 
+// A runner that stalls a resumable stream may go on in the meantime; another one becomes free when a
+// generation ends there.
+constexpr Duration ResumeRetryDelay = std::chrono::milliseconds{500};
+
 // A copy whose source has stopped is complete after this time or never will be.
 constexpr Duration MigrationWait = std::chrono::milliseconds{150};
 
-// Refusals of one copy in a row before it is given up.
-constexpr uint32_t MaxRefusedContinuations = 3;
 constexpr Duration ContinuationRetryDelay = std::chrono::milliseconds{40};
 
+// Bounds the switches of a stream, each of which holds up its events for a moment.
+constexpr int MaxSwitches = 12;
+
 } // namespace
 
-void StreamSession::chooseBackup(const RunnerPool::Runner &primary)
+RunnerLoadReservation StreamSession::chooseBackup(const RunnerPool::Runner &primary) const
 {
-    this->backup.release();
     const EngineTraits *engine = this->context.engine();
     const bool isWorthwhile = engine != nullptr && engine->supportsBackup &&
                               !this->context.route->isResumable &&
                               this->remainingTokens() >= MinRemainingTokensForBackup;
     if (!isWorthwhile ||
         this->gateway.runners.memoryUtilization(this->context.service, *engine) > BackupFleetMemoryLimit)
-        return;
+        return {};
     // A backup in the gateway's own failure domain stays reachable when the runner's domain does not.
     const RunnerPool::RunnerPointer runner =
             this->chooseCopyDestination(primary, this->gateway.settings.domain, BackupMemoryLimit);
-    if (runner)
-        this->backup = RunnerLoadReservation(runner, RunnerLoad{0, this->expectedMemory(), 0});
+    if (!runner)
+        return {};
+    return {runner, RunnerLoad{0, this->expectedMemory(), 0}};
 }
 
 bool StreamSession::isBackupReachable() const
@@ -68,10 +73,9 @@
     return backupRunner && !backupRunner->entry.isExpectedToLeave() && !backupRunner->entry.isUnresponsive;
 }
 
-std::optional<StreamSession::Destination> StreamSession::takeBackupDestination()
+std::optional<StreamSession::Destination> StreamSession::backupDestination() const
 {
     const RunnerPool::RunnerPointer runner = this->backup.runner();
-    this->backup.release();
     if (!runner)
         return std::nullopt;
     // The runner may have restarted under the same id and lost the backup.
@@ -91,8 +95,8 @@
         co_await this->migrationDone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
-        // The copy may still be in transit, or the runner is full for a moment.
-        if (++this->refusedContinuations > MaxRefusedContinuations)
+        const FailedSwitch failedSwitch{failed.outcome, true, ++this->refusedContinuations, false};
+        if (planFailedSwitch(failedSwitch) != SwitchStep::Retry)
             co_return std::nullopt;
         asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -112,7 +116,8 @@
         co_return std::nullopt;
     }
     if (!this->context.route->isResumable) {
-        auto destination = this->takeBackupDestination();
+        auto destination = this->backupDestination();
+        this->backup.release();
         this->gateway.metrics.countContinuation("backup", destination.has_value());
         co_return destination;
     }
@@ -133,10 +138,10 @@
 void StreamSession::handleRunnerLeaving(Duration timeUntilStop)
 {
     const EngineTraits *engine = this->context.engine();
-    if (this->isMigrating || this->completedMigration || !this->load.runner() || !this->activeConnection ||
-        engine == nullptr)
+    if (this->isMigrating || this->completedMigration || this->isSwitching || this->requestedSwitch)
         return;
-    if (steadyNow() < this->nextMigrationAt)
+    if (!this->load.runner() || !this->forwardedConnection || engine == nullptr ||
+        this->continuationCount >= MaxSwitches || steadyNow() < this->nextSwitchAt)
         return;
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave();
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
@@ -156,7 +161,7 @@
              {"events", std::to_string(this->splitter.eventCount())},
              {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
     if (action == MigrationAction::SwitchToBackup) {
-        this->disconnectRunner(DisconnectReason::Backup);
+        this->requestSwitch(SwitchReason::Backup);
         return;
     }
     this->isMigrating = true;
@@ -182,7 +187,7 @@
     if (!destination)
         destination = this->chooseCopyDestination(*source, source->entry.domain, CopyMemoryLimit);
     const auto isStillOnSource = [&] {
-        return this->load.runner() == source && this->activeConnection && !this->isAbandoned;
+        return this->load.runner() == source && this->forwardedConnection && !this->isAbandoned;
     };
     if (destination && isStillOnSource()) {
         const RunnerLoadReservation reservation(destination, this->expectedLoad());
@@ -192,21 +197,159 @@
         // The destination generates again what the source has produced since the copy, from the caller's last
         // event on.
         if (reference && isStillOnSource())
-            this->disconnectRunner(DisconnectReason::Copy);
+            this->requestSwitch(SwitchReason::Copy);
     }
     if (permit)
         this->gateway.fleetScheduler->finishTransfer(permit->ticket);
     if (!this->completedMigration)
-        this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
+        this->nextSwitchAt = steadyNow() + MigrationRetryDelay;
     this->isMigrating = false;
     this->migrationDone.cancel();
 }
 
-void StreamSession::disconnectRunner(DisconnectReason reason)
+void StreamSession::requestSwitch(SwitchReason reason)
+{
+    if (this->isSwitching || this->requestedSwitch || steadyNow() < this->nextSwitchAt)
+        return;
+    this->requestedSwitch = reason;
+    this->forwardedConnection->stream.cancel();
+}
+
+asio::awaitable<std::optional<StreamSession::Destination>>
+StreamSession::chooseSwitchDestination(SwitchReason reason)
+{
+    if (reason == SwitchReason::Copy)
+        co_return std::exchange(this->completedMigration, std::nullopt);
+    if (reason == SwitchReason::Backup || !this->context.route->isResumable)
+        co_return this->backupDestination();
+    this->triedRunners.insert(this->load.runner()->entry.id);
+    const RunnerPool::RunnerPointer runner = co_await this->place();
+    if (!runner || !this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow()))
+        co_return std::nullopt;
+    co_return Destination{runner, {}, "resume"};
+}
+
+asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::switchRunner(RunnerStream &stream)
+{
+    const SwitchReason reason = *std::exchange(this->requestedSwitch, std::nullopt);
+    const std::string_view way = toString(reason);
+    const RunnerPool::RunnerPointer source = this->load.runner();
+    const auto isConnected = [&] { return stream.connection->stream.socket().is_open(); };
+    this->isSwitching = true;
+    ++this->continuationCount;
+    const std::optional<Destination> destination = co_await this->chooseSwitchDestination(reason);
+    RelayResult failure{RelayOutcome::Broken, SendOutcome::Unknown, "no-runner", std::nullopt};
+    SwitchStep step = destination ? SwitchStep::Retry : SwitchStep::Stay;
+    for (uint32_t refusals = 1; step == SwitchStep::Retry && !this->isAbandoned; ++refusals) {
+        auto opened = co_await this->open(*destination, stream.connection);
+        if (auto *next = std::get_if<RunnerStream>(&opened)) {
+            boost::system::error_code ignored;
+            stream.connection->stream.socket().close(ignored);
+            this->lastSwitch.emplace(source->entry.id, reason);
+            RunnerPool::recordSend(*source,
+                                   reason == SwitchReason::Stall ? SendHealth::Failed : SendHealth::Good,
+                                   steadyNow() - stream.sentAt, steadyNow());
+            this->retryController.recordOutcome(SendOutcome::Unknown);
+            logInfo("generation-continues", {{"request", this->context.metadata.id},
+                                             {"from", source->entry.id},
+                                             {"to", destination->runner->entry.id},
+                                             {"cause", std::string(way)},
+                                             {"way", std::string(destination->method)},
+                                             {"events", std::to_string(this->splitter.eventCount())}});
+            this->gateway.metrics.countContinuation(std::string(destination->method), true);
+            this->splitter.discardPartialEvent();
+            stream = std::move(*next);
+            this->current = *destination;
+            this->completedMigration.reset();
+            this->adopt(stream);
+            this->isSwitching = false;
+            co_return std::nullopt;
+        }
+        failure = std::move(std::get<RelayResult>(opened));
+        this->retryController.recordOutcome(failure.outcome);
+        step = planFailedSwitch(
+                {failure.outcome, !destination->continueFrom.empty(), refusals, isConnected()});
+        if (step != SwitchStep::Retry)
+            break;
+        boost::system::error_code ignored;
+        asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
+        co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->isSwitching = false;
+    this->nextSwitchAt =
+            steadyNow() + (reason == SwitchReason::Stall ? ResumeRetryDelay : MigrationRetryDelay);
+    if (destination) {
+        this->gateway.metrics.countContinuation(std::string(destination->method), false);
+        this->triedRunners.insert(destination->runner->entry.id);
+        this->fullRunners.insert(destination->runner->entry.id);
+        if (this->backup.runner() == destination->runner)
+            this->backup.release();
+    }
+    logInfo("continuation-failed", {{"request", this->context.metadata.id},
+                                    {"runner", source->entry.id},
+                                    {"to", destination ? destination->runner->entry.id : "none"},
+                                    {"way", std::string(way)},
+                                    {"cause", std::string(failure.cause)},
+                                    {"stays", isConnected() ? "yes" : "no"}});
+    if (isConnected()) {
+        this->activeConnection = stream.connection;
+        this->lastRunnerId = source->entry.id;
+        co_return std::nullopt;
+    }
+    this->lastSwitch.emplace(source->entry.id, reason);
+    if (destination)
+        this->current = *destination;
+    co_return failure;
+}
+
+asio::awaitable<void> StreamSession::watchForStall(std::weak_ptr<StreamSession> stream,
+                                                   RunnerConnectionPointer connection)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (auto session = stream.lock(); session && session->forwardedConnection == connection;
+         session = stream.lock()) {
+        boost::system::error_code ignored;
+        timer.expires_after(
+                std::max<Duration>(session->stallDetector.nextCheck() - steadyNow(), Duration{1}));
+        session.reset();
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        session = stream.lock();
+        if (session && session->forwardedConnection == connection)
+            session->checkForStall();
+    }
+}
+
+void StreamSession::checkForStall()
 {
-    this->lastDisconnect = Disconnect{this->lastRunnerId, reason};
     boost::system::error_code ignored;
-    this->activeConnection->stream.socket().close(ignored);
+    const bool hasUnreadBytes = this->forwardedConnection->stream.socket().available(ignored) > 0;
+    if (this->isAbandoned || !this->stallDetector.check(steadyNow(), hasUnreadBytes))
+        return;
+    this->stallDetector.postpone(steadyNow());
+    const bool canSwitch = this->context.route->isResumable
+                                   ? this->splitter.eventCount() > 0
+                                   : this->runFirstEventAt && this->isBackupReachable();
+    if (!canSwitch || this->isMigrating || this->continuationCount >= MaxSwitches)
+        return;
+    logInfo("generation-stalled",
+            {{"request", this->context.metadata.id},
+             {"runner", this->lastRunnerId},
+             {"events", std::to_string(this->splitter.eventCount())},
+             {"backup", this->backup.runner() ? this->backup.runner()->entry.id : "none"}});
+    this->requestSwitch(SwitchReason::Stall);
+}
+
+std::string_view StreamSession::toString(SwitchReason reason)
+{
+    switch (reason) {
+    case SwitchReason::Backup:
+        return "backup";
+    case SwitchReason::Copy:
+        return "copy";
+    case SwitchReason::Stall:
+        return "stall";
+    }
+    return "unknown";
 }
 
 RunnerPool::RunnerPointer StreamSession::chooseCopyDestination(const RunnerPool::Runner &source,
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -21,4 +21,5 @@
 #include "libgateway/servingconfig.h"
 #include "libgateway/sharedretrybudget.h"
 #include "libgateway/stalldetector.h"
+#include "libgateway/switchplan.h"
 #include "libgateway/transferqueue.h"
--- /dev/null
+++ b/src/libgateway/switchplan.cpp
@@ -0,0 +1,19 @@
+#include "libgateway/switchplan.h"
+
+namespace eelgrasslift {
+
+namespace {
+
+// Refusals of one copy before it is given up.
+constexpr uint32_t MaxRefusals = 4;
+
+} // namespace
+
+SwitchStep planFailedSwitch(const FailedSwitch &failed)
+{
+    if (failed.isFromCopy && failed.outcome == SendOutcome::RefusedByRunner && failed.refusals < MaxRefusals)
+        return SwitchStep::Retry;
+    return failed.isCurrentConnected ? SwitchStep::Stay : SwitchStep::GiveUp;
+}
+
+} // namespace eelgrasslift
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -5,6 +5,8 @@
 #include "gateway/streamsession.h"
 #include "gateway/task.h"
 
+#include <boost/asio/completion_condition.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +16,8 @@
 #include <boost/beast/http/read.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
@@ -30,8 +34,16 @@
 {"name":"unsafe","host":"h","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":3000,"slo_ms":100,
  "priority":0,"service":"p","max_attempts":1,"public":true},
 {"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":3000,"slo_ms":1000,
- "priority":0,"service":"p","max_attempts":2,"public":true,"stream_resume":true}],
-"services":[{"name":"p"}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+ "priority":0,"service":"p","max_attempts":2,"public":true,"stream_resume":true},
+{"name":"generation","host":"h","path_prefix":"/generation/","kind":"streaming","timeout_ms":3000,
+ "slo_ms":1000,"priority":0,"service":"m","max_attempts":1,"public":true,"gap_slo_ms":180},
+{"name":"backed","host":"h","path_prefix":"/backed/","kind":"streaming","timeout_ms":3000,
+ "slo_ms":1000,"priority":0,"service":"b","max_attempts":1,"public":true,"gap_slo_ms":180}],
+"services":[{"name":"p"},
+{"name":"m","health_path":"/health","engine":{"slots":24,"kv_capacity_tokens":20000,"kv_token_bytes":262144,
+ "link_mbps":38000.0,"moves":true,"backups":false,"stride":4}},
+{"name":"b","health_path":"/health","engine":{"slots":24,"kv_capacity_tokens":20000,"kv_token_bytes":262144,
+ "link_mbps":38000.0,"moves":true,"backups":true,"stride":4}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
 
 /// Stands in for the coordinators: none can be reached.
@@ -63,6 +75,13 @@
     return {asio::ip::address_v4::loopback(), 0};
 }
 
+size_t contentLength(const std::string &head)
+{
+    constexpr std::string_view Name = "Content-Length: ";
+    const size_t at = head.find(Name);
+    return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
+}
+
 asio::awaitable<void> runSession(GatewayState &gateway, boost::beast::tcp_stream caller,
                                  RequestContext context)
 {
@@ -145,6 +164,12 @@
             break;
         std::string head = received.substr(0, size);
         received.erase(0, size);
+        const size_t bodySize = contentLength(head);
+        if (received.size() < bodySize)
+            co_await asio::async_read(connection, asio::dynamic_buffer(received),
+                                      asio::transfer_exactly(bodySize - received.size()),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        received.erase(0, bodySize);
         co_await this->script(connection, ++this->requests, std::move(head));
     }
     ++this->closed;
@@ -157,14 +182,31 @@
 {
     this->gateway.fleetScheduler = &noScheduler;
     REQUIRE(this->gateway.applyConfig(Config));
-    RunnerEntry entry;
-    entry.id = "r1";
-    entry.service = "p";
-    entry.address = this->runner.address();
-    entry.slots = 6;
-    RunnerEntry other = entry;
-    other.id = "r2";
-    this->gateway.applyFleet(std::vector{entry, other});
+    for (const char *service : {"p", "m", "b"}) {
+        for (const char *number : {"1", "2"}) {
+            RunnerEntry entry;
+            entry.id = std::string(service) + number;
+            entry.service = service;
+            entry.address = this->runner.address();
+            entry.slots = 6;
+            this->runners.push_back(entry);
+        }
+    }
+    this->gateway.applyFleet(this->runners);
+}
+
+void GatewayFixture::announceStop(Duration timeUntilStop)
+{
+    // RunnerPool subtracts this from what a report states.
+    constexpr Duration ReportAge = std::chrono::milliseconds{500};
+    const auto busy = std::ranges::find_if(this->runners, [&](const RunnerEntry &entry) {
+        return this->gateway.runners.find(entry.id)->ownLoad.activeRequests > 0;
+    });
+    REQUIRE(busy != this->runners.end());
+    busy->report.emplace();
+    busy->report->isLeaving = true;
+    busy->report->timeUntilStop = timeUntilStop + ReportAge;
+    this->gateway.applyFleet(this->runners);
 }
 
 void GatewayFixture::runUntil(const std::function<bool()> &condition)
@@ -194,11 +236,15 @@
     context.request = HttpRequest(http::verb::get, path, 11);
     context.request.set(http::field::host, "h");
     context.request.set("X-Attempt-Id", requestId);
+    if (path.starts_with("/generation/") || path.starts_with("/backed/")) {
+        context.request.set("X-Token-Usage", "100,2000");
+        context.request.set("X-Length-Hint", "1000");
+    }
     context.metadata = this->format.decodeRequest(context.request);
     context.table = this->gateway.routes();
     context.route = context.table->match("h", path);
     REQUIRE(context.route != nullptr);
-    context.service = "p";
+    context.service = RouteTable::chooseService(*context.route, 0);
     context.arrived = steadyNow();
     context.deadline = context.arrived + context.route->timeout;
     spawnTask(this->io, "session", runSession(this->gateway, std::move(accepted), std::move(context)));
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -47,8 +47,10 @@
     bool isComplete = false;
 };
 
-/// Sessions of a gateway with one runner, without a coordinator. Requests go to the paths /safe/, /unsafe/
-/// and /stream/, the last one resumable, with a timeout of 3 s.
+/// Sessions of a gateway with one scripted runner, which it knows under two ids for each service, without a
+/// coordinator. Requests go to the paths /safe/, /unsafe/, /stream/, which is resumable, and /generation/ and
+/// /backed/, which are not: their model engine copies KV caches, the second one also keeps backups. All have
+/// a timeout of 3 s.
 class GatewayFixture
 {
 public:
@@ -62,6 +64,10 @@
     void start(const std::string &path, const std::string &requestId,
                std::function<void(const CallerView &)> ended);
 
+    /// Lets the gateway know that the runner with a request in flight stops after the given time. Fails the
+    /// test if there is none.
+    void announceStop(Duration timeUntilStop);
+
     /// Runs the connections until the condition holds; fails the test if it does not within 20 s.
     void runUntil(const std::function<bool()> &condition);
 
@@ -70,6 +76,7 @@
     platform::PlatformFormat format;
     GatewayState gateway;
     ScriptedRunner runner;
+    std::vector<RunnerEntry> runners;
 };
 
 /// Writes the bytes; returns false if the peer has closed the connection.
--- /dev/null
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -0,0 +1,179 @@
+#include "gatewayfixture.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int EventCount = 60;
+constexpr auto EventInterval = 20ms;
+
+const std::string StreamHead = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string Refusal = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata:\n\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    // One hexadecimal digit is enough for an event of two digits.
+    constexpr size_t MaxSize = 0xff;
+    REQUIRE(bytes.size() <= MaxSize);
+    constexpr std::string_view Digits = "0123456789abcdef";
+    return std::string{Digits[bytes.size() / 16], Digits[bytes.size() % 16]} + "\r\n" + bytes + "\r\n";
+}
+
+std::string allEvents()
+{
+    std::string events;
+    for (int id = 1; id <= EventCount; ++id)
+        events += eventText(id);
+    return events;
+}
+
+/// How the other runner treats a generation that is continued there.
+enum class OtherRunner { Refuses, Closes, Accepts, AcceptsLate };
+
+struct SwitchCase
+{
+    const char *name;
+    std::string path;
+    /// The runner announces after its tenth event that it stops this soon; 0: it announces nothing.
+    Duration noticePeriod;
+    /// Pause of the first runner after its tenth event.
+    Duration pause;
+    OtherRunner other;
+    /// Whether the generation ends at the other runner.
+    bool isMoved;
+};
+
+/// Plays the part of all runners: a generation runs at one of them, which goes on, and the gateway tries to
+/// continue it at another one.
+class GenerationScript
+{
+public:
+    explicit GenerationScript(const SwitchCase &test)
+        : test(test)
+        , fixture([this](tcp::socket &connection, int, std::string head) {
+            return this->respond(connection, std::move(head));
+        })
+    {}
+
+    CallerView play()
+    {
+        const CallerView view = this->fixture.call(this->test.path, "id-1");
+        this->fixture.runUntil([this] { return this->hasFirstRunnerEnded; });
+        return view;
+    }
+
+    int continuationCount = 0;
+    /// Time from the first continuation until the first runner noticed that its connection was closed.
+    std::optional<std::chrono::steady_clock::duration> overlap;
+
+private:
+    asio::awaitable<void> wait(Duration duration)
+    {
+        asio::steady_timer timer(this->fixture.io, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<void> respond(tcp::socket &connection, std::string head)
+    {
+        if (head.starts_with("POST /v1/kv-move"))
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
+                                           R"({"handle":"h","made":1})");
+        else if (this->isStarted)
+            co_await this->continueGeneration(connection, head);
+        else
+            co_await this->generate(connection);
+    }
+
+    asio::awaitable<void> generate(tcp::socket &connection)
+    {
+        this->isStarted = true;
+        bool isOpen = co_await sendBytes(connection, StreamHead);
+        for (int id = 1; id <= EventCount && isOpen; ++id) {
+            isOpen = co_await sendBytes(connection, chunk(eventText(id)));
+            if (id == 10 && this->test.noticePeriod > Duration::zero())
+                this->fixture.announceStop(this->test.noticePeriod);
+            co_await this->wait(id == 10 ? this->test.pause : EventInterval);
+        }
+        if (isOpen)
+            co_await sendBytes(connection, "0\r\n\r\n");
+        else if (this->continuedAt)
+            this->overlap = std::chrono::steady_clock::now() - *this->continuedAt;
+        this->hasFirstRunnerEnded = true;
+    }
+
+    asio::awaitable<void> continueGeneration(tcp::socket &connection, const std::string &head)
+    {
+        ++this->continuationCount;
+        if (!this->continuedAt)
+            this->continuedAt = std::chrono::steady_clock::now();
+        if (this->test.other == OtherRunner::Refuses) {
+            co_await sendBytes(connection, Refusal);
+            co_return;
+        }
+        if (this->test.other == OtherRunner::Closes) {
+            connection.close();
+            co_return;
+        }
+        if (this->test.other == OtherRunner::AcceptsLate)
+            co_await this->wait(700ms);
+        const std::string name = "Last-Event-Id: ";
+        const size_t at = head.find(name);
+        REQUIRE(at != std::string::npos);
+        co_await sendBytes(connection, StreamHead);
+        for (int id = std::stoi(head.substr(at + name.size())) + 1; id <= EventCount; ++id)
+            co_await sendBytes(connection, chunk(eventText(id)));
+        co_await sendBytes(connection, "0\r\n\r\n");
+    }
+
+    SwitchCase test;
+    bool isStarted = false;
+    bool hasFirstRunnerEnded = false;
+    std::optional<std::chrono::steady_clock::time_point> continuedAt;
+    GatewayFixture fixture;
+};
+
+} // namespace
+
+// Guards against an answer that is cut because the gateway had left a runner that went on, for one that did
+// not take the generation over.
+TEST_CASE("A generation stays at its runner until another one has accepted it", "[hostile]")
+{
+    const auto test = GENERATE(values<SwitchCase>({
+            {"leaving, backup refuses", "/backed/a", 150ms, 20ms, OtherRunner::Refuses, false},
+            {"leaving, backup closes", "/backed/a", 150ms, 20ms, OtherRunner::Closes, false},
+            {"leaving, backup accepts", "/backed/a", 150ms, 20ms, OtherRunner::Accepts, true},
+            {"leaving, backup accepts late", "/backed/a", 150ms, 20ms, OtherRunner::AcceptsLate, true},
+            {"leaving, copy refused", "/generation/a", 1500ms, 20ms, OtherRunner::Refuses, false},
+            {"leaving, copy's runner closes", "/generation/a", 1500ms, 20ms, OtherRunner::Closes, false},
+            {"leaving, copy accepted", "/generation/a", 1500ms, 20ms, OtherRunner::Accepts, true},
+            {"slow, backup refuses", "/backed/a", 0ms, 300ms, OtherRunner::Refuses, false},
+            {"slow, backup closes", "/backed/a", 0ms, 300ms, OtherRunner::Closes, false},
+            {"slow, backup accepts", "/backed/a", 0ms, 300ms, OtherRunner::Accepts, true},
+            {"slow and resumable, refused", "/stream/a", 0ms, 900ms, OtherRunner::Refuses, false},
+            {"slow and resumable, closed", "/stream/a", 0ms, 900ms, OtherRunner::Closes, false},
+            {"slow and resumable, accepted", "/stream/a", 0ms, 900ms, OtherRunner::Accepts, true},
+    }));
+    INFO(test.name);
+    GenerationScript script(test);
+    const CallerView view = script.play();
+    CHECK(view.status == 200);
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    CHECK(script.continuationCount > 0);
+    CHECK(script.overlap.has_value() == test.isMoved);
+    // The users allow two runners to work on one request for 400 ms.
+    if (script.overlap)
+        CHECK(*script.overlap < 400ms);
+}
