--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -26,6 +26,12 @@
     bool isReused = false;
     /// When the pool stops reusing the connection.
     TimePoint idleUntil{};
+
+    bool hasUnreadBytes()
+    {
+        boost::system::error_code ignored;
+        return this->stream.socket().is_open() && this->stream.socket().available(ignored) > 0;
+    }
 };
 
 using RunnerConnectionPointer = std::shared_ptr<RunnerConnection>;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -351,7 +351,8 @@
 
     void updateDrain()
     {
-        this->performActions(this->drainState.update(this->state.openRequests, steadyNow()));
+        this->performActions(this->drainState.update(this->state.openRequests + this->countPartialRequests(),
+                                                     steadyNow()));
         this->drainTimer.expires_after(DrainCheckInterval);
         this->drainTimer.async_wait([this](const boost::system::error_code &error) {
             if (!error)
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -312,18 +312,25 @@
         attempt.lastEventId = *this->context.metadata.lastEventId;
     HttpRequest request = this->makeRunnerRequest(runner, attempt);
     boost::system::error_code error;
+    // A handler that was queued before its timer is destroyed still runs.
+    const auto isWaiting = std::make_shared<bool>(true);
     asio::steady_timer overlapTimer(this->gateway.io, MaxRunnerOverlap);
     if (previous) {
-        overlapTimer.async_wait([previous](const boost::system::error_code &timerError) {
+        const bool canStay = !this->load.runner()->entry.isExpectedToLeave();
+        overlapTimer.async_wait([previous, next = stream.connection, canStay,
+                                 isWaiting](const boost::system::error_code &timerError) {
+            if (timerError || !*isWaiting)
+                return;
             boost::system::error_code ignored;
-            if (!timerError)
-                previous->stream.socket().close(ignored);
+            const bool stays = canStay && previous->hasUnreadBytes();
+            (stays ? next : previous)->stream.socket().close(ignored);
         });
     }
     stream.connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
     co_await http::async_write(stream.connection->stream, request,
                                asio::redirect_error(asio::use_awaitable, error));
     std::optional<RelayResult> failure = co_await this->receiveHeader(stream, isContinuation);
+    *isWaiting = false;
     if (failure) {
         boost::system::error_code ignored;
         stream.connection->stream.socket().close(ignored);
@@ -337,8 +344,10 @@
 {
     boost::system::error_code error;
     const Route &route = *this->context.route;
+    // Once the response has begun, a runner that is given up leaves the caller without its end.
+    const bool canGiveUp = route.isResumable && !this->writer.isResponseStarted();
     const Duration headerTimeout =
-            firstEventTimeout(route.isResumable, route.latencyObjective, this->remainingTime());
+            firstEventTimeout(canGiveUp, route.latencyObjective, this->remainingTime());
     stream.connection->stream.expires_after(std::max(headerTimeout, Duration{1}));
     for (int interimCount = 0; !stream.parser || isInterim(stream.parser->get()); ++interimCount) {
         if (interimCount > MaxInterimResponses)
@@ -387,6 +396,11 @@
 {
     const ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser.get());
     const unsigned status = parser.get().result_int();
+    if (status == 421)
+        co_return RelayResult{RelayOutcome::Refused, SendOutcome::WrongRunner, "other-runner", std::nullopt};
+    if (responseMetadata.isNotRun)
+        co_return RelayResult{RelayOutcome::Refused, SendOutcome::RefusedByRunner, "refused-by-runner",
+                              std::nullopt};
     std::string body;
     std::array<char, ReadBufferBytes> bytes{};
     boost::system::error_code error;
@@ -400,11 +414,6 @@
             error = {};
         body.append(bytes.data(), bytes.size() - parser.get().body().size);
     }
-    if (status == 421)
-        co_return RelayResult{RelayOutcome::Refused, SendOutcome::WrongRunner, "other-runner", std::nullopt};
-    if (responseMetadata.isNotRun)
-        co_return RelayResult{RelayOutcome::Refused, SendOutcome::RefusedByRunner, "refused-by-runner",
-                              std::nullopt};
     const bool requiresNotRunHeader = status == 503 || status == 429 || status == 408;
     if (error || requiresNotRunHeader || !parser.is_done())
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::Unknown, "refusal-without-promise",
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -98,6 +98,11 @@
     /// runner.
     boost::asio::awaitable<std::optional<RelayResult>> switchRunner(RunnerStream &stream);
     boost::asio::awaitable<std::optional<Destination>> chooseSwitchDestination(SwitchReason reason);
+    /// Replaces the stream by the next one, whose runner has accepted the request.
+    void moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
+                    SwitchReason reason);
+    /// Excludes a destination that has failed, unless it can still be used.
+    void recordFailedSwitch(const Destination &destination, SendOutcome outcome, SwitchReason reason);
     /// Decides where to continue after a failed attempt; nothing if the stream cannot be continued.
     boost::asio::awaitable<std::optional<Destination>> planContinuation(const RelayResult &failed,
                                                                         Destination previous);
@@ -115,6 +120,10 @@
                                                       RunnerConnectionPointer connection);
     /// Lets the stream switch to another runner if it has stalled.
     void checkForStall();
+    bool isForwarding(const RunnerConnectionPointer &connection) const
+    {
+        return this->forwardedConnection == connection && !this->isAbandoned;
+    }
     bool isBackupReachable() const;
     /// The backup as destination, or nothing if there is none.
     std::optional<Destination> backupDestination() const;
@@ -158,8 +167,11 @@
     RunnerConnectionPointer forwardedConnection;
     std::optional<SwitchReason> requestedSwitch;
     bool isSwitching = false;
-    /// Earliest time of the next switch; set when one failed.
-    TimePoint nextSwitchAt{};
+    int failedSwitches = 0;
+    /// Earliest times of the next migration and of the next switch from a stalled runner; set when one
+    /// failed.
+    TimePoint nextMigrationAt{};
+    TimePoint nextResumeAt{};
     /// Attempts to continue the stream.
     int continuationCount = 0;
     /// The runner that the stream left last while it was still connected, and why; for the log.
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -45,8 +45,11 @@
 
 constexpr Duration ContinuationRetryDelay = std::chrono::milliseconds{40};
 
-// Bounds the switches of a stream, each of which holds up its events for a moment.
-constexpr int MaxSwitches = 12;
+// Bounds the switches of a stream that fail, each of which holds up its events for a moment.
+constexpr int MaxFailedSwitches = 6;
+
+// Shortest wait of the stall watch for its next check.
+constexpr Duration MinStallCheckDelay = std::chrono::milliseconds{1};
 
 } // namespace
 
@@ -138,11 +141,13 @@
 void StreamSession::handleRunnerLeaving(Duration timeUntilStop)
 {
     const EngineTraits *engine = this->context.engine();
-    if (this->isMigrating || this->completedMigration || this->isSwitching || this->requestedSwitch)
+    if (this->isMigrating || this->isSwitching || this->requestedSwitch || !this->load.runner() ||
+        !this->forwardedConnection || engine == nullptr || steadyNow() < this->nextMigrationAt)
         return;
-    if (!this->load.runner() || !this->forwardedConnection || engine == nullptr ||
-        this->continuationCount >= MaxSwitches || steadyNow() < this->nextSwitchAt)
+    if (this->completedMigration) {
+        this->requestSwitch(SwitchReason::Copy);
         return;
+    }
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave();
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
     const LeavingGeneration generation{this->remainingTokens(),
@@ -192,7 +197,8 @@
     if (destination && isStillOnSource()) {
         const RunnerLoadReservation reservation(destination, this->expectedLoad());
         const std::optional<std::string> reference = co_await this->copyMemory(source, destination);
-        if (reference)
+        // Another runner may have taken the stream over meanwhile.
+        if (reference && this->current.runner == source)
             this->completedMigration = Destination{destination, *reference, "move"};
         // The destination generates again what the source has produced since the copy, from the caller's last
         // event on.
@@ -202,14 +208,16 @@
     if (permit)
         this->gateway.fleetScheduler->finishTransfer(permit->ticket);
     if (!this->completedMigration)
-        this->nextSwitchAt = steadyNow() + MigrationRetryDelay;
+        this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
     this->isMigrating = false;
     this->migrationDone.cancel();
 }
 
 void StreamSession::requestSwitch(SwitchReason reason)
 {
-    if (this->isSwitching || this->requestedSwitch || steadyNow() < this->nextSwitchAt)
+    const TimePoint earliest = reason == SwitchReason::Stall ? this->nextResumeAt : this->nextMigrationAt;
+    if (this->isSwitching || this->requestedSwitch || this->failedSwitches >= MaxFailedSwitches ||
+        steadyNow() < earliest)
         return;
     this->requestedSwitch = reason;
     this->forwardedConnection->stream.cancel();
@@ -232,36 +240,18 @@
 asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::switchRunner(RunnerStream &stream)
 {
     const SwitchReason reason = *std::exchange(this->requestedSwitch, std::nullopt);
-    const std::string_view way = toString(reason);
-    const RunnerPool::RunnerPointer source = this->load.runner();
     const auto isConnected = [&] { return stream.connection->stream.socket().is_open(); };
     this->isSwitching = true;
-    ++this->continuationCount;
-    const std::optional<Destination> destination = co_await this->chooseSwitchDestination(reason);
-    RelayResult failure{RelayOutcome::Broken, SendOutcome::Unknown, "no-runner", std::nullopt};
+    std::optional<Destination> destination = co_await this->chooseSwitchDestination(reason);
+    // A stalled runner may have gone on meanwhile.
+    if (reason == SwitchReason::Stall && stream.connection->hasUnreadBytes())
+        destination.reset();
+    RelayResult failure{RelayOutcome::Broken, SendOutcome::NotConnected, "no-runner", std::nullopt};
     SwitchStep step = destination ? SwitchStep::Retry : SwitchStep::Stay;
     for (uint32_t refusals = 1; step == SwitchStep::Retry && !this->isAbandoned; ++refusals) {
         auto opened = co_await this->open(*destination, stream.connection);
         if (auto *next = std::get_if<RunnerStream>(&opened)) {
-            boost::system::error_code ignored;
-            stream.connection->stream.socket().close(ignored);
-            this->lastSwitch.emplace(source->entry.id, reason);
-            RunnerPool::recordSend(*source,
-                                   reason == SwitchReason::Stall ? SendHealth::Failed : SendHealth::Good,
-                                   steadyNow() - stream.sentAt, steadyNow());
-            this->retryController.recordOutcome(SendOutcome::Unknown);
-            logInfo("generation-continues", {{"request", this->context.metadata.id},
-                                             {"from", source->entry.id},
-                                             {"to", destination->runner->entry.id},
-                                             {"cause", std::string(way)},
-                                             {"way", std::string(destination->method)},
-                                             {"events", std::to_string(this->splitter.eventCount())}});
-            this->gateway.metrics.countContinuation(std::string(destination->method), true);
-            this->splitter.discardPartialEvent();
-            stream = std::move(*next);
-            this->current = *destination;
-            this->completedMigration.reset();
-            this->adopt(stream);
+            this->moveStream(stream, *next, *destination, reason);
             this->isSwitching = false;
             co_return std::nullopt;
         }
@@ -276,21 +266,19 @@
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->isSwitching = false;
-    this->nextSwitchAt =
-            steadyNow() + (reason == SwitchReason::Stall ? ResumeRetryDelay : MigrationRetryDelay);
-    if (destination) {
-        this->gateway.metrics.countContinuation(std::string(destination->method), false);
-        this->triedRunners.insert(destination->runner->entry.id);
-        this->fullRunners.insert(destination->runner->entry.id);
-        if (this->backup.runner() == destination->runner)
-            this->backup.release();
-    }
+    const RunnerPool::RunnerPointer source = this->load.runner();
     logInfo("continuation-failed", {{"request", this->context.metadata.id},
                                     {"runner", source->entry.id},
                                     {"to", destination ? destination->runner->entry.id : "none"},
-                                    {"way", std::string(way)},
+                                    {"way", std::string(toString(reason))},
                                     {"cause", std::string(failure.cause)},
                                     {"stays", isConnected() ? "yes" : "no"}});
+    if (destination)
+        this->recordFailedSwitch(*destination, failure.outcome, reason);
+    if (reason == SwitchReason::Stall)
+        this->nextResumeAt = steadyNow() + ResumeRetryDelay;
+    else
+        this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
     if (isConnected()) {
         this->activeConnection = stream.connection;
         this->lastRunnerId = source->entry.id;
@@ -302,34 +290,79 @@
     co_return failure;
 }
 
+void StreamSession::moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
+                               SwitchReason reason)
+{
+    boost::system::error_code ignored;
+    stream.connection->stream.socket().close(ignored);
+    const RunnerPool::RunnerPointer source = this->load.runner();
+    this->lastSwitch.emplace(source->entry.id, reason);
+    RunnerPool::recordSend(*source, reason == SwitchReason::Stall ? SendHealth::Failed : SendHealth::Good,
+                           steadyNow() - stream.sentAt, steadyNow());
+    this->retryController.recordOutcome(SendOutcome::Unknown);
+    this->gateway.metrics.countContinuation(std::string(destination.method), true);
+    logInfo("generation-continues", {{"request", this->context.metadata.id},
+                                     {"from", source->entry.id},
+                                     {"to", destination.runner->entry.id},
+                                     {"cause", std::string(toString(reason))},
+                                     {"way", std::string(destination.method)},
+                                     {"events", std::to_string(this->splitter.eventCount())}});
+    this->splitter.discardPartialEvent();
+    stream = std::move(next);
+    this->current = destination;
+    this->completedMigration.reset();
+    this->adopt(stream);
+    this->gateway.notifyCapacityFreed();
+}
+
+void StreamSession::recordFailedSwitch(const Destination &destination, SendOutcome outcome,
+                                       SwitchReason reason)
+{
+    ++this->failedSwitches;
+    this->gateway.metrics.countContinuation(std::string(destination.method), false);
+    if (outcome != SendOutcome::RefusedByRunner)
+        RunnerPool::recordSend(*destination.runner, SendHealth::Failed, Duration::zero(), steadyNow());
+    // What the runner has never seen is still there.
+    if (outcome == SendOutcome::NotConnected) {
+        if (reason == SwitchReason::Copy)
+            this->completedMigration = destination;
+        return;
+    }
+    if (destination.continueFrom.empty()) {
+        this->triedRunners.insert(destination.runner->entry.id);
+        return;
+    }
+    this->fullRunners.insert(destination.runner->entry.id);
+    if (this->backup.runner() == destination.runner)
+        this->backup.release();
+}
+
 asio::awaitable<void> StreamSession::watchForStall(std::weak_ptr<StreamSession> stream,
                                                    RunnerConnectionPointer connection)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    for (auto session = stream.lock(); session && session->forwardedConnection == connection;
+    for (auto session = stream.lock(); session && session->isForwarding(connection);
          session = stream.lock()) {
         boost::system::error_code ignored;
         timer.expires_after(
-                std::max<Duration>(session->stallDetector.nextCheck() - steadyNow(), Duration{1}));
+                std::max<Duration>(session->stallDetector.nextCheck() - steadyNow(), MinStallCheckDelay));
         session.reset();
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         session = stream.lock();
-        if (session && session->forwardedConnection == connection)
+        if (session && session->isForwarding(connection))
             session->checkForStall();
     }
 }
 
 void StreamSession::checkForStall()
 {
-    boost::system::error_code ignored;
-    const bool hasUnreadBytes = this->forwardedConnection->stream.socket().available(ignored) > 0;
-    if (this->isAbandoned || !this->stallDetector.check(steadyNow(), hasUnreadBytes))
+    if (!this->stallDetector.check(steadyNow(), this->forwardedConnection->hasUnreadBytes()))
         return;
     this->stallDetector.postpone(steadyNow());
     const bool canSwitch = this->context.route->isResumable
                                    ? this->splitter.eventCount() > 0
                                    : this->runFirstEventAt && this->isBackupReachable();
-    if (!canSwitch || this->isMigrating || this->continuationCount >= MaxSwitches)
+    if (!canSwitch || this->isMigrating || this->isSwitching)
         return;
     logInfo("generation-stalled",
             {{"request", this->context.metadata.id},
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -37,6 +38,8 @@
  "priority":0,"service":"p","max_attempts":2,"public":true,"stream_resume":true},
 {"name":"generation","host":"h","path_prefix":"/generation/","kind":"streaming","timeout_ms":3000,
  "slo_ms":1000,"priority":0,"service":"m","max_attempts":1,"public":true,"gap_slo_ms":180},
+{"name":"resumable","host":"h","path_prefix":"/resumable/","kind":"streaming","timeout_ms":3000,
+ "slo_ms":1000,"priority":0,"service":"m","max_attempts":2,"public":true,"stream_resume":true},
 {"name":"backed","host":"h","path_prefix":"/backed/","kind":"streaming","timeout_ms":3000,
  "slo_ms":1000,"priority":0,"service":"b","max_attempts":1,"public":true,"gap_slo_ms":180}],
 "services":[{"name":"p"},
@@ -46,23 +49,6 @@
  "link_mbps":38000.0,"moves":true,"backups":true,"stride":4}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
 
-/// Stands in for the coordinators: none can be reached.
-class NoScheduler : public FleetScheduler
-{
-public:
-    asio::awaitable<std::optional<PlacementResult>> place(FleetPlacementRequest) override
-    {
-        co_return std::nullopt;
-    }
-    asio::awaitable<std::optional<TransferPermit>> requestTransfer(TransferRequest) override
-    {
-        co_return std::nullopt;
-    }
-    void finishTransfer(uint64_t) override {}
-};
-
-NoScheduler noScheduler;
-
 NodeSettings settingsWithRetries()
 {
     NodeSettings settings;
@@ -82,21 +68,6 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
 }
 
-asio::awaitable<void> runSession(GatewayState &gateway, boost::beast::tcp_stream caller,
-                                 RequestContext context)
-{
-    const bool isDraining = false;
-    ResponseWriter writer(caller, true, isDraining);
-    std::shared_ptr<RequestSession> session;
-    if (context.route->kind == RouteKind::Streaming)
-        session = std::make_shared<StreamSession>(gateway, writer, std::move(context));
-    else
-        session = std::make_shared<CallSession>(gateway, writer, std::move(context));
-    co_await session->run();
-    boost::system::error_code ignored;
-    caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
-}
-
 asio::awaitable<void> readResponse(tcp::socket caller, std::function<void(const CallerView &)> ended)
 {
     boost::beast::flat_buffer buffer;
@@ -175,12 +146,25 @@
     ++this->closed;
 }
 
+asio::awaitable<std::optional<PlacementResult>> UnreachableScheduler::place(FleetPlacementRequest)
+{
+    ++this->placementCount;
+    asio::steady_timer delay(co_await asio::this_coro::executor, this->placementDelay);
+    co_await delay.async_wait(asio::use_awaitable);
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<TransferPermit>> UnreachableScheduler::requestTransfer(TransferRequest)
+{
+    co_return std::nullopt;
+}
+
 GatewayFixture::GatewayFixture(ScriptedRunner::Script script)
     : settings(settingsWithRetries())
     , gateway(this->io, this->settings, this->format)
     , runner(this->io, std::move(script))
 {
-    this->gateway.fleetScheduler = &noScheduler;
+    this->gateway.fleetScheduler = &this->scheduler;
     REQUIRE(this->gateway.applyConfig(Config));
     for (const char *service : {"p", "m", "b"}) {
         for (const char *number : {"1", "2"}) {
@@ -195,6 +179,21 @@
     this->gateway.applyFleet(this->runners);
 }
 
+asio::awaitable<void> GatewayFixture::runSession(boost::beast::tcp_stream caller, RequestContext context)
+{
+    const bool isDraining = false;
+    ResponseWriter writer(caller, true, isDraining);
+    std::shared_ptr<RequestSession> running;
+    if (context.route->kind == RouteKind::Streaming)
+        running = std::make_shared<StreamSession>(this->gateway, writer, std::move(context));
+    else
+        running = std::make_shared<CallSession>(this->gateway, writer, std::move(context));
+    this->session = running;
+    co_await running->run();
+    boost::system::error_code ignored;
+    caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void GatewayFixture::announceStop(Duration timeUntilStop)
 {
     // RunnerPool subtracts this from what a report states.
@@ -236,7 +235,7 @@
     context.request = HttpRequest(http::verb::get, path, 11);
     context.request.set(http::field::host, "h");
     context.request.set("X-Attempt-Id", requestId);
-    if (path.starts_with("/generation/") || path.starts_with("/backed/")) {
+    if (path.starts_with("/generation/") || path.starts_with("/backed/") || path.starts_with("/resumable/")) {
         context.request.set("X-Token-Usage", "100,2000");
         context.request.set("X-Length-Hint", "1000");
     }
@@ -247,7 +246,7 @@
     context.service = RouteTable::chooseService(*context.route, 0);
     context.arrived = steadyNow();
     context.deadline = context.arrived + context.route->timeout;
-    spawnTask(this->io, "session", runSession(this->gateway, std::move(accepted), std::move(context)));
+    spawnTask(this->io, "session", this->runSession(std::move(accepted), std::move(context)));
     spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(ended)));
 }
 
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/gatewaystate.h"
+#include "gateway/requestcontext.h"
 #include "platform/platform.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -47,10 +47,22 @@
     bool isComplete = false;
 };
 
+/// Stands in for coordinators that cannot be reached; a placement learns so after a delay.
+class UnreachableScheduler : public FleetScheduler
+{
+public:
+    boost::asio::awaitable<std::optional<PlacementResult>> place(FleetPlacementRequest request) override;
+    boost::asio::awaitable<std::optional<TransferPermit>> requestTransfer(TransferRequest request) override;
+    void finishTransfer(uint64_t) override {}
+
+    Duration placementDelay{};
+    int placementCount = 0;
+};
+
 /// Sessions of a gateway with one scripted runner, which it knows under two ids for each service, without a
-/// coordinator. Requests go to the paths /safe/, /unsafe/, /stream/, which is resumable, and /generation/ and
-/// /backed/, which are not: their model engine copies KV caches, the second one also keeps backups. All have
-/// a timeout of 3 s.
+/// coordinator. Requests go to the paths /safe/, /unsafe/, /stream/ and /resumable/, which are resumable, and
+/// /generation/ and /backed/, which are not. The last three are generations: their model engine copies KV
+/// caches, the last one also keeps backups. All have a timeout of 3 s.
 class GatewayFixture
 {
 public:
@@ -64,6 +76,9 @@
     void start(const std::string &path, const std::string &requestId,
                std::function<void(const CallerView &)> ended);
 
+    /// The session of the request that was started last; nullptr after its end.
+    std::shared_ptr<RequestSession> lastSession() const { return this->session.lock(); }
+
     /// Lets the gateway know that the runner with a request in flight stops after the given time. Fails the
     /// test if there is none.
     void announceStop(Duration timeUntilStop);
@@ -76,7 +91,13 @@
     platform::PlatformFormat format;
     GatewayState gateway;
     ScriptedRunner runner;
+    UnreachableScheduler scheduler;
     std::vector<RunnerEntry> runners;
+
+private:
+    boost::asio::awaitable<void> runSession(boost::beast::tcp_stream caller, RequestContext context);
+
+    std::weak_ptr<RequestSession> session;
 };
 
 /// Writes the bytes; returns false if the peer has closed the connection.
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfixture.h"
 
+#include "gateway/clock.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
@@ -40,7 +42,7 @@
 }
 
 /// How the other runner treats a generation that is continued there.
-enum class OtherRunner { Refuses, Closes, Accepts, AcceptsLate };
+enum class OtherRunner { Refuses, RefusesLate, Closes, Accepts, AcceptsLate };
 
 struct SwitchCase
 {
@@ -74,6 +76,8 @@
         return view;
     }
 
+    GatewayFixture &gateway() { return this->fixture; }
+
     int continuationCount = 0;
     /// Time from the first continuation until the first runner noticed that its connection was closed.
     std::optional<std::chrono::steady_clock::duration> overlap;
@@ -118,7 +122,9 @@
         ++this->continuationCount;
         if (!this->continuedAt)
             this->continuedAt = std::chrono::steady_clock::now();
-        if (this->test.other == OtherRunner::Refuses) {
+        if (this->test.other == OtherRunner::RefusesLate)
+            co_await this->wait(400ms);
+        if (this->test.other == OtherRunner::Refuses || this->test.other == OtherRunner::RefusesLate) {
             co_await sendBytes(connection, Refusal);
             co_return;
         }
@@ -163,6 +169,8 @@
             {"slow, backup accepts", "/backed/a", 0ms, 300ms, OtherRunner::Accepts, true},
             {"slow and resumable, refused", "/stream/a", 0ms, 900ms, OtherRunner::Refuses, false},
             {"slow and resumable, closed", "/stream/a", 0ms, 900ms, OtherRunner::Closes, false},
+            {"slow, backup refuses late", "/backed/a", 0ms, 200ms, OtherRunner::RefusesLate, false},
+            {"slow and resumable, refused late", "/stream/a", 0ms, 800ms, OtherRunner::RefusesLate, false},
             {"slow and resumable, accepted", "/stream/a", 0ms, 900ms, OtherRunner::Accepts, true},
     }));
     INFO(test.name);
@@ -177,3 +185,37 @@
     if (script.overlap)
         CHECK(*script.overlap < 400ms);
 }
+
+// Guards against an answer that is cut because a slow runner was left without a retry in the shared budget.
+TEST_CASE("A slow resumable stream stays at its runner if there is no retry left", "[hostile]")
+{
+    GenerationScript script({"no retry", "/stream/a", 0ms, 900ms, OtherRunner::Accepts, false});
+    auto &budget = script.gateway().gateway.retryBudget;
+    while (budget.tryAcquireRetry("p", steadyNow())) {
+    }
+    const CallerView view = script.play();
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    CHECK(script.continuationCount == 0);
+}
+
+// Guards against a processor that is busy, and runners that go on working, while a placement for a caller
+// that has left is under way.
+TEST_CASE("A stream whose caller leaves during a switch ends without using the processor", "[hostile]")
+{
+    constexpr int MaxHandlers = 100;
+    GenerationScript script({"caller leaves", "/resumable/a", 0ms, 2500ms, OtherRunner::Accepts, false});
+    GatewayFixture &fixture = script.gateway();
+    fixture.start("/resumable/a", "id-1", [](const CallerView &) {});
+    const int placementsBefore = 1;
+    fixture.runUntil([&] { return fixture.scheduler.placementCount == placementsBefore; });
+    fixture.scheduler.placementDelay = 300ms;
+    fixture.runUntil([&] { return fixture.scheduler.placementCount > placementsBefore; });
+    fixture.lastSession()->abandon();
+    int handlerCount = 0;
+    while (fixture.lastSession() && handlerCount <= MaxHandlers)
+        handlerCount += static_cast<int>(fixture.io.run_one_for(1s));
+    CHECK(handlerCount <= MaxHandlers);
+    CHECK(script.continuationCount == 0);
+    fixture.runUntil([&] { return fixture.runner.closedCount() > 0; });
+}
