gateway: answer requests that are still open at the end of the grace period

They now fail as at their deadline: no retry, an error response, 200 ms to send it; streams that have begun are cut as before. Test: four kinds of request; there was no way to end a session early before, so it has no counterpart in the old code.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -102,7 +102,8 @@
                                steadyNow() - sentAt, steadyNow());
         retryController.recordOutcome(result.outcome);
         const NextStep step = retryController.nextStep(result.outcome, steadyNow(), [&] {
-            return this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow());
+            return this->remainingTime() > Duration::zero() &&
+                   this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow());
         });
         if (step == NextStep::Retry) {
             this->gateway.metrics.retries.Increment();
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -36,6 +36,8 @@
 constexpr Duration AcceptWindow = std::chrono::milliseconds{2600};
 // Part of the grace period reserved for sending the last bytes and exiting.
 constexpr Duration ShutdownReserve = std::chrono::milliseconds{350};
+// Part of it in which the requests that are still open get their error responses.
+constexpr Duration FinalResponseTime = std::chrono::milliseconds{200};
 // Maximum wait of requests that arrive before the first configuration. Shorter than the latency objective of
 // generations and than the time that callers wait for their request to be read.
 constexpr Duration ConfigurationWait = std::chrono::milliseconds{700};
@@ -86,6 +88,13 @@
             this->stream.socket().close(ignored);
     }
 
+    /// Lets the current request, if any, fail as at its deadline.
+    void expireRequest()
+    {
+        if (const auto session = this->watchedSession.lock())
+            session->expire();
+    }
+
     /// Whether a part of a request has arrived that is not counted as open yet.
     bool hasPartialRequest() { return this->isReadingRequest || this->hasUnreadBytes(); }
 
@@ -269,6 +278,7 @@
         , signals(context, SIGTERM, SIGINT)
         , reloadSignal(context, SIGHUP)
         , drainTimer(context)
+        , exitTimer(context)
         , drainState(DrainSettings{AcceptWindow, nodeSettings.gracePeriod - ShutdownReserve})
     {}
 
@@ -380,12 +390,26 @@
                 }
             }
             if (action == DrainAction::AbortRemaining)
-                logWarning("requests-cut-at-shutdown", {{"count", std::to_string(this->state.openRequests)}});
-            if (action == DrainAction::AbortRemaining || action == DrainAction::Exit)
+                this->expireRequests();
+            if (action == DrainAction::Exit)
                 this->io.stop();
         }
     }
 
+    void expireRequests()
+    {
+        logWarning("requests-cut-at-shutdown", {{"count", std::to_string(this->state.openRequests)}});
+        for (const auto &weakSession : this->sessions) {
+            if (const auto session = weakSession.lock())
+                session->expireRequest();
+        }
+        this->exitTimer.expires_after(FinalResponseTime);
+        this->exitTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                this->io.stop();
+        });
+    }
+
     asio::io_context &io;
     const NodeSettings &settings;
     GatewayState state;
@@ -396,6 +420,7 @@
     asio::signal_set signals;
     asio::signal_set reloadSignal;
     asio::steady_timer drainTimer;
+    asio::steady_timer exitTimer;
     DrainState drainState;
     std::list<std::weak_ptr<CallerSession>> sessions;
 };
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -21,6 +21,17 @@
 void RequestSession::abandon()
 {
     this->isAbandoned = true;
+    this->disconnect();
+}
+
+void RequestSession::expire()
+{
+    this->context.deadline = steadyNow();
+    this->disconnect();
+}
+
+void RequestSession::disconnect()
+{
     if (!this->activeConnection)
         return;
     boost::system::error_code ignored;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -50,6 +50,10 @@
     /// run().
     void abandon();
 
+    /// Lets the request fail now as at its deadline: closes the connection to the runner, and the caller gets
+    /// an error response if none has begun.
+    void expire();
+
     /// The request that is handled.
     const RequestContext &requestContext() const { return this->context; }
 
@@ -79,6 +83,9 @@
     uint32_t sendCount = 0;
     /// Runner of the last attempt.
     std::string lastRunnerId;
+
+private:
+    void disconnect();
 };
 
 } // namespace eelgrasslift
--- a/tests/hostile/test_shutdown.cpp
+++ b/tests/hostile/test_shutdown.cpp
@@ -1,3 +1,5 @@
+#include "gatewayfixture.h"
+
 #include "gateway/gatewayprocess.h"
 #include "platform/platform.h"
 
@@ -75,3 +77,23 @@
     gateway.join();
     CHECK(exitCode == 0);
 }
+
+// Guards against a request that ends without an answer because its gateway reaches the end of its grace
+// period.
+TEST_CASE("A request that is open at the end of the grace period gets an error response", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a");
+    INFO(path);
+    GatewayFixture fixture([](tcp::socket &, int, std::string) -> asio::awaitable<void> { co_return; });
+    std::optional<CallerView> result;
+    fixture.start(path, "id-1", [&](const CallerView &view) { result = view; });
+    fixture.runUntil([&] { return fixture.runner.requestCount() == 1; });
+    fixture.lastSession()->expire();
+    const auto expiredAt = std::chrono::steady_clock::now();
+    fixture.runUntil([&] { return result.has_value(); });
+    CHECK((result->status == 502 || result->status == 504));
+    CHECK(result->isComplete);
+    CHECK(fixture.runner.requestCount() == 1);
+    // The routes' timeout is 3 s.
+    CHECK(std::chrono::steady_clock::now() - expiredAt < 2s);
+}
