--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -27,6 +27,9 @@
 constexpr double MeanThinkSeconds = 0.06;
 constexpr uint64_t MinEvents = 2;
 constexpr uint64_t EventSpread = 30;
+// One stream in this many lasts 5 s or more, which may exceed the rest of a grace period.
+constexpr uint64_t LongStreamShare = 12;
+constexpr uint64_t LongStreamEvents = 105;
 constexpr uint64_t PromptTokens = 200;
 constexpr uint64_t TokensPerEvent = 4;
 
@@ -86,6 +89,8 @@
         call.id = "c" + std::to_string(this->number) + "-" + std::to_string(++this->requestCount);
         call.kind = AllKinds[this->random.below(std::size(AllKinds))];
         call.events = MinEvents + this->random.below(EventSpread);
+        if (this->random.below(LongStreamShare) == 0)
+            call.events += LongStreamEvents;
         this->ledger.send(call.id, call.kind, this->life);
         const Outcome outcome = co_await this->send(call);
         this->ledger.finish(call.id, outcome);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -47,7 +47,7 @@
     boost::beast::flat_buffer buffer;
     size_t gateway;
     /// Of the process at the other end of the connection.
-    std::shared_ptr<const GatewayLife> life;
+    std::shared_ptr<const ProcessLife> life;
     uint64_t requestCount = 0;
     bool isStopping = false;
     bool ended = false;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -40,27 +40,27 @@
     {
         // Weights of the kinds, in percent: a gateway that is stopped under load is the most frequent.
         const uint64_t kind = this->random.below(100);
-        if (kind < 22)
+        if (kind < 20)
             return Terminate{this->gateway()};
-        if (kind < 30)
+        if (kind < 27)
             return Kill{this->gateway()};
-        if (kind < 38)
+        if (kind < 34)
             return Pause{this->anyNode(), this->between(0.2, 3)};
-        if (kind < 44)
+        if (kind < 38)
             return Reload{this->anyNode()};
-        if (kind < 52)
+        if (kind < 45)
             return Kill{this->coordinator()};
-        if (kind < 55)
+        if (kind < 48)
             return Terminate{this->coordinator()};
-        if (kind < 59)
+        if (kind < 52)
             return KillAllCoordinators{};
-        if (kind < 63)
+        if (kind < 56)
             return LoseData{coordinatorThatLosesData(this->seed, this->population)};
-        if (kind < 75)
+        if (kind < 68)
             return RetireRunner{this->runner(), this->between(NoticeSeconds, NoticeSeconds + 2)};
-        if (kind < 82)
+        if (kind < 73)
             return SlowRunner{this->runner(), this->between(0.5, 2)};
-        if (kind < 90)
+        if (kind < 82)
             return SilenceRunner{this->runner(), this->between(0.3, 1.2)};
         return ResetRunner{this->runner()};
     }
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -37,7 +37,7 @@
     return "unknown";
 }
 
-bool GatewayLife::wasFrozenWithin(TimePoint from, TimePoint until) const
+bool ProcessLife::wasFrozenWithin(TimePoint from, TimePoint until) const
 {
     return std::ranges::any_of(this->freezes, [&](const Freeze &freeze) {
         return freeze.from <= until && (!freeze.until || *freeze.until >= from);
@@ -117,7 +117,7 @@
 
     void breach(const std::string &text) const
     {
-        const GatewayLife &life = *this->request.gateway;
+        const ProcessLife &life = *this->request.gateway;
         std::string context = " (" + std::string(toString(this->request.kind)) + " at " + life.name +
                               ", sent " + std::to_string(toMilliseconds(this->age())) + " ms before, " +
                               std::to_string(this->request.runs) + " runs";
@@ -138,7 +138,7 @@
     /// Whether the gateway or the runner was disturbed in a way that allows any end of a request.
     bool isExcused() const
     {
-        const GatewayLife &life = *this->request.gateway;
+        const ProcessLife &life = *this->request.gateway;
         const TimePoint end = this->request.endedAt;
         return this->request.isDisturbed || (life.killedAt && *life.killedAt <= end) ||
                (life.terminatedAt && end - *life.terminatedAt >= GraceWithoutCuts) ||
@@ -150,7 +150,7 @@
     Request &request;
 };
 
-void Ledger::send(const std::string &id, RequestKind kind, std::shared_ptr<const GatewayLife> gateway)
+void Ledger::send(const std::string &id, RequestKind kind, std::shared_ptr<const ProcessLife> gateway)
 {
     this->journal.count("requests");
     Request &request = this->requests[id];
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -20,8 +20,8 @@
 /// max_attempts of the route for safe requests.
 inline constexpr uint32_t SafeAttempts = 2;
 
-/// What happened to a gateway process between its start and its end.
-struct GatewayLife
+/// What happened to a process between its start and its end.
+struct ProcessLife
 {
     struct Freeze
     {
@@ -77,7 +77,7 @@
     {}
 
     /// A caller sends the request to a gateway.
-    void send(const std::string &id, RequestKind kind, std::shared_ptr<const GatewayLife> gateway);
+    void send(const std::string &id, RequestKind kind, std::shared_ptr<const ProcessLife> gateway);
     /// A runner begins to run the request. A continuation from a valid copy counts as the same run.
     void beginRun(const std::string &id, bool isContinuation);
     /// The runner of the request broke off, fell silent or was slow.
@@ -91,7 +91,7 @@
     struct Request
     {
         RequestKind kind = RequestKind::Safe;
-        std::shared_ptr<const GatewayLife> gateway;
+        std::shared_ptr<const ProcessLife> gateway;
         TimePoint sentAt;
         TimePoint endedAt;
         uint32_t runs = 0;
--- a/soak/nodes.cpp
+++ b/soak/nodes.cpp
@@ -93,7 +93,7 @@
     spec.environment = {{"EELGRASSLIFT_SETTINGS", this->settingsPath(node).string()}};
     spec.logPath = (this->folder / (node.name + ".log")).string();
     node.process = std::make_unique<scenario::Process>(spec);
-    node.life = std::make_shared<GatewayLife>();
+    node.life = std::make_shared<ProcessLife>();
     node.life->name = node.name;
     node.isEnding = false;
     node.isFrozen = false;
--- a/soak/nodes.h
+++ b/soak/nodes.h
@@ -3,12 +3,11 @@
 #include "addressplan.h"
 #include "faults.h"
 #include "ledger.h"
+#include "process.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "process.h"
-
 #include <filesystem>
 
 namespace eelgrasslift::soak {
@@ -21,7 +20,7 @@
     std::string ip;
     std::unique_ptr<scenario::Process> process;
     /// Of the running process; nullptr if there is none.
-    std::shared_ptr<GatewayLife> life;
+    std::shared_ptr<ProcessLife> life;
     /// The process has been told to end.
     bool isEnding = false;
     std::optional<TimePoint> terminatedAt;
@@ -57,7 +56,7 @@
     size_t gatewayCount() const { return this->gateways.size(); }
     size_t coordinatorCount() const { return this->coordinators.size(); }
     /// The life of the running gateway process; nullptr if there is none.
-    std::shared_ptr<const GatewayLife> life(size_t gateway) const { return this->gateways[gateway].life; }
+    std::shared_ptr<const ProcessLife> life(size_t gateway) const { return this->gateways[gateway].life; }
     Endpoint callerEndpoint(size_t gateway) const { return {this->gateways[gateway].ip, CallerPort}; }
     Endpoint readinessEndpoint(size_t gateway) const { return {this->gateways[gateway].ip, ReadinessPort}; }
     Endpoint operatorEndpoint(size_t coordinator) const
