--- a/src/gateway/coordinatorprocess.cpp
+++ b/src/gateway/coordinatorprocess.cpp
@@ -45,10 +45,10 @@
         grpc::ServerBuilder builder;
         builder.AddListeningPort(consensus.toString(), grpc::InsecureServerCredentials());
         builder.RegisterService(&this->coordinator->replicator().service());
-        const std::unique_ptr<grpc::Server> consensusServer = builder.BuildAndStart();
+        this->consensusServer = builder.BuildAndStart();
         const Endpoint exchangeEndpoint{
                 settings.ip, static_cast<uint16_t>(settings.firstInternalPort + ExchangePortOffset)};
-        if (!consensusServer || !this->operators.listen(*settings.operatorListen) ||
+        if (!this->consensusServer || !this->operators.listen(*settings.operatorListen) ||
             !this->exchange.listen(exchangeEndpoint))
             return ExitFailed;
         this->coordinator->start();
@@ -60,7 +60,7 @@
         logInfo("coordinator-started", {{"operators", settings.operatorListen->toString()},
                                         {"exchange", exchangeEndpoint.toString()}});
         this->io.run();
-        consensusServer->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds{200});
+        this->consensusServer->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds{200});
         logInfo("coordinator-stopped");
         return ExitOk;
     }
@@ -103,6 +103,7 @@
 
     asio::io_context &io;
     std::unique_ptr<Coordinator> coordinator;
+    std::unique_ptr<grpc::Server> consensusServer;
     HttpService operators;
     HttpService exchange;
     asio::signal_set signals;
@@ -118,14 +119,16 @@
         logError("setting-missing", {{"setting", "operator address"}});
         return ExitFailed;
     }
-    asio::io_context io{1};
-    auto opened = Coordinator::open(io, settings, format);
+    // Never destroyed: suspended coroutines and calls between coordinators refer to both until the process
+    // exits.
+    auto *io = new asio::io_context{1};
+    auto opened = Coordinator::open(*io, settings, format);
     if (const auto *error = std::get_if<StorageError>(&opened)) {
         logError("cannot-open-data", {{"cause", describe(*error)}});
         return ExitFailed;
     }
-    CoordinatorProcess process(io, std::move(std::get<std::unique_ptr<Coordinator>>(opened)));
-    return process.run(settings);
+    auto *process = new CoordinatorProcess(*io, std::move(std::get<std::unique_ptr<Coordinator>>(opened)));
+    return process->run(settings);
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -429,10 +429,10 @@
 
 int runGateway(const NodeSettings &settings, const WireFormat &format, const SettingsLoader &settingsLoader)
 {
-    asio::io_context io{1};
-    GatewayProcess process(io, settings, format, settingsLoader);
-    const int code = process.run();
-    return code;
+    // Never destroyed: suspended coroutines refer to both until the process exits.
+    auto *io = new asio::io_context{1};
+    auto *process = new GatewayProcess(*io, settings, format, settingsLoader);
+    return process->run();
 }
 
 } // namespace eelgrasslift
--- a/src/libgateway/stalldetector.h
+++ b/src/libgateway/stalldetector.h
@@ -36,7 +36,8 @@
         this->nextCheckAt = now + this->timeout;
     }
 
-    /// Sets the time of the next check to one timeout from now, after a stall that nothing could be done about.
+    /// Sets the time of the next check to one timeout from now, after a stall that nothing could be done
+    /// about.
     void postpone(TimePoint now) { this->nextCheckAt = now + this->timeout; }
 
     /// Returns whether the stream has stalled; otherwise sets the time of the next check. Unread bytes on the
