libgateway: remember which runners have stated in an answer that they leave

Cause: the header by which a leaving runner says so in each answer was read nowhere. A leaving runner was known from the list, reports and health checks only, half a second later, and not any more once it was missing in one list.

Change: platform/ decodes the header once into ResponseMetadata::isRunnerLeaving. LeavingRunners remembers incarnations (id, address, start time) and decides whom an answer concerns; RunnerPool leaves them out of every choice until the incarnation ends. RunnerPool::markLeaving(), which nothing called, is replaced.

Without the decoding "Only one value of the header states that a runner is leaving" fails.

--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -73,8 +73,21 @@
     std::optional<Duration> keepAlive;
     /// The peer closes the connection after this response.
     bool isClosing = false;
+    /// The runner states that it is leaving: it will be stopped and expects no new work.
+    bool isRunnerLeaving = false;
+    /// The header has the field for isRunnerLeaving with a value that is not specified, which has no effect.
+    bool hasUnknownLeavingValue = false;
+    /// Id of the runner that has sent the response; empty if the header has none.
+    std::string runnerId;
 };
 
+/// Returns whether the response to a request for the runner with the id comes from that runner.
+inline AnswerSender senderOf(unsigned status, const ResponseMetadata &metadata, std::string_view runnerId)
+{
+    const bool isOther = status == 421 || (!metadata.runnerId.empty() && metadata.runnerId != runnerId);
+    return isOther ? AnswerSender::Other : AnswerSender::Expected;
+}
+
 /// HTTP request to a runner, the platform or a coordinator, without the address.
 struct OutgoingCall
 {
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -66,7 +66,8 @@
     RunnerPointer runner = isSame ? found->second : std::make_shared<Runner>();
     const bool wasLeaving = isSame && runner->entry.isLeaving;
     runner->entry = entry;
-    runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving);
+    runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving) ||
+                              this->statedLeaving.contains(entry);
     if (entry.warmUpRemaining > Duration::zero())
         runner->warmUpUntil = now + entry.warmUpRemaining;
     if (entry.report && entry.report->timeUntilStop)
@@ -103,10 +104,44 @@
     }
 }
 
-void RunnerPool::markLeaving(std::string_view id)
+std::vector<RunnerIncarnation> RunnerPool::recordLeavingAnswer(const RunnerEntry &expected,
+                                                               AnswerSender sender)
 {
-    if (const auto found = this->runnersById.find(id); found != this->runnersById.end())
-        found->second->entry.isLeaving = true;
+    if (sender == AnswerSender::Expected && this->statedLeaving.contains(expected))
+        return {};
+    std::vector<RunnerIncarnation> added =
+            this->statedLeaving.addSender(RunnerIncarnation::of(expected), sender, this->entries());
+    this->markStatedLeaving();
+    return added;
+}
+
+void RunnerPool::markStatedLeaving()
+{
+    for (const auto &[id, runner] : this->runnersById)
+        runner->entry.isLeaving = runner->entry.isLeaving || this->statedLeaving.contains(runner->entry);
+}
+
+std::vector<RunnerIncarnation> RunnerPool::listedLeaving() const
+{
+    std::vector<RunnerIncarnation> result;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (this->statedLeaving.contains(runner->entry))
+            result.push_back(RunnerIncarnation::of(runner->entry));
+    }
+    return result;
+}
+
+bool RunnerPool::areAllLeaving(std::string_view service) const
+{
+    bool isAnyKnown = false;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (runner->entry.service != service)
+            continue;
+        if (!runner->entry.isLeaving)
+            return false;
+        isAnyKnown = true;
+    }
+    return isAnyKnown;
 }
 
 RunnerPool::RunnerPointer RunnerPool::find(std::string_view id) const
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -2,6 +2,7 @@
 
 #include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
+#include "libgateway/leavingrunners.h"
 #include "libgateway/outputlengthdistribution.h"
 #include "libgateway/servingconfig.h"
 
@@ -100,7 +101,8 @@
     using RunnerPointer = std::shared_ptr<Runner>;
 
     /// Replaces the list of runners. Runners with the same id, address and start time as before keep their
-    /// state. Of these, a leaving runner remains so, also if a later list is out of date.
+    /// state. Of these, a leaving runner remains so, also if a later list is out of date. One that has stated
+    /// in an answer that it is leaving remains so also after a list without it.
     void setFleet(std::span<const RunnerEntry> entries, TimePoint now);
     /// Applies changes to the list of runners; the rules of setFleet() hold.
     void applyChanges(const FleetChanges &changes, TimePoint now);
@@ -113,8 +115,20 @@
         this->knownUtilization = std::move(utilization);
     }
 
-    /// Marks a runner as leaving after it has stated so itself; ignores unknown ids.
-    void markLeaving(std::string_view id);
+    /// Marks the sender of an answer as leaving, which has stated so in it; see LeavingRunners::addSender().
+    /// Returns the runners for which that is new. It need not be in the list.
+    std::vector<RunnerIncarnation> recordLeavingAnswer(const RunnerEntry &expected, AnswerSender sender);
+    /// The runners that have stated in an answer that they are leaving. A FleetReader adds to them; call
+    /// markStatedLeaving() or setFleet() after that.
+    LeavingRunners &leavingRunners() { return this->statedLeaving; }
+    /// Marks the listed ones of leavingRunners() as leaving.
+    void markStatedLeaving();
+    /// Whether the runner has stated in an answer that it is leaving.
+    bool hasStatedLeaving(const RunnerEntry &entry) const { return this->statedLeaving.contains(entry); }
+    /// The runners in the list that have stated in an answer that they are leaving.
+    std::vector<RunnerIncarnation> listedLeaving() const;
+    /// Whether runners of the service are known and all of them are leaving.
+    bool areAllLeaving(std::string_view service) const;
 
     /// Chooses a runner for a request. engine describes the runners of a model service; nullptr for plain
     /// services. Ejected runners are chosen only if there is no other, and not while the others are full. The
@@ -152,6 +166,7 @@
 
     std::map<std::string, RunnerPointer, std::less<>> runnersById;
     std::map<std::string, double, std::less<>> knownUtilization;
+    LeavingRunners statedLeaving;
 };
 
 } // namespace eelgrasslift
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -211,3 +211,64 @@
         header.set("X-Not-Executed", "1");
     CHECK(Format.decodeHealth(header, "i-1") == row.expected);
 }
+
+// Guards against a runner that gets no work any more because of a value without a meaning, or that still gets
+// work because of how it writes the header.
+TEST_CASE("Only one value of the header states that a runner is leaving", "[platform]")
+{
+    struct LeavingCase
+    {
+        std::vector<std::pair<std::string, std::string>> fields;
+        bool isLeaving;
+        bool isMalformed;
+    };
+    const auto test = GENERATE(values<LeavingCase>({
+            {{}, false, false},
+            {{{"Server-Leaving", "1"}}, true, false},
+            {{{"server-leaving", "1"}}, true, false},
+            {{{"SERVER-LEAVING", "1"}}, true, false},
+            {{{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}, true, false},
+            {{{"Server-Leaving", "1"}, {"server-leaving", "0"}}, true, true},
+            {{{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}, true, true},
+            {{{"Server-Leaving", "1, 1"}}, true, false},
+            {{{"Server-Leaving", "0, 1"}}, true, true},
+            {{{"Server-Leaving", "0"}}, false, true},
+            {{{"Server-Leaving", ""}}, false, true},
+            {{{"Server-Leaving", "2"}}, false, true},
+            {{{"Server-Leaving", "11"}}, false, true},
+            {{{"Server-Leaving", "01"}}, false, true},
+            {{{"Server-Leaving", "1.0"}}, false, true},
+            {{{"Server-Leaving", "1;q=1"}}, false, true},
+            {{{"Server-Leaving", "true"}}, false, true},
+            {{{"Server-Leaving", "yes"}}, false, true},
+            {{{"X-Server-Leaving", "1"}}, false, false},
+            {{{"Connection", "Server-Leaving"}}, false, false},
+    }));
+    ResponseHeader header;
+    for (const auto &[name, value] : test.fields) {
+        UNSCOPED_INFO(name << ": " << value);
+        header.insert(name, value);
+    }
+    const ResponseMetadata metadata = Format.decodeResponse(header);
+    CHECK(metadata.isRunnerLeaving == test.isLeaving);
+    CHECK(metadata.hasUnknownLeavingValue == test.isMalformed);
+}
+
+// Guards against a runner that is taken for leaving because another one has its address.
+TEST_CASE("A response tells whether the expected runner has sent it", "[platform]")
+{
+    const auto [status, id, sender] = GENERATE(table<unsigned, std::string, AnswerSender>({
+            {200, "", AnswerSender::Expected},
+            {200, "r1", AnswerSender::Expected},
+            {200, "r2", AnswerSender::Other},
+            {503, "r1", AnswerSender::Expected},
+            {421, "", AnswerSender::Other},
+            {421, "r2", AnswerSender::Other},
+    }));
+    INFO(status << " " << id);
+    ResponseHeader header;
+    header.result(status);
+    if (!id.empty())
+        header.set("X-Instance-Id", id);
+    CHECK(senderOf(status, Format.decodeResponse(header), "r1") == sender);
+}
