gateway: give no new work to a runner whose answer states that it leaves

Cause: gateways and coordinators ignored what a runner said about itself in its answers, so it got requests until a list or report said so.

Change: GatewayState::recordAnswer() takes note of each head that a session reads, before the body, and of the answers to copies; FleetReader of those to reports and health checks. A request that has chosen the runner asks again when it has its connection; backups and destinations of copies are checked as well. A generation whose runners all leave is refused after one question to the coordinator instead of waiting for memory. The status exchange names the leaving runners to the coordinator, which marks them in its list; a missing field is empty, and older coordinators ignore it. The header is passed on to the caller unchanged.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -132,6 +132,8 @@
             runner.entry.address, std::min(ConnectTimeout, remaining));
     if (!connection || this->isAbandoned)
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "not-connected"};
+    if (this->gateway.runners.hasStatedLeaving(runner.entry))
+        co_return SendResult{SendOutcome::NotConnected, std::nullopt, "runner-leaving"};
     ++this->sendCount;
     this->activeConnection = connection;
     HttpRequest request = this->makeRunnerRequest(runner, {});
@@ -142,14 +144,15 @@
     co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
     // A runner may refuse a request before it has read all of it, so its response is read even after a failed
     // write.
-    SendResult result = co_await this->receive(connection);
+    SendResult result = co_await this->receive(connection, runner);
     this->activeConnection.reset();
     if (result.outcome == SendOutcome::Unknown)
         this->gateway.connections.dropIdle(runner.entry.address);
     co_return result;
 }
 
-asio::awaitable<CallSession::SendResult> CallSession::receive(const RunnerConnectionPointer &connection)
+asio::awaitable<CallSession::SendResult> CallSession::receive(const RunnerConnectionPointer &connection,
+                                                              const RunnerPool::Runner &runner)
 {
     for (int strayCount = 0; strayCount <= MaxStrayResponses; ++strayCount) {
         http::response_parser<http::string_body> parser;
@@ -157,10 +160,18 @@
         if (this->context.request.method() == http::verb::head)
             parser.skip(true);
         boost::system::error_code error;
+        ResponseMetadata responseMetadata;
+        bool isHeaderDecoded = false;
         ResponseBuffer buffered(this->gateway.bufferedResponseBytes);
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                            asio::redirect_error(asio::use_awaitable, error));
+            if (parser.is_header_done() && !isHeaderDecoded) {
+                isHeaderDecoded = true;
+                responseMetadata = this->gateway.format.decodeResponse(parser.get());
+                this->gateway.recordAnswer(runner.entry, parser.get().result_int(), responseMetadata,
+                                           this->context.metadata.id);
+            }
             if (!buffered.resize(parser.get().body().size()))
                 co_return SendResult{SendOutcome::Unknown, std::nullopt, "answer-too-large"};
         }
@@ -170,7 +181,6 @@
         if (isInterim(parser.get()))
             continue;
         const bool isUnbounded = parser.need_eof();
-        ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser.get());
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
         if (responseMetadata.requestId != this->context.metadata.id && !responseMetadata.requestId.empty()) {
             logWarning("stray-answer",
--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -116,8 +116,8 @@
         FleetReaderSettings readerSettings{*settings.fleetListEndpoint};
         readerSettings.reportInterval = ReportInterval;
         readerSettings.healthInterval = HealthInterval;
-        coordinator->fleetReader =
-                std::make_unique<FleetReader>(io, format, coordinator->connections, readerSettings);
+        coordinator->fleetReader = std::make_unique<FleetReader>(io, format, coordinator->connections,
+                                                                 coordinator->leavingRunners, readerSettings);
     }
     return coordinator;
 }
@@ -298,6 +298,8 @@
         co_return makeResponse(400);
     }
     const auto gateway = std::move(std::get<GatewayStatus>(decoded));
+    if (this->fleetReader)
+        this->fleetReader->recordLeaving(gateway.gateway, gateway.leavingRunners);
     if (!this->replica->status().hasLease && gateway.acceptsDelegate) {
         if (!this->isScheduling())
             logInfo("delegate-started",
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -67,6 +67,7 @@
     ConfigStore configStore;
     std::unique_ptr<Replicator> replica;
     ConnectionPool connections;
+    LeavingRunners leavingRunners;
     std::unique_ptr<FleetReader> fleetReader;
     boost::asio::steady_timer leadershipTimer;
     ConfigPublisher configPublisher;
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -49,7 +49,8 @@
     : gateway(state)
     , loadSettings(std::move(settingsLoader))
     , connections(state.io.get_executor())
-    , fallbackReader(state.io, state.format, state.connections, fallbackReaderSettings(state.settings))
+    , fallbackReader(state.io, state.format, state.connections, state.runners.leavingRunners(),
+                     fallbackReaderSettings(state.settings))
     , coordinators(state.settings.domain)
     , configSubscriber(state, this->coordinators, this->connections)
     , contact(steadyNow())
@@ -69,8 +70,13 @@
 void CoordinatorClient::start()
 {
     this->fallbackReader.onUpdate([this] {
-        if (this->fallbackReader.isActive())
+        if (this->fallbackReader.isActive()) {
             this->gateway.applyFleet(this->fallbackReader.entries());
+            return;
+        }
+        // An answer that arrived after the reader was stopped may have stated that its sender is leaving.
+        this->gateway.runners.markStatedLeaving();
+        this->gateway.handleFleetUpdate();
     });
     this->fallbackReader.setReportFilter([this](const RunnerEntry &entry) {
         const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
@@ -153,6 +159,7 @@
     status.fleetSource = this->fleetSource;
     status.acceptsDelegate = !this->contact.hasLeaderContact(steadyNow());
     status.loads = this->gateway.ownLoads();
+    status.leavingRunners = this->gateway.runners.listedLeaving();
     OutgoingCall call{"POST", StatusPath, encodeStatus(status)};
     const TimePoint startedAt = steadyNow();
     auto result = co_await this->connections.call(address, std::move(call), ExchangeTimeout);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -63,6 +63,22 @@
             std::move(stopMs)};
 }
 
+Json toJson(const std::vector<RunnerIncarnation> &runners)
+{
+    Json json = Json::array();
+    for (const RunnerIncarnation &runner : runners)
+        json.push_back({runner.id, runner.address, runner.startedAtMs});
+    return json;
+}
+
+std::vector<RunnerIncarnation> incarnationsFrom(const Json &json)
+{
+    std::vector<RunnerIncarnation> runners;
+    for (const Json &runner : json)
+        runners.push_back({runner.at(0), runner.at(1), runner.at(2)});
+    return runners;
+}
+
 RunnerEntry entryFrom(const Json &json)
 {
     RunnerEntry entry;
@@ -154,7 +170,8 @@
                    {"fleet", status.fleetVersion},
                    {"source", status.fleetSource},
                    {"delegate", status.acceptsDelegate},
-                   {"loads", toJson(status.loads)}});
+                   {"loads", toJson(status.loads)},
+                   {"leaving", toJson(status.leavingRunners)}});
 }
 
 Result<GatewayStatus, ExchangeError> decodeGatewayStatus(std::string_view body)
@@ -167,6 +184,8 @@
         status.fleetSource = json.at("source");
         status.acceptsDelegate = json.at("delegate");
         status.loads = loadsFrom(json.at("loads"));
+        if (const auto leaving = json.find("leaving"); leaving != json.end())
+            status.leavingRunners = incarnationsFrom(*leaving);
         return status;
     });
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace eelgrasslift {
 
@@ -38,6 +39,9 @@
     bool acceptsDelegate = false;
     /// Load that the gateway itself has placed on each runner, by runner id.
     RunnerLoads loads;
+    /// Listed runners that have stated in an answer to the gateway that they are leaving. Empty in the status
+    /// of an older gateway; older coordinators ignore it.
+    std::vector<RunnerIncarnation> leavingRunners;
 };
 
 /// Response of a coordinator to a GatewayStatus.
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -28,11 +28,12 @@
 } // namespace
 
 FleetReader::FleetReader(asio::io_context &context, const WireFormat &wireFormat, ConnectionPool &pool,
-                         FleetReaderSettings readerSettings)
+                         LeavingRunners &leaving, FleetReaderSettings readerSettings)
     : io(context)
     , format(wireFormat)
     , connections(pool)
     , settings(std::move(readerSettings))
+    , leavingRunners(leaving)
     , listTimer(context)
     , reportTimer(context)
     , healthTimer(context)
@@ -114,6 +115,8 @@
 {
     ++this->listCount;
     for (RunnerEntry &entry : entries) {
+        if (this->leavingRunners.contains(entry))
+            entry.isLeaving = true;
         const auto previous = std::find_if(this->knownEntries.begin(), this->knownEntries.end(),
                                            [&](const RunnerEntry &other) { return other.id == entry.id; });
         if (previous == this->knownEntries.end()) {
@@ -151,16 +154,19 @@
         for (const RunnerEntry &entry : this->knownEntries) {
             if (this->engineServices.contains(entry.service) &&
                 (!this->reportFilter || this->reportFilter(entry)))
-                spawnTask(this->io, "report", this->readReport(entry.id, entry.address));
+                spawnTask(this->io, "report", this->readReport(RunnerIncarnation::of(entry)));
         }
     }
 }
 
-asio::awaitable<void> FleetReader::readReport(std::string id, std::string address)
+asio::awaitable<void> FleetReader::readReport(RunnerIncarnation runner)
 {
     OutgoingCall call = this->format.reportCall();
-    auto result = co_await this->connections.call(std::move(address), std::move(call), ReportTimeout);
+    const std::string &id = runner.id;
+    auto result = co_await this->connections.call(runner.address, std::move(call), ReportTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr)
+        this->recordAnswer(runner, *response);
     RunnerEntry *entry = this->find(id);
     if (entry == nullptr)
         co_return;
@@ -208,16 +214,20 @@
             const auto service = this->engineServices.find(entry.service);
             if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving)
                 continue;
-            spawnTask(this->io, "health-check", this->checkHealth(entry.id, entry.address, service->second));
+            spawnTask(this->io, "health-check",
+                      this->checkHealth(RunnerIncarnation::of(entry), service->second));
         }
     }
 }
 
-asio::awaitable<void> FleetReader::checkHealth(std::string id, std::string address, std::string path)
+asio::awaitable<void> FleetReader::checkHealth(RunnerIncarnation runner, std::string path)
 {
     OutgoingCall call{"GET", std::move(path), {}};
-    auto result = co_await this->connections.call(std::move(address), std::move(call), HealthTimeout);
+    const std::string &id = runner.id;
+    auto result = co_await this->connections.call(runner.address, std::move(call), HealthTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr)
+        this->recordAnswer(runner, *response);
     RunnerEntry *entry = this->find(id);
     // A runner that does not respond is detected by its report requests.
     if (entry == nullptr || response == nullptr)
@@ -229,6 +239,46 @@
     this->updateSeemsLeaving(*entry);
 }
 
+void FleetReader::recordAnswer(const RunnerIncarnation &runner, const HttpResponse &response)
+{
+    const ResponseMetadata metadata = this->format.decodeResponse(response);
+    if (metadata.hasUnknownLeavingValue) {
+        if (const auto count = this->malformedLeavingLimiter.record(steadyNow()))
+            logWarning("leaving-malformed", {{"runner", runner.id}, {"count", std::to_string(*count)}});
+    }
+    if (!metadata.isRunnerLeaving)
+        return;
+    const AnswerSender sender = senderOf(response.result_int(), metadata, runner.id);
+    const auto added = this->leavingRunners.addSender(runner, sender, this->knownEntries);
+    for (const RunnerIncarnation &leaving : added)
+        logInfo("runner-leaving",
+                {{"runner", leaving.id}, {"source", "answer"}, {"address", leaving.address}});
+    this->markLeaving(added);
+}
+
+void FleetReader::recordLeaving(std::string_view gateway, std::span<const RunnerIncarnation> runners)
+{
+    std::vector<RunnerIncarnation> added;
+    for (const RunnerIncarnation &runner : runners) {
+        if (!this->leavingRunners.add(runner))
+            continue;
+        logInfo("runner-leaving",
+                {{"runner", runner.id}, {"source", "gateway"}, {"gateway", std::string(gateway)}});
+        added.push_back(runner);
+    }
+    this->markLeaving(added);
+}
+
+void FleetReader::markLeaving(std::span<const RunnerIncarnation> runners)
+{
+    if (runners.empty())
+        return;
+    for (RunnerEntry &entry : this->knownEntries)
+        entry.isLeaving = entry.isLeaving || this->leavingRunners.contains(entry);
+    if (this->updateCallback)
+        this->updateCallback();
+}
+
 void FleetReader::updateSeemsLeaving(RunnerEntry &entry)
 {
     const bool seemsLeaving = this->detectors[entry.id].seemsLeaving();
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 namespace eelgrasslift {
@@ -28,8 +29,9 @@
 class FleetReader
 {
 public:
+    /// leavingRunners is read and added to; it must outlive the reader.
     FleetReader(boost::asio::io_context &io, const WireFormat &format, ConnectionPool &connections,
-                FleetReaderSettings settings);
+                LeavingRunners &leavingRunners, FleetReaderSettings settings);
 
     /// Names of the services of model runners, with the path of their health checks; an empty path disables
     /// the checks.
@@ -41,6 +43,8 @@
     /// Replaces the runners by those known from another source, until the next list is read.
     void setKnownRunners(std::vector<RunnerEntry> entries);
     bool isActive() const { return this->active; }
+    /// Records runners that have stated in an answer to a gateway that they are leaving.
+    void recordLeaving(std::string_view gateway, std::span<const RunnerIncarnation> runners);
 
     /// Limits the report requests to the runners for which the filter returns true.
     void setReportFilter(std::function<bool(const RunnerEntry &)> filter)
@@ -60,9 +64,13 @@
 private:
     boost::asio::awaitable<void> pollLists();
     boost::asio::awaitable<void> pollReports();
-    boost::asio::awaitable<void> readReport(std::string id, std::string address);
+    boost::asio::awaitable<void> readReport(RunnerIncarnation runner);
     boost::asio::awaitable<void> pollHealth();
-    boost::asio::awaitable<void> checkHealth(std::string id, std::string address, std::string path);
+    boost::asio::awaitable<void> checkHealth(RunnerIncarnation runner, std::string path);
+    /// Takes note of the header of a runner's answer if it states that the runner is leaving.
+    void recordAnswer(const RunnerIncarnation &runner, const HttpResponse &response);
+    /// Marks the runners, which are new in leavingRunners, as leaving and reports that.
+    void markLeaving(std::span<const RunnerIncarnation> runners);
     /// Copies the state of the runner's LeavingDetector to the entry and reports a change.
     void updateSeemsLeaving(RunnerEntry &entry);
     /// Appends all pages of the list; returns false if one could not be read.
@@ -83,6 +91,8 @@
     std::map<std::string, uint32_t, std::less<>> missedReports;
     /// By runner id.
     std::map<std::string, LeavingDetector, std::less<>> detectors;
+    LeavingRunners &leavingRunners;
+    OccurrenceLimiter malformedLeavingLimiter;
     std::function<void()> updateCallback;
     std::function<bool(const RunnerEntry &)> reportFilter;
     boost::asio::steady_timer listTimer;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -44,6 +44,28 @@
     return true;
 }
 
+void GatewayState::recordAnswer(const RunnerEntry &runner, unsigned status, const ResponseMetadata &metadata,
+                                std::string_view requestId)
+{
+    if (metadata.hasUnknownLeavingValue) {
+        if (const auto count = this->malformedLeavingLimiter.record(steadyNow()))
+            logWarning("leaving-malformed", {{"runner", runner.id},
+                                             {"request", std::string(requestId)},
+                                             {"count", std::to_string(*count)}});
+    }
+    if (!metadata.isRunnerLeaving)
+        return;
+    const auto added = this->runners.recordLeavingAnswer(runner, senderOf(status, metadata, runner.id));
+    for (const RunnerIncarnation &leaving : added) {
+        logInfo("runner-leaving", {{"runner", leaving.id},
+                                   {"source", "answer"},
+                                   {"address", leaving.address},
+                                   {"request", std::string(requestId)}});
+    }
+    if (!added.empty())
+        this->handleFleetUpdate();
+}
+
 void GatewayState::applyFleet(std::span<const RunnerEntry> entries)
 {
     this->runners.setFleet(entries, steadyNow());
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -47,6 +47,12 @@
     /// one.
     bool applyConfig(std::string_view body);
 
+    /// Takes note of the header of an answer to a request for the runner, final or interim. If its sender
+    /// states that it is leaving, it gets no new work from now on. requestId is that of the request, or
+    /// empty.
+    void recordAnswer(const RunnerEntry &runner, unsigned status, const ResponseMetadata &metadata,
+                      std::string_view requestId);
+
     /// Replaces the list of runners.
     void applyFleet(std::span<const RunnerEntry> entries);
     /// Wakes requests that wait for capacity and lets streams on leaving runners migrate, after the runners
@@ -73,6 +79,7 @@
 
     RouteTablePointer currentRoutes;
     std::set<StreamSession *> streams;
+    OccurrenceLimiter malformedLeavingLimiter;
     boost::asio::steady_timer capacitySignal;
 };
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -164,6 +164,9 @@
         const Duration remaining = placementDeadline - steadyNow();
         if (!isFull || remaining <= Duration::zero() || this->isAbandoned)
             co_return nullptr;
+        // No generation that ends would make one of them usable.
+        if (this->gateway.runners.areAllLeaving(this->context.service))
+            co_return nullptr;
         // The coordinator has already waited before it responded.
         if (!placement)
             co_await this->gateway.waitForCapacity(std::min(remaining, PlacementRetryDelay));
@@ -296,6 +299,11 @@
     if (!stream.connection || this->isAbandoned)
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "not-connected",
                               std::nullopt};
+    if (this->gateway.runners.hasStatedLeaving(runner.entry))
+        co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "runner-leaving",
+                              std::nullopt};
+    if (stream.backup.runner() && this->gateway.runners.hasStatedLeaving(stream.backup.runner()->entry))
+        stream.backup.release();
     ++this->sendCount;
     stream.sentAt = steadyNow();
     if (!this->firstSentAt)
@@ -353,9 +361,11 @@
         if (error)
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off",
                                   std::nullopt};
+        stream.metadata = this->gateway.format.decodeResponse(stream.parser->get());
+        this->gateway.recordAnswer(stream.load.runner()->entry, stream.parser->get().result_int(),
+                                   stream.metadata, this->context.metadata.id);
     }
     const ResponseHeader &header = stream.parser->get().base();
-    stream.metadata = this->gateway.format.decodeResponse(header);
     if (!stream.metadata.requestId.empty() && stream.metadata.requestId != this->context.metadata.id)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "stray-answer", std::nullopt};
     const unsigned status = header.result_int();
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -184,7 +184,7 @@
             co_await this->gateway.fleetScheduler->requestTransfer(std::move(transferRequest));
     RunnerPool::RunnerPointer destination =
             permit ? this->gateway.runners.find(permit->destinationId) : nullptr;
-    if (!destination)
+    if (!destination || this->gateway.runners.hasStatedLeaving(destination->entry))
         destination = this->chooseCopyDestination(*source, source->entry.domain, CopyMemoryLimit);
     const auto isStillOnSource = [&] {
         return this->load.runner() == source && this->forwardedConnection && !this->isAbandoned;
@@ -379,6 +379,9 @@
             co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response == nullptr ? 0 : response->result_int();
+    if (response != nullptr)
+        this->gateway.recordAnswer(source->entry, status, format.decodeResponse(*response),
+                                   this->context.metadata.id);
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
                                   {"to", destination->entry.id},
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
@@ -120,6 +121,7 @@
     status.fleetSource = 0xfedcba9876543210;
     status.acceptsDelegate = true;
     status.loads.emplace("r1", RunnerLoad{2, SampleForecast, 3000});
+    status.leavingRunners = {{"r2", "10.0.0.9:8080", 42}, {"r3", "10.0.0.8:8080", 0}};
     const GatewayStatus result = decoded(decodeGatewayStatus(encodeStatus(status)));
     CHECK(result.gateway == "g1");
     CHECK(result.domain == "kapana");
@@ -129,6 +131,31 @@
     CHECK(result.loads.at("r1").activeRequests == 2);
     CHECK(result.loads.at("r1").memory.tokens() == SampleForecast.tokens());
     CHECK(result.loads.at("r1").prefillTokens == 3000);
+    CHECK(result.leavingRunners == status.leavingRunners);
+}
+
+// Guards against a coordinator that refuses the status of gateways that were not updated yet.
+TEST_CASE("The status of an older gateway names no leaving runners", "[exchange]")
+{
+    nlohmann::json json = nlohmann::json::from_msgpack(encodeStatus(GatewayStatus{}));
+    REQUIRE(json.erase("leaving") == 1);
+    std::string body;
+    nlohmann::json::to_msgpack(json, body);
+    CHECK(decoded(decodeGatewayStatus(body)).leavingRunners.empty());
+}
+
+// Guards against a runner that is named in part or with other types and is taken for another one.
+TEST_CASE("A status with a malformed leaving runner is refused", "[exchange]")
+{
+    const auto runner = GENERATE(as<nlohmann::json>{}, nlohmann::json("r2"), nlohmann::json::array({"r2"}),
+                                 nlohmann::json::array({"r2", "10.0.0.9:8080", "42"}),
+                                 nlohmann::json::array({2, "10.0.0.9:8080", 42}));
+    INFO(runner.dump());
+    nlohmann::json json = nlohmann::json::from_msgpack(encodeStatus(GatewayStatus{}));
+    json["leaving"] = nlohmann::json::array({runner});
+    std::string body;
+    nlohmann::json::to_msgpack(json, body);
+    CHECK(std::holds_alternative<ExchangeError>(decodeGatewayStatus(body)));
 }
 
 TEST_CASE("A coordinator's status is decoded as it was encoded with and without changes of the list",
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -83,7 +83,7 @@
 }
 
 asio::awaitable<void> runSession(GatewayState &gateway, boost::beast::tcp_stream caller,
-                                 RequestContext context)
+                                 RequestContext context, std::function<void()> ended)
 {
     const bool isDraining = false;
     ResponseWriter writer(caller, true, isDraining);
@@ -95,6 +95,8 @@
     co_await session->run();
     boost::system::error_code ignored;
     caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    session.reset();
+    ended();
 }
 
 asio::awaitable<void> readResponse(tcp::socket caller, std::function<void(const CallerView &)> ended)
@@ -106,6 +108,7 @@
     co_await http::async_read(caller, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     CallerView view;
     view.status = parser.is_header_done() ? parser.get().result_int() : 0;
+    view.header = parser.get().base();
     view.body = parser.get().body();
     view.isComplete = !error && parser.is_done();
     ended(view);
@@ -247,8 +250,30 @@
     context.service = RouteTable::chooseService(*context.route, 0);
     context.arrived = steadyNow();
     context.deadline = context.arrived + context.route->timeout;
-    spawnTask(this->io, "session", runSession(this->gateway, std::move(accepted), std::move(context)));
-    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(ended)));
+    // The session uses the gateway until it has ended, which is after its caller has the whole response.
+    struct Call
+    {
+        std::function<void(const CallerView &)> ended;
+        std::optional<CallerView> view;
+        bool isSessionEnded = false;
+        void check() const
+        {
+            if (this->view && this->isSessionEnded)
+                this->ended(*this->view);
+        }
+    };
+    const auto state = std::make_shared<Call>(Call{std::move(ended), std::nullopt, false});
+    std::function<void()> sessionEnded = [state] {
+        state->isSessionEnded = true;
+        state->check();
+    };
+    std::function<void(const CallerView &)> callerEnded = [state](const CallerView &view) {
+        state->view = view;
+        state->check();
+    };
+    spawnTask(this->io, "session",
+              runSession(this->gateway, std::move(accepted), std::move(context), std::move(sessionEnded)));
+    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(callerEnded)));
 }
 
 } // namespace eelgrasslift
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -42,6 +42,7 @@
 {
     /// 0 if there was no response.
     unsigned status = 0;
+    boost::beast::http::fields header;
     std::string body;
     /// The response has the end that its header announces.
     bool isComplete = false;
@@ -60,7 +61,7 @@
     /// not ended after 20 s.
     CallerView call(const std::string &path, const std::string &requestId);
 
-    /// Starts a request and calls ended with what its caller got.
+    /// Starts a request and calls ended with what its caller got, after the session has ended.
     void start(const std::string &path, const std::string &requestId,
                std::function<void(const CallerView &)> ended);
 
