--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -77,6 +77,7 @@
     co_await http::async_read(caller, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     CallerView view;
     view.status = parser.is_header_done() ? parser.get().result_int() : 0;
+    view.header = parser.get().base();
     view.body = parser.get().body();
     view.isComplete = !error && parser.is_done();
     ended(view);
@@ -179,7 +180,8 @@
     this->gateway.applyFleet(this->runners);
 }
 
-asio::awaitable<void> GatewayFixture::runSession(boost::beast::tcp_stream caller, RequestContext context)
+asio::awaitable<void> GatewayFixture::runSession(boost::beast::tcp_stream caller, RequestContext context,
+                                                 std::function<void()> ended)
 {
     const bool isDraining = false;
     ResponseWriter writer(caller, true, isDraining);
@@ -192,6 +194,8 @@
     co_await running->run();
     boost::system::error_code ignored;
     caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    running.reset();
+    ended();
 }
 
 void GatewayFixture::announceStop(Duration timeUntilStop)
@@ -246,8 +250,30 @@
     context.service = RouteTable::chooseService(*context.route, 0);
     context.arrived = steadyNow();
     context.deadline = context.arrived + context.route->timeout;
-    spawnTask(this->io, "session", this->runSession(std::move(accepted), std::move(context)));
-    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(ended)));
+    // The session uses the gateway until it has ended, which is after its caller has the whole response.
+    struct Call
+    {
+        std::function<void(const CallerView &)> ended;
+        std::optional<CallerView> view;
+        bool isSessionEnded = false;
+        void check() const
+        {
+            if (this->view && this->isSessionEnded)
+                this->ended(*this->view);
+        }
+    };
+    const auto state = std::make_shared<Call>(Call{std::move(ended), std::nullopt, false});
+    std::function<void()> sessionEnded = [state] {
+        state->isSessionEnded = true;
+        state->check();
+    };
+    std::function<void(const CallerView &)> callerEnded = [state](const CallerView &view) {
+        state->view = view;
+        state->check();
+    };
+    spawnTask(this->io, "session",
+              this->runSession(std::move(accepted), std::move(context), std::move(sessionEnded)));
+    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(callerEnded)));
 }
 
 } // namespace eelgrasslift
