libgateway: decide when runners that ask for a pause get requests again

Cause: a runner that answers 503 with Retry-After wants nothing from a gateway for that time.

Change: platform/ decodes Retry-After of a 503 to ResponseMetadata::pause (decimal seconds, at most an hour; zero, negative numbers, dates and other texts are none). RunnerPauses keeps the pause of each incarnation of a runner by the time points that callers pass, the longest one holds, and paces the requests that come back: random start, one per interval, only with a free slot. RunnerPool::choose() leaves such runners out and says AllPaused with the earliest end.

Evidence: test-gateway passes (1406 assertions).

--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -73,6 +73,9 @@
     std::optional<Duration> keepAlive;
     /// The peer closes the connection after this response.
     bool isClosing = false;
+    /// The runner has refused the request and wants no other one from this gateway for so long; positive and
+    /// at most MaxRunnerPause.
+    std::optional<Duration> pause;
 };
 
 /// HTTP request to a runner, the platform or a coordinator, without the address.
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -16,6 +16,7 @@
 #include "libgateway/placementqueue.h"
 #include "libgateway/retrycontroller.h"
 #include "libgateway/routetable.h"
+#include "libgateway/runnerpauses.h"
 #include "libgateway/runnerpool.h"
 #include "libgateway/schedulercontact.h"
 #include "libgateway/servingconfig.h"
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -115,6 +115,61 @@
     return found == this->runnersById.end() ? nullptr : found->second;
 }
 
+RunnerPauses::Change RunnerPool::recordPause(const Runner &runner, Duration pause, uint32_t gatewayCount,
+                                             TimePoint now, Random &random)
+{
+    const double seconds = runner.meanCallSeconds > 0 ? runner.meanCallSeconds : DefaultCallSeconds;
+    return this->pauses.record(runner.entry, pause, ReturnRate{gatewayCount, seconds, runner.entry.slots},
+                               now, random);
+}
+
+std::optional<TimePoint> RunnerPool::nextSend(const Runner &runner, TimePoint now) const
+{
+    if (this->pauses.isEmpty())
+        return std::nullopt;
+    return this->pauses.nextSend(runner.entry,
+                                 runner.ownLoad.activeRequests + runner.otherLoad.activeRequests, now);
+}
+
+std::optional<TimePoint> RunnerPool::nextSendToPaused(const RunnerCriteria &criteria, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (!isUsable(*runner, criteria))
+            continue;
+        const auto next = this->nextSend(*runner, now);
+        if (!next)
+            return std::nullopt;
+        first = std::min(*next, first.value_or(*next));
+    }
+    return first;
+}
+
+std::vector<std::string> RunnerPool::pausedIds(std::string_view service, TimePoint now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (runner->entry.service == service && this->nextSend(*runner, now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<RunnerPauses::Cut> RunnerPool::removeCutPauses(TimePoint now)
+{
+    const auto isReplaced = [this](const std::string &id, const std::string &address, int64_t startedAtMs) {
+        const RunnerPointer runner = this->find(id);
+        return runner && (runner->entry.address != address || runner->entry.startedAtMs != startedAtMs);
+    };
+    return this->pauses.removeReplaced(isReplaced, now);
+}
+
+bool RunnerPool::isUsable(const Runner &runner, const RunnerCriteria &criteria)
+{
+    return runner.entry.service == criteria.service && !runner.entry.isExpectedToLeave() &&
+           (criteria.excluded == nullptr || !criteria.excluded->contains(runner.entry.id));
+}
+
 double RunnerPool::memoryUtilization(std::string_view service, const EngineTraits &engine) const
 {
     if (const auto known = this->knownUtilization.find(service); known != this->knownUtilization.end())
@@ -195,10 +250,7 @@
     bool isAnyFull = false;
     RunnerPointer lastResort;
     for (const auto &[id, runner] : this->runnersById) {
-        const bool isUsable = runner->entry.service == criteria.service &&
-                              !runner->entry.isExpectedToLeave() &&
-                              (criteria.excluded == nullptr || !criteria.excluded->contains(id));
-        if (!isUsable)
+        if (!isUsable(*runner, criteria) || this->nextSend(*runner, now))
             continue;
         const bool isEjected = runner->ejectedUntil && now < *runner->ejectedUntil;
         if (isEjected || (runner->entry.isUnresponsive && !criteria.isFromCoordinator)) {
@@ -214,7 +266,11 @@
     if (candidates.empty()) {
         if (!isAnyFull && lastResort)
             return lastResort;
-        return NoRunner{isAnyFull ? NoRunner::Reason::AllFull : NoRunner::Reason::NoneAvailable};
+        if (isAnyFull)
+            return NoRunner{NoRunner::Reason::AllFull};
+        if (const auto next = this->nextSendToPaused(criteria, now))
+            return NoRunner{NoRunner::Reason::AllPaused, *next};
+        return NoRunner{NoRunner::Reason::NoneAvailable};
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -3,6 +3,7 @@
 #include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
 #include "libgateway/outputlengthdistribution.h"
+#include "libgateway/runnerpauses.h"
 #include "libgateway/servingconfig.h"
 
 #include <map>
@@ -50,9 +51,12 @@
 {
     enum class Reason {
         NoneAvailable, ///< The service has no runner that may be used.
-        AllFull        ///< The memory limit excludes all runners that may be used; a later try can succeed.
+        AllFull,       ///< The memory limit excludes all runners that may be used; a later try can succeed.
+        AllPaused      ///< All runners that may be used have asked for a pause; see nextSend.
     };
     Reason reason = Reason::NoneAvailable;
+    /// When the first of the paused runners may be used; set for AllPaused only.
+    TimePoint nextSend{};
 };
 
 /// How a send counts in the failure statistics of its runner. The caller of RunnerPool::recordSend() decides.
@@ -116,9 +120,34 @@
     /// Marks a runner as leaving after it has stated so itself; ignores unknown ids.
     void markLeaving(std::string_view id);
 
+    /// Records that a runner has asked for a pause in its answer to one of gatewayCount gateways.
+    RunnerPauses::Change recordPause(const Runner &runner, Duration pause, uint32_t gatewayCount,
+                                     TimePoint now, Random &random);
+    /// Whether the runner pauses, so that nothing may be sent to it.
+    bool isPaused(const Runner &runner, TimePoint now) const
+    {
+        return this->pauses.isPaused(runner.entry, now);
+    }
+    /// Returns when the next request may be sent to a runner that pauses, or that has paused and gets its
+    /// requests back one by one; nothing if at once.
+    std::optional<TimePoint> nextSend(const Runner &runner, TimePoint now) const;
+    /// Counts a request to a runner that has paused; called before each send.
+    void countSendAfterPause(const Runner &runner, TimePoint now)
+    {
+        this->pauses.recordSend(runner.entry, now);
+    }
+    /// Returns when the first runner that may be used gets requests again, if all of them pause; nothing if
+    /// one of them can be used, or there is none.
+    std::optional<TimePoint> nextSendToPaused(const RunnerCriteria &criteria, TimePoint now) const;
+    /// Returns the ids of the service's runners that get no request now because of a pause.
+    std::vector<std::string> pausedIds(std::string_view service, TimePoint now) const;
+    /// Removes the pauses of runners that were replaced by another incarnation and returns them.
+    std::vector<RunnerPauses::Cut> removeCutPauses(TimePoint now);
+
     /// Chooses a runner for a request. engine describes the runners of a model service; nullptr for plain
     /// services. Ejected runners are chosen only if there is no other, and not while the others are full. The
     /// same holds for unresponsive ones if a gateway chooses for itself; the coordinator adds to their cost.
+    /// Runners that have asked for a pause are not chosen.
     std::variant<RunnerPointer, NoRunner> choose(const RunnerCriteria &criteria, const EngineTraits *engine,
                                                  TimePoint now, Random &random) const;
     /// Returns the runner with the id; nullptr if it is not in the list.
@@ -147,11 +176,15 @@
     static double costOf(const Runner &runner, const RunnerCriteria &criteria,
                          const MemoryForecast &requiredMemory, const EngineTraits *engine, TimePoint now);
 
+    /// Whether the runner belongs to the service, is not excluded and does not leave.
+    static bool isUsable(const Runner &runner, const RunnerCriteria &criteria);
+
     /// Returns the runner's object, which keeps its state unless the runner was restarted.
     RunnerPointer updatedRunner(const RunnerEntry &entry, TimePoint now) const;
 
     std::map<std::string, RunnerPointer, std::less<>> runnersById;
     std::map<std::string, double, std::less<>> knownUtilization;
+    RunnerPauses pauses;
 };
 
 } // namespace eelgrasslift
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -211,3 +211,50 @@
         header.set("X-Not-Executed", "1");
     CHECK(Format.decodeHealth(header, "i-1") == row.expected);
 }
+
+// Guards against a runner that is avoided for no reason or for good because of a malformed value.
+TEST_CASE("The pause that a runner asks for is decoded", "[platform]")
+{
+    struct Row
+    {
+        const char *name;
+        unsigned status;
+        std::vector<std::string> values;
+        std::optional<Duration> expected;
+    };
+    const auto row = GENERATE(values<Row>({
+            {"none", 503, {}, std::nullopt},
+            {"whole seconds", 503, {"2"}, 2s},
+            {"fraction", 503, {"0.25"}, 250ms},
+            {"spaces", 503, {" 2 "}, 2s},
+            {"without digits after the point", 503, {"2."}, 2s},
+            {"zero", 503, {"0"}, std::nullopt},
+            {"zero with a fraction", 503, {"0.0"}, std::nullopt},
+            {"too small", 503, {"0." + std::string(400, '0') + "1"}, std::nullopt},
+            {"negative", 503, {"-1"}, std::nullopt},
+            {"sign", 503, {"+1"}, std::nullopt},
+            {"empty", 503, {""}, std::nullopt},
+            {"not a number", 503, {"soon"}, std::nullopt},
+            {"unit", 503, {"2s"}, std::nullopt},
+            {"exponent", 503, {"1e3"}, std::nullopt},
+            {"infinity", 503, {"inf"}, std::nullopt},
+            {"no digits", 503, {"."}, std::nullopt},
+            {"two points", 503, {"1.2.3"}, std::nullopt},
+            {"list", 503, {"1, 2"}, std::nullopt},
+            {"date", 503, {"Fri, 04 Dec 2026 22:00:00 GMT"}, std::nullopt},
+            {"the longest pause", 503, {"3600"}, 1h},
+            {"long", 503, {"100000"}, 1h},
+            {"very long", 503, {std::string(400, '9')}, 1h},
+            {"twice", 503, {"1", "3"}, 3s},
+            {"twice, the second malformed", 503, {"1", "soon"}, 1s},
+            {"429", 429, {"2"}, std::nullopt},
+            {"500", 500, {"2"}, std::nullopt},
+            {"200", 200, {"2"}, std::nullopt},
+    }));
+    INFO(row.name);
+    ResponseHeader header;
+    header.result(row.status);
+    for (const std::string &value : row.values)
+        header.insert("rETRY-after", value);
+    CHECK(Format.decodeResponse(header).pause == row.expected);
+}
