gateway: send nothing to a runner during the pause that it asks for

Cause: a gateway went on to send to a runner that had answered 503 with Retry-After: later requests, copies that were tried up to four times 40 ms apart, health checks and reports. Callers were told a constant 0.6 s.

Change: GatewayState::handleRunnerResponse() records the pause after each decodeResponse(); sessions check again when they are connected; a continuation from a copy waits for the end (up to 1 s) only if its stream has no runner any more; FleetReader leaves paused runners out; paused runners go to `excluded` of placement and transfer requests. While all runners pause, calls wait until 250 ms after their arrival and streams as long as they wait for memory, or get 503 at once with the time to the earliest end. Log lines runner-pause (one per 100 ms at most) and runner-pause-cut.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -30,6 +30,13 @@
 // same domain is preferred until its load costs as much.
 constexpr double CallCrossDomainSeconds = 0.02;
 
+// How long after its arrival a call may still wait for the end of a pause if all runners have asked for one.
+// Another gateway, for which they do not pause, can serve the caller's next try sooner than a longer wait.
+constexpr Duration MaxPauseWait = std::chrono::milliseconds{250};
+
+// A call that has waited needs this much of its time for the runner.
+constexpr Duration MinCallTime = std::chrono::milliseconds{30};
+
 // Late responses to earlier requests that are skipped on a connection before the expected one.
 constexpr int MaxStrayResponses = 2;
 constexpr size_t MaxResponseBytes = size_t{16} << 20;
@@ -83,7 +90,20 @@
         auto placed = this->gateway.runners.choose(criteria, nullptr, steadyNow(), this->gateway.random);
         const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed);
         if (chosen == nullptr) {
-            co_await this->sendErrorFor(retryController.stepWithoutRunner(steadyNow()), "no-runner");
+            const auto &none = std::get<NoRunner>(placed);
+            const bool isPaused = none.reason == NoRunner::Reason::AllPaused;
+            const TimePoint limit = std::min<TimePoint>(this->context.arrived + MaxPauseWait,
+                                                        this->context.deadline - MinCallTime);
+            const bool hasWaited =
+                    isPaused && co_await this->gateway.waitForPausedRunner(none.nextSend, limit);
+            if (this->isAbandoned) {
+                this->recordEnd(499, "caller-gone");
+                co_return;
+            }
+            if (hasWaited)
+                continue;
+            co_await this->sendErrorFor(retryController.stepWithoutRunner(steadyNow()),
+                                        isPaused ? "runners-paused" : "no-runner");
             co_return;
         }
         const RunnerPool::RunnerPointer runner = *chosen;
@@ -98,8 +118,10 @@
         }
         const bool isHealthy =
                 result.outcome == SendOutcome::Answered || result.outcome == SendOutcome::Failed;
-        RunnerPool::recordSend(*runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
-                               steadyNow() - sentAt, steadyNow());
+        // A runner that asks for a pause is sound.
+        if (!isCertainlyNotRun(result.outcome) || !this->gateway.runners.isPaused(*runner, steadyNow()))
+            RunnerPool::recordSend(*runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
+                                   steadyNow() - sentAt, steadyNow());
         retryController.recordOutcome(result.outcome);
         const NextStep step = retryController.nextStep(result.outcome, steadyNow(), [&] {
             return this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow());
@@ -128,10 +150,14 @@
     const TimePoint now = steadyNow();
     const Duration remaining = this->context.deadline - now;
     this->lastRunnerId = runner.entry.id;
+    this->gateway.runners.countSendAfterPause(runner, now);
     RunnerConnectionPointer connection = co_await this->gateway.connections.acquire(
             runner.entry.address, std::min(ConnectTimeout, remaining));
     if (!connection || this->isAbandoned)
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "not-connected"};
+    // The pause may have begun while the connection was established.
+    if (this->gateway.runners.isPaused(runner, steadyNow()))
+        co_return SendResult{SendOutcome::NotConnected, std::nullopt, "runner-paused"};
     ++this->sendCount;
     this->activeConnection = connection;
     HttpRequest request = this->makeRunnerRequest(runner, {});
@@ -142,14 +168,15 @@
     co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
     // A runner may refuse a request before it has read all of it, so its response is read even after a failed
     // write.
-    SendResult result = co_await this->receive(connection);
+    SendResult result = co_await this->receive(connection, runner);
     this->activeConnection.reset();
     if (result.outcome == SendOutcome::Unknown)
         this->gateway.connections.dropIdle(runner.entry.address);
     co_return result;
 }
 
-asio::awaitable<CallSession::SendResult> CallSession::receive(const RunnerConnectionPointer &connection)
+asio::awaitable<CallSession::SendResult> CallSession::receive(const RunnerConnectionPointer &connection,
+                                                              const RunnerPool::Runner &runner)
 {
     for (int strayCount = 0; strayCount <= MaxStrayResponses; ++strayCount) {
         http::response_parser<http::string_body> parser;
@@ -171,6 +198,7 @@
             continue;
         const bool isUnbounded = parser.need_eof();
         ResponseMetadata responseMetadata = this->gateway.format.decodeResponse(parser.get());
+        this->gateway.handleRunnerResponse(runner, responseMetadata, this->context.metadata.id);
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
         if (responseMetadata.requestId != this->context.metadata.id && !responseMetadata.requestId.empty()) {
             logWarning("stray-answer",
--- a/src/gateway/callsession.h
+++ b/src/gateway/callsession.h
@@ -26,7 +26,8 @@
     };
 
     boost::asio::awaitable<SendResult> send(RunnerPool::Runner &runner, bool isLastAttempt);
-    boost::asio::awaitable<SendResult> receive(const RunnerConnectionPointer &connection);
+    boost::asio::awaitable<SendResult> receive(const RunnerConnectionPointer &connection,
+                                               const RunnerPool::Runner &runner);
     /// Derives the outcome of an attempt from a complete response.
     SendResult classify(HttpResponse response, const ResponseMetadata &responseMetadata) const;
 };
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -74,7 +74,14 @@
     });
     this->fallbackReader.setReportFilter([this](const RunnerEntry &entry) {
         const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
-        return runner && runner->ownLoad.activeRequests > 0;
+        return runner && runner->ownLoad.activeRequests > 0 &&
+               !this->gateway.runners.isPaused(*runner, steadyNow());
+    });
+    this->fallbackReader.onResponse([this](const RunnerEntry &entry, const ResponseMetadata &metadata) {
+        const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
+        if (runner && runner->entry.address == entry.address &&
+            runner->entry.startedAtMs == entry.startedAtMs)
+            this->gateway.handleRunnerResponse(*runner, metadata, {});
     });
     spawnLoop(this->gateway.io, "exchange", [this] { return this->exchangeLoop(); });
     this->configSubscriber.start();
@@ -242,6 +249,7 @@
     // A delegate knows only a part of the gateways.
     this->gatewayCount = std::max(status.gatewayCount, status.isLeader ? 1U : this->gatewayCount);
     this->gateway.retryBudget.setGatewayCount(this->gatewayCount);
+    this->gateway.gatewayCount = this->gatewayCount;
     this->coordinators.setMembers(status.coordinatorAddresses);
     this->coordinators.recordResponse(address, status.domain);
     if (status.fleet) {
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -136,6 +136,12 @@
     const auto isUnlisted = [this](const auto &item) { return this->find(item.first) == nullptr; };
     std::erase_if(this->missedReports, isUnlisted);
     std::erase_if(this->detectors, isUnlisted);
+    this->pauses.removeReplaced(
+            [this](const std::string &id, const std::string &address, int64_t startedAtMs) {
+                const RunnerEntry *entry = this->find(id);
+                return entry != nullptr && (entry->address != address || entry->startedAtMs != startedAtMs);
+            },
+            steadyNow());
     if (this->updateCallback)
         this->updateCallback();
 }
@@ -150,7 +156,8 @@
             continue;
         for (const RunnerEntry &entry : this->knownEntries) {
             if (this->engineServices.contains(entry.service) &&
-                (!this->reportFilter || this->reportFilter(entry)))
+                (!this->reportFilter || this->reportFilter(entry)) &&
+                !this->pauses.isPaused(entry, steadyNow()))
                 spawnTask(this->io, "report", this->readReport(entry.id, entry.address));
         }
     }
@@ -158,9 +165,15 @@
 
 asio::awaitable<void> FleetReader::readReport(std::string id, std::string address)
 {
+    const RunnerEntry *known = this->find(id);
+    if (known == nullptr)
+        co_return;
+    const RunnerEntry asked = *known;
     OutgoingCall call = this->format.reportCall();
     auto result = co_await this->connections.call(std::move(address), std::move(call), ReportTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr)
+        this->handleResponse(asked, *response);
     RunnerEntry *entry = this->find(id);
     if (entry == nullptr)
         co_return;
@@ -206,7 +219,8 @@
             continue;
         for (const RunnerEntry &entry : this->knownEntries) {
             const auto service = this->engineServices.find(entry.service);
-            if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving)
+            if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving ||
+                this->pauses.isPaused(entry, steadyNow()))
                 continue;
             spawnTask(this->io, "health-check", this->checkHealth(entry.id, entry.address, service->second));
         }
@@ -215,9 +229,15 @@
 
 asio::awaitable<void> FleetReader::checkHealth(std::string id, std::string address, std::string path)
 {
+    const RunnerEntry *known = this->find(id);
+    if (known == nullptr)
+        co_return;
+    const RunnerEntry asked = *known;
     OutgoingCall call{"GET", std::move(path), {}};
     auto result = co_await this->connections.call(std::move(address), std::move(call), HealthTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr)
+        this->handleResponse(asked, *response);
     RunnerEntry *entry = this->find(id);
     // A runner that does not respond is detected by its report requests.
     if (entry == nullptr || response == nullptr)
@@ -229,6 +249,15 @@
     this->updateSeemsLeaving(*entry);
 }
 
+void FleetReader::handleResponse(const RunnerEntry &entry, const HttpResponse &response)
+{
+    const ResponseMetadata metadata = this->format.decodeResponse(response.base());
+    if (metadata.pause)
+        this->pauses.record(entry, *metadata.pause, ReturnRate{}, steadyNow(), this->random);
+    if (this->responseCallback)
+        this->responseCallback(entry, metadata);
+}
+
 void FleetReader::updateSeemsLeaving(RunnerEntry &entry)
 {
     const bool seemsLeaving = this->detectors[entry.id].seemsLeaving();
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -24,7 +24,8 @@
 };
 
 /// Polls the platform's list of runners, and the load reports and health checks of model runners, while it is
-/// active. Used by coordinators that schedule, and by gateways that reach no coordinator.
+/// active. A runner that asks for a pause in its answer gets neither until the pause is over. Used by
+/// coordinators that schedule, and by gateways that reach no coordinator.
 class FleetReader
 {
 public:
@@ -48,6 +49,12 @@
         this->reportFilter = std::move(filter);
     }
 
+    /// Sets a callback for the answers of runners to report requests and health checks.
+    void onResponse(std::function<void(const RunnerEntry &, const ResponseMetadata &)> callback)
+    {
+        this->responseCallback = std::move(callback);
+    }
+
     /// Sets a callback that runs after a list is read, and when a runner starts to leave, begins or ceases to
     /// seem leaving, or becomes unresponsive; not after every report.
     void onUpdate(std::function<void()> callback) { this->updateCallback = std::move(callback); }
@@ -63,6 +70,8 @@
     boost::asio::awaitable<void> readReport(std::string id, std::string address);
     boost::asio::awaitable<void> pollHealth();
     boost::asio::awaitable<void> checkHealth(std::string id, std::string address, std::string path);
+    /// Applies what the answer of a runner states about the runner itself.
+    void handleResponse(const RunnerEntry &entry, const HttpResponse &response);
     /// Copies the state of the runner's LeavingDetector to the entry and reports a change.
     void updateSeemsLeaving(RunnerEntry &entry);
     /// Appends all pages of the list; returns false if one could not be read.
@@ -83,7 +92,11 @@
     std::map<std::string, uint32_t, std::less<>> missedReports;
     /// By runner id.
     std::map<std::string, LeavingDetector, std::less<>> detectors;
+    /// Pauses that runners have asked for in their answers.
+    RunnerPauses pauses;
+    Random random{systemSeed()};
     std::function<void()> updateCallback;
+    std::function<void(const RunnerEntry &, const ResponseMetadata &)> responseCallback;
     std::function<bool(const RunnerEntry &)> reportFilter;
     boost::asio::steady_timer listTimer;
     boost::asio::steady_timer reportTimer;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -13,6 +13,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Time between two log lines about pauses; a fleet that is overloaded asks for hundreds within a second.
+constexpr Duration PauseLogInterval = std::chrono::milliseconds{100};
+
+} // namespace
+
 GatewayState::GatewayState(asio::io_context &context, const NodeSettings &nodeSettings,
                            const WireFormat &wireFormat)
     : io(context)
@@ -52,10 +59,50 @@
 
 void GatewayState::handleFleetUpdate()
 {
+    for (const RunnerPauses::Cut &cut : this->runners.removeCutPauses(steadyNow())) {
+        logInfo("runner-pause-cut",
+                {{"runner", cut.runnerId}, {"remaining_ms", std::to_string(toMilliseconds(cut.remaining))}});
+    }
     this->notifyCapacityFreed();
     this->checkStreamsOnLeavingRunners();
 }
 
+void GatewayState::handleRunnerResponse(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
+                                        std::string_view requestId)
+{
+    if (!metadata.pause)
+        return;
+    const RunnerPauses::Change change =
+            this->runners.recordPause(runner, *metadata.pause, this->gatewayCount, steadyNow(), this->random);
+    if (change == RunnerPauses::Change::Begun)
+        this->logPause(runner, *metadata.pause, requestId);
+}
+
+void GatewayState::logPause(const RunnerPool::Runner &runner, Duration pause, std::string_view requestId)
+{
+    const TimePoint now = steadyNow();
+    if (now < this->nextPauseLogAt) {
+        ++this->suppressedPauseLogs;
+        return;
+    }
+    this->nextPauseLogAt = now + PauseLogInterval;
+    logInfo("runner-pause", {{"runner", runner.entry.id},
+                             {"started_at", std::to_string(runner.entry.startedAtMs)},
+                             {"seconds", std::to_string(toSeconds(pause))},
+                             {"request", requestId.empty() ? "none" : std::string(requestId)},
+                             {"suppressed", std::to_string(std::exchange(this->suppressedPauseLogs, 0))}});
+}
+
+asio::awaitable<bool> GatewayState::waitForPausedRunner(TimePoint nextSend, TimePoint limit)
+{
+    const TimePoint now = steadyNow();
+    if (nextSend > limit)
+        co_return false;
+    if (nextSend > now)
+        co_await this->waitForCapacity(nextSend - now);
+    co_return true;
+}
+
 void GatewayState::checkStreamsOnLeavingRunners()
 {
     const TimePoint now = steadyNow();
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -34,6 +34,8 @@
     /// Bytes of responses of plain services that are being received.
     size_t bufferedResponseBytes = 0;
     bool isDraining = false;
+    /// Gateways of the fleet, including this one.
+    uint32_t gatewayCount = 1;
     /// When the process exits; set when it begins to shut down.
     std::optional<TimePoint> shutdownAt;
     /// Places generations and orders transfers across all gateways. Set before the first request.
@@ -49,10 +51,17 @@
 
     /// Replaces the list of runners.
     void applyFleet(std::span<const RunnerEntry> entries);
+    /// Applies what an answer of the runner to the request with the id states about the runner itself.
+    void handleRunnerResponse(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
+                              std::string_view requestId);
     /// Wakes requests that wait for capacity and lets streams on leaving runners migrate, after the runners
     /// or their load have changed.
     void handleFleetUpdate();
 
+    /// Waits for the end of the runners' pauses, at most until the limit; returns early as
+    /// waitForCapacity() does, so that the caller chooses again. Returns false if nextSend is later.
+    boost::asio::awaitable<bool> waitForPausedRunner(TimePoint nextSend, TimePoint limit);
+
     /// Load of this gateway's requests in flight, by runner id; for the exchange with the coordinator.
     RunnerLoads ownLoads() const;
 
@@ -71,7 +80,13 @@
     /// Notifies the streams whose runner is leaving.
     void checkStreamsOnLeavingRunners();
 
+    /// Logs a pause that has begun, within the bound on such lines.
+    void logPause(const RunnerPool::Runner &runner, Duration pause, std::string_view requestId);
+
     RouteTablePointer currentRoutes;
+    /// Bound on the lines about pauses.
+    TimePoint nextPauseLogAt{};
+    uint32_t suppressedPauseLogs = 0;
     std::set<StreamSession *> streams;
     boost::asio::steady_timer capacitySignal;
 };
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -4,6 +4,8 @@
 #include "gateway/httpservice.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <iterator>
 
 namespace eelgrasslift {
@@ -14,7 +16,20 @@
 namespace {
 
 // Within this time a failed runner is usually replaced or removed from the list, so that a retry can succeed.
-constexpr std::string_view RetryAfterSeconds = "0.6";
+constexpr double RetryAfterSeconds = 0.6;
+
+// Callers that are refused until the end of the runners' pauses are told times that differ by up to this
+// much, so that they do not come back in the same instant.
+constexpr double RetryAfterSpreadSeconds = 0.2;
+
+/// Decimal number with three places.
+std::string secondsText(double seconds)
+{
+    std::array<char, 32> text{};
+    const auto [end, status] =
+            std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, 3);
+    return {text.data(), end};
+}
 
 } // namespace
 
@@ -53,10 +68,20 @@
         co_return;
     HttpResponse response = makeResponse(status, R"({"error":")" + std::string(cause) + "\"}");
     if (status == 503)
-        response.set(http::field::retry_after, {RetryAfterSeconds.data(), RetryAfterSeconds.size()});
+        response.set(http::field::retry_after, secondsText(this->retryAfterSeconds()));
     co_await this->writer.send(std::move(response));
 }
 
+double RequestSession::retryAfterSeconds() const
+{
+    const TimePoint now = steadyNow();
+    const RunnerCriteria anyRunner{this->context.service, this->gateway.settings.domain, std::nullopt};
+    const auto nextSend = this->gateway.runners.nextSendToPaused(anyRunner, now);
+    if (!nextSend)
+        return RetryAfterSeconds;
+    return toSeconds(*nextSend - now) + RetryAfterSpreadSeconds * this->gateway.random.uniform();
+}
+
 asio::awaitable<void> RequestSession::sendErrorFor(NextStep step, std::string_view cause)
 {
     switch (step) {
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -64,6 +64,9 @@
     boost::asio::awaitable<void> sendError(unsigned status, std::string_view cause);
     /// Sends the error response with the status for a final step.
     boost::asio::awaitable<void> sendErrorFor(NextStep step, std::string_view cause);
+    /// Time after which the caller of a refused request should try again: the earliest end of the runners'
+    /// pauses if all runners of the service pause.
+    double retryAfterSeconds() const;
     /// Logs and counts the end of the request. status 0: a stream that was aborted.
     void recordEnd(unsigned status, std::string_view cause);
     /// Additional fields of the line that recordEnd() logs.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -12,8 +12,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 
 namespace eelgrasslift {
 
@@ -41,6 +43,9 @@
 // coordinators about as often.
 constexpr Duration PlacementRetryDelay = std::chrono::milliseconds{100};
 
+// How long a stream that has begun waits for the end of a pause if no other runner can continue it.
+constexpr Duration MaxPauseInStream = std::chrono::seconds{1};
+
 // Share of a runner's memory that its generations may be expected to occupy at once. The remainder is for
 // generations that last longer than expected.
 constexpr double MemoryLimit = 0.95;
@@ -127,6 +132,11 @@
             std::max(route.latencyObjective - timeToFirstEvent(this->size()), Duration::zero());
     const TimePoint placementDeadline =
             std::min(this->context.deadline, this->context.arrived + maxPlacementWait);
+    TimePoint pauseLimit = placementDeadline;
+    if (this->isSwitching)
+        pauseLimit = steadyNow(); // A wait would hold up the events of the current runner.
+    else if (this->writer.isResponseStarted())
+        pauseLimit = std::min(this->context.deadline, steadyNow() + MaxPauseInStream);
     for (;;) {
         const RunnerCriteria criteria{this->context.service,
                                       this->gateway.settings.domain,
@@ -134,6 +144,11 @@
                                       &this->triedRunners,
                                       MemoryLimit,
                                       GenerationCrossDomainSeconds};
+        if (const auto nextSend = this->gateway.runners.nextSendToPaused(criteria, steadyNow())) {
+            if (this->isAbandoned || !co_await this->gateway.waitForPausedRunner(*nextSend, pauseLimit))
+                co_return nullptr;
+            continue;
+        }
         const bool isLocalChoice = !this->context.metadata.size || this->context.engine() == nullptr;
         std::optional<PlacementResult> placement;
         if (!isLocalChoice) {
@@ -147,11 +162,14 @@
                                                    this->context.accountPriority.value_or(route.priority),
                                                    route.priority,
                                                    steadyNow() - this->context.arrived};
+            std::ranges::move(this->gateway.runners.pausedIds(this->context.service, steadyNow()),
+                              std::back_inserter(placementRequest.excluded));
             placement = co_await this->gateway.fleetScheduler->place(std::move(placementRequest));
         }
         RunnerPool::RunnerPointer runner =
                 placement ? this->gateway.runners.find(placement->runnerId) : nullptr;
-        if (runner && !runner->entry.isExpectedToLeave())
+        if (runner && !runner->entry.isExpectedToLeave() &&
+            !this->gateway.runners.nextSend(*runner, steadyNow()))
             co_return runner;
         bool isFull = placement && placement->runnerId.empty();
         if (!isFull) {
@@ -159,7 +177,10 @@
                                                        this->gateway.random);
             if (const auto *chosen = std::get_if<RunnerPool::RunnerPointer>(&placed))
                 co_return *chosen;
-            isFull = std::get<NoRunner>(placed).reason == NoRunner::Reason::AllFull;
+            const NoRunner::Reason reason = std::get<NoRunner>(placed).reason;
+            if (reason == NoRunner::Reason::AllPaused)
+                continue;
+            isFull = reason == NoRunner::Reason::AllFull;
         }
         const Duration remaining = placementDeadline - steadyNow();
         if (!isFull || remaining <= Duration::zero() || this->isAbandoned)
@@ -183,8 +204,12 @@
                 co_return;
             }
             if (!runner) {
+                const RunnerCriteria criteria{this->context.service, this->gateway.settings.domain,
+                                              std::nullopt, &this->triedRunners};
+                const bool isPaused =
+                        this->gateway.runners.nextSendToPaused(criteria, steadyNow()).has_value();
                 co_await this->sendErrorFor(this->retryController.stepWithoutRunner(steadyNow()),
-                                            "no-runner");
+                                            isPaused ? "runners-paused" : "no-runner");
                 co_return;
             }
             next = Destination{runner, {}, "placed"};
@@ -197,8 +222,11 @@
                                result.relayOutcome == RelayOutcome::CallerDisconnected ||
                                this->current.runner->entry.isExpectedToLeave() || this->completedMigration ||
                                this->isMigrating;
-        RunnerPool::recordSend(*this->current.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
-                               steadyNow() - sentAt, steadyNow());
+        // A runner that asks for a pause is sound.
+        if (!isCertainlyNotRun(result.outcome) ||
+            !this->gateway.runners.isPaused(*this->current.runner, steadyNow()))
+            RunnerPool::recordSend(*this->current.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
+                                   steadyNow() - sentAt, steadyNow());
         this->retryController.recordOutcome(result.outcome);
         if (result.relayOutcome == RelayOutcome::Complete) {
             this->recordEnd(200, "complete");
@@ -288,6 +316,10 @@
     const RunnerPool::Runner &runner = *destination.runner;
     const bool isContinuation = !destination.continueFrom.empty();
     RunnerStream stream;
+    const RelayResult paused{RelayOutcome::Refused, SendOutcome::NotConnected, "runner-paused", std::nullopt};
+    if (!co_await this->waitForPause(destination, previous))
+        co_return paused;
+    this->gateway.runners.countSendAfterPause(runner, steadyNow());
     stream.load = RunnerLoadReservation(destination.runner, this->expectedLoad());
     stream.backup = this->chooseBackup(runner);
     stream.connection = co_await this->gateway.connections.acquire(
@@ -296,6 +328,9 @@
     if (!stream.connection || this->isAbandoned)
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "not-connected",
                               std::nullopt};
+    // The pause may have begun while the connection was established.
+    if (this->gateway.runners.isPaused(runner, steadyNow()))
+        co_return paused;
     ++this->sendCount;
     stream.sentAt = steadyNow();
     if (!this->firstSentAt)
@@ -332,6 +367,22 @@
     co_return std::move(stream);
 }
 
+asio::awaitable<bool> StreamSession::waitForPause(Destination destination, RunnerConnectionPointer previous)
+{
+    const TimePoint limit = std::min(this->context.deadline, steadyNow() + MaxPauseInStream);
+    // Only the runner that holds the copy can continue the stream after its own has stopped.
+    const bool mayWait =
+            !destination.continueFrom.empty() && (!previous || !previous->stream.socket().is_open());
+    for (;;) {
+        const auto nextSend = this->gateway.runners.nextSend(*destination.runner, steadyNow());
+        if (!nextSend)
+            co_return true;
+        if (!mayWait || this->isAbandoned || *nextSend > limit)
+            co_return false;
+        co_await this->gateway.waitForPausedRunner(*nextSend, limit);
+    }
+}
+
 asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::receiveHeader(RunnerStream &stream,
                                                                                         bool isContinuation)
 {
@@ -356,6 +407,7 @@
     }
     const ResponseHeader &header = stream.parser->get().base();
     stream.metadata = this->gateway.format.decodeResponse(header);
+    this->gateway.handleRunnerResponse(*stream.load.runner(), stream.metadata, this->context.metadata.id);
     if (!stream.metadata.requestId.empty() && stream.metadata.requestId != this->context.metadata.id)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "stray-answer", std::nullopt};
     const unsigned status = header.result_int();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -83,6 +83,9 @@
     /// if any, when both runners may have worked on the request for too long.
     boost::asio::awaitable<Result<RunnerStream, RelayResult>> open(Destination destination,
                                                                    RunnerConnectionPointer previous);
+    /// Returns whether a request may be sent to the destination. Waits for the end of a pause that the runner
+    /// has asked for only if the stream cannot continue anywhere else.
+    boost::asio::awaitable<bool> waitForPause(Destination destination, RunnerConnectionPointer previous);
     /// Waits for the header of the response to a request that was sent on the connection of the stream, and
     /// stores the header there. Returns nothing if the request was accepted.
     boost::asio::awaitable<std::optional<RelayResult>> receiveHeader(RunnerStream &stream,
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 // Backups, migrations and other continuations of a stream whose runner stops.
 
 namespace eelgrasslift {
@@ -70,7 +73,8 @@
 bool StreamSession::isBackupReachable() const
 {
     const RunnerPool::RunnerPointer &backupRunner = this->backup.runner();
-    return backupRunner && !backupRunner->entry.isExpectedToLeave() && !backupRunner->entry.isUnresponsive;
+    return backupRunner && !backupRunner->entry.isExpectedToLeave() && !backupRunner->entry.isUnresponsive &&
+           !this->gateway.runners.isPaused(*backupRunner, steadyNow());
 }
 
 std::optional<StreamSession::Destination> StreamSession::backupDestination() const
@@ -143,7 +147,8 @@
     if (!this->load.runner() || !this->forwardedConnection || engine == nullptr ||
         this->continuationCount >= MaxSwitches || steadyNow() < this->nextSwitchAt)
         return;
-    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave();
+    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave() &&
+                           !this->gateway.runners.isPaused(*this->backup.runner(), steadyNow());
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
     const LeavingGeneration generation{this->remainingTokens(),
                                        this->generatedTokens(),
@@ -180,12 +185,17 @@
     transferRequest.value = generationValue(
             {transferRequest.size.promptTokens, transferRequest.generatedTokens + this->remainingTokens()});
     transferRequest.excluded.assign(this->fullRunners.begin(), this->fullRunners.end());
+    std::ranges::move(this->gateway.runners.pausedIds(this->context.service, steadyNow()),
+                      std::back_inserter(transferRequest.excluded));
     const std::optional<TransferPermit> permit =
             co_await this->gateway.fleetScheduler->requestTransfer(std::move(transferRequest));
     RunnerPool::RunnerPointer destination =
             permit ? this->gateway.runners.find(permit->destinationId) : nullptr;
-    if (!destination)
+    if (!destination || this->gateway.runners.isPaused(*destination, steadyNow()))
         destination = this->chooseCopyDestination(*source, source->entry.domain, CopyMemoryLimit);
+    // The source sends the copy on request; one that pauses wants none.
+    if (this->gateway.runners.isPaused(*source, steadyNow()))
+        destination.reset();
     const auto isStillOnSource = [&] {
         return this->load.runner() == source && this->forwardedConnection && !this->isAbandoned;
     };
@@ -379,6 +389,9 @@
             co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response == nullptr ? 0 : response->result_int();
+    if (response != nullptr)
+        this->gateway.handleRunnerResponse(*source, format.decodeResponse(response->base()),
+                                           this->context.metadata.id);
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
                                   {"to", destination->entry.id},
--- a/tests/gateway/test_runnerpauses.cpp
+++ b/tests/gateway/test_runnerpauses.cpp
@@ -316,3 +316,41 @@
     // The runner needs 1.5 s for the requests after the pause of one second.
     CHECK(replay.lastTime - Start < 5s);
 }
+
+// Guards against requests of this gateway that fill the queue of a runner which others use again already.
+TEST_CASE("After a pause a request is sent only to a runner with a free slot", "[runnerpauses]")
+{
+    struct Row
+    {
+        const char *name;
+        uint32_t ownRequests;
+        uint32_t otherRequests;
+        /// Time after the earliest return.
+        Duration at;
+        bool isFree;
+    };
+    // At most one second between two requests: 6 slots for 75 gateways whose calls take 80 ms.
+    constexpr Duration Pause = 2s;
+    const auto row = GENERATE(values<Row>({
+            {"idle", 0, 0, 0s, true},
+            {"one free", 2, 3, 0s, true},
+            {"full of others", 0, 6, 0s, false},
+            {"full of its own", 6, 0, 0s, false},
+            {"full of both", 3, 3, 0s, false},
+            {"full, long after the pause", 0, 6, 10s, true},
+    }));
+    INFO(row.name);
+    RunnerPool pool;
+    Random random{1};
+    pool.setFleet(std::vector{makeEntry("a")}, Start);
+    RunnerPool::Runner &runner = *pool.find("a");
+    RunnerPool::recordSend(runner, SendHealth::Good, 400ms, Start);
+    pool.recordPause(runner, Pause, FleetReplay::GatewayCount, Start, random);
+    const auto first = pool.nextSend(runner, Start);
+    REQUIRE(first);
+    CHECK(*first >= Start + Pause);
+    CHECK(*first <= Start + Pause + 1s);
+    runner.ownLoad.activeRequests = row.ownRequests;
+    runner.otherLoad.activeRequests = row.otherRequests;
+    CHECK(pool.nextSend(runner, *first + row.at).has_value() != row.isFree);
+}
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -107,6 +107,8 @@
     CallerView view;
     view.status = parser.is_header_done() ? parser.get().result_int() : 0;
     view.body = parser.get().body();
+    if (const auto value = parser.get()[http::field::retry_after]; !value.empty())
+        view.retryAfter = std::stod(std::string(value));
     view.isComplete = !error && parser.is_done();
     ended(view);
 }
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -43,6 +43,8 @@
     /// 0 if there was no response.
     unsigned status = 0;
     std::string body;
+    /// Value of Retry-After in seconds; 0 if there is none.
+    double retryAfter = 0;
     /// The response has the end that its header announces.
     bool isComplete = false;
 };
