--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -139,6 +139,12 @@
     const auto isUnlisted = [this](const auto &item) { return this->find(item.first) == nullptr; };
     std::erase_if(this->missedReports, isUnlisted);
     std::erase_if(this->detectors, isUnlisted);
+    this->pauses.removeReplaced(
+            [this](const std::string &id, const std::string &address, int64_t startedAtMs) {
+                const RunnerEntry *entry = this->find(id);
+                return entry != nullptr && (entry->address != address || entry->startedAtMs != startedAtMs);
+            },
+            steadyNow());
     if (this->updateCallback)
         this->updateCallback();
 }
@@ -153,20 +159,21 @@
             continue;
         for (const RunnerEntry &entry : this->knownEntries) {
             if (this->engineServices.contains(entry.service) &&
-                (!this->reportFilter || this->reportFilter(entry)))
-                spawnTask(this->io, "report", this->readReport(RunnerIncarnation::of(entry)));
+                (!this->reportFilter || this->reportFilter(entry)) &&
+                !this->pauses.isPaused(entry, steadyNow()))
+                spawnTask(this->io, "report", this->readReport(entry));
         }
     }
 }
 
-asio::awaitable<void> FleetReader::readReport(RunnerIncarnation runner)
+asio::awaitable<void> FleetReader::readReport(RunnerEntry asked)
 {
     OutgoingCall call = this->format.reportCall();
-    const std::string &id = runner.id;
-    auto result = co_await this->connections.call(runner.address, std::move(call), ReportTimeout);
+    const std::string &id = asked.id;
+    auto result = co_await this->connections.call(asked.address, std::move(call), ReportTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response != nullptr)
-        this->recordAnswer(runner, *response);
+        this->recordAnswer(asked, *response);
     RunnerEntry *entry = this->find(id);
     if (entry == nullptr)
         co_return;
@@ -212,22 +219,22 @@
             continue;
         for (const RunnerEntry &entry : this->knownEntries) {
             const auto service = this->engineServices.find(entry.service);
-            if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving)
+            if (service == this->engineServices.end() || service->second.empty() || entry.isLeaving ||
+                this->pauses.isPaused(entry, steadyNow()))
                 continue;
-            spawnTask(this->io, "health-check",
-                      this->checkHealth(RunnerIncarnation::of(entry), service->second));
+            spawnTask(this->io, "health-check", this->checkHealth(entry, service->second));
         }
     }
 }
 
-asio::awaitable<void> FleetReader::checkHealth(RunnerIncarnation runner, std::string path)
+asio::awaitable<void> FleetReader::checkHealth(RunnerEntry asked, std::string path)
 {
     OutgoingCall call{"GET", std::move(path), {}};
-    const std::string &id = runner.id;
-    auto result = co_await this->connections.call(runner.address, std::move(call), HealthTimeout);
+    const std::string &id = asked.id;
+    auto result = co_await this->connections.call(asked.address, std::move(call), HealthTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response != nullptr)
-        this->recordAnswer(runner, *response);
+        this->recordAnswer(asked, *response);
     RunnerEntry *entry = this->find(id);
     // A runner that does not respond is detected by its report requests.
     if (entry == nullptr || response == nullptr)
@@ -239,9 +246,14 @@
     this->updateSeemsLeaving(*entry);
 }
 
-void FleetReader::recordAnswer(const RunnerIncarnation &runner, const HttpResponse &response)
+void FleetReader::recordAnswer(const RunnerEntry &asked, const HttpResponse &response)
 {
-    const ResponseMetadata metadata = this->format.decodeResponse(response);
+    const ResponseMetadata metadata = this->format.decodeResponse(response.base());
+    if (metadata.pause)
+        this->pauses.record(asked, *metadata.pause, ReturnRate{}, steadyNow(), this->random);
+    if (this->responseCallback)
+        this->responseCallback(asked, metadata);
+    const RunnerIncarnation runner = RunnerIncarnation::of(asked);
     if (metadata.hasUnknownLeavingValue) {
         if (const auto count = this->malformedLeavingLimiter.record(steadyNow()))
             logWarning("leaving-malformed", {{"runner", runner.id}, {"count", std::to_string(*count)}});
--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -25,7 +25,8 @@
 };
 
 /// Polls the platform's list of runners, and the load reports and health checks of model runners, while it is
-/// active. Used by coordinators that schedule, and by gateways that reach no coordinator.
+/// active. A runner that asks for a pause in its answer gets neither until the pause is over. Used by
+/// coordinators that schedule, and by gateways that reach no coordinator.
 class FleetReader
 {
 public:
@@ -52,6 +53,12 @@
         this->reportFilter = std::move(filter);
     }
 
+    /// Sets a callback for the answers of runners to report requests and health checks.
+    void onResponse(std::function<void(const RunnerEntry &, const ResponseMetadata &)> callback)
+    {
+        this->responseCallback = std::move(callback);
+    }
+
     /// Sets a callback that runs after a list is read, and when a runner starts to leave, begins or ceases to
     /// seem leaving, or becomes unresponsive; not after every report.
     void onUpdate(std::function<void()> callback) { this->updateCallback = std::move(callback); }
@@ -64,11 +71,11 @@
 private:
     boost::asio::awaitable<void> pollLists();
     boost::asio::awaitable<void> pollReports();
-    boost::asio::awaitable<void> readReport(RunnerIncarnation runner);
+    boost::asio::awaitable<void> readReport(RunnerEntry asked);
     boost::asio::awaitable<void> pollHealth();
-    boost::asio::awaitable<void> checkHealth(RunnerIncarnation runner, std::string path);
-    /// Takes note of the header of a runner's answer if it states that the runner is leaving.
-    void recordAnswer(const RunnerIncarnation &runner, const HttpResponse &response);
+    boost::asio::awaitable<void> checkHealth(RunnerEntry asked, std::string path);
+    /// Takes note of what the header of a runner's answer states about the runner itself.
+    void recordAnswer(const RunnerEntry &asked, const HttpResponse &response);
     /// Marks the runners, which are new in leavingRunners, as leaving and reports that.
     void markLeaving(std::span<const RunnerIncarnation> runners);
     /// Copies the state of the runner's LeavingDetector to the entry and reports a change.
@@ -93,7 +100,11 @@
     std::map<std::string, LeavingDetector, std::less<>> detectors;
     LeavingRunners &leavingRunners;
     OccurrenceLimiter malformedLeavingLimiter;
+    /// Pauses that runners have asked for in their answers.
+    RunnerPauses pauses;
+    Random random{systemSeed()};
     std::function<void()> updateCallback;
+    std::function<void(const RunnerEntry &, const ResponseMetadata &)> responseCallback;
     std::function<bool(const RunnerEntry &)> reportFilter;
     boost::asio::steady_timer listTimer;
     boost::asio::steady_timer reportTimer;
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -79,6 +79,9 @@
     bool hasUnknownLeavingValue = false;
     /// Id of the runner that has sent the response; empty if the header has none.
     std::string runnerId;
+    /// The runner has refused the request and wants no other one from this gateway for so long; positive and
+    /// at most MaxRunnerPause.
+    std::optional<Duration> pause;
 };
 
 /// Returns whether the response to a request for the runner with the id comes from that runner.
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -44,6 +44,8 @@
     unsigned status = 0;
     boost::beast::http::fields header;
     std::string body;
+    /// Value of Retry-After in seconds; 0 if there is none.
+    double retryAfter = 0;
     /// The response has the end that its header announces.
     bool isComplete = false;
 };
