--- a/src/gateway/fleetreader.h
+++ b/src/gateway/fleetreader.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 namespace eelgrasslift {
@@ -24,12 +25,14 @@
 };
 
 /// Polls the platform's list of runners, and the load reports and health checks of model runners, while it is
-/// active. Used by coordinators that schedule, and by gateways that reach no coordinator.
+/// active. A runner that asks for a pause in its answer gets neither until the pause is over. Used by
+/// coordinators that schedule, and by gateways that reach no coordinator.
 class FleetReader
 {
 public:
+    /// leavingRunners is read and added to; it must outlive the reader.
     FleetReader(boost::asio::io_context &io, const WireFormat &format, ConnectionPool &connections,
-                FleetReaderSettings settings);
+                LeavingRunners &leavingRunners, FleetReaderSettings settings);
 
     /// Names of the services of model runners, with the path of their health checks; an empty path disables
     /// the checks.
@@ -41,6 +44,8 @@
     /// Replaces the runners by those known from another source, until the next list is read.
     void setKnownRunners(std::vector<RunnerEntry> entries);
     bool isActive() const { return this->active; }
+    /// Records runners that have stated in an answer to a gateway that they are leaving.
+    void recordLeaving(std::string_view gateway, std::span<const RunnerIncarnation> runners);
 
     /// Limits the report requests to the runners for which the filter returns true.
     void setReportFilter(std::function<bool(const RunnerEntry &)> filter)
@@ -48,6 +53,12 @@
         this->reportFilter = std::move(filter);
     }
 
+    /// Sets a callback for the answers of runners to report requests and health checks.
+    void onResponse(std::function<void(const RunnerEntry &, const ResponseMetadata &)> callback)
+    {
+        this->responseCallback = std::move(callback);
+    }
+
     /// Sets a callback that runs after a list is read, and when a runner starts to leave, begins or ceases to
     /// seem leaving, or becomes unresponsive; not after every report.
     void onUpdate(std::function<void()> callback) { this->updateCallback = std::move(callback); }
@@ -60,9 +71,13 @@
 private:
     boost::asio::awaitable<void> pollLists();
     boost::asio::awaitable<void> pollReports();
-    boost::asio::awaitable<void> readReport(std::string id, std::string address);
+    boost::asio::awaitable<void> readReport(RunnerEntry asked);
     boost::asio::awaitable<void> pollHealth();
-    boost::asio::awaitable<void> checkHealth(std::string id, std::string address, std::string path);
+    boost::asio::awaitable<void> checkHealth(RunnerEntry asked, std::string path);
+    /// Takes note of what the header of a runner's answer states about the runner itself.
+    void recordAnswer(const RunnerEntry &asked, const HttpResponse &response);
+    /// Marks the runners, which are new in leavingRunners, as leaving and reports that.
+    void markLeaving(std::span<const RunnerIncarnation> runners);
     /// Copies the state of the runner's LeavingDetector to the entry and reports a change.
     void updateSeemsLeaving(RunnerEntry &entry);
     /// Appends all pages of the list; returns false if one could not be read.
@@ -83,7 +98,13 @@
     std::map<std::string, uint32_t, std::less<>> missedReports;
     /// By runner id.
     std::map<std::string, LeavingDetector, std::less<>> detectors;
+    LeavingRunners &leavingRunners;
+    OccurrenceLimiter malformedLeavingLimiter;
+    /// Pauses that runners have asked for in their answers.
+    RunnerPauses pauses;
+    Random random{systemSeed()};
     std::function<void()> updateCallback;
+    std::function<void(const RunnerEntry &, const ResponseMetadata &)> responseCallback;
     std::function<bool(const RunnerEntry &)> reportFilter;
     boost::asio::steady_timer listTimer;
     boost::asio::steady_timer reportTimer;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -50,6 +50,10 @@
     /// run().
     void abandon();
 
+    /// Lets the request fail now as at its deadline: closes the connection to the runner, and the caller gets
+    /// an error response if none has begun.
+    void expire();
+
     /// The request that is handled.
     const RequestContext &requestContext() const { return this->context; }
 
@@ -64,6 +68,9 @@
     boost::asio::awaitable<void> sendError(unsigned status, std::string_view cause);
     /// Sends the error response with the status for a final step.
     boost::asio::awaitable<void> sendErrorFor(NextStep step, std::string_view cause);
+    /// Time after which the caller of a refused request should try again: the earliest end of the runners'
+    /// pauses if all runners of the service pause.
+    double retryAfterSeconds() const;
     /// Logs and counts the end of the request. status 0: a stream that was aborted.
     void recordEnd(unsigned status, std::string_view cause);
     /// Additional fields of the line that recordEnd() logs.
@@ -79,6 +86,9 @@
     uint32_t sendCount = 0;
     /// Runner of the last attempt.
     std::string lastRunnerId;
+
+private:
+    void disconnect();
 };
 
 } // namespace eelgrasslift
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -66,7 +66,8 @@
     RunnerPointer runner = isSame ? found->second : std::make_shared<Runner>();
     const bool wasLeaving = isSame && runner->entry.isLeaving;
     runner->entry = entry;
-    runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving);
+    runner->entry.isLeaving = entry.isLeaving || wasLeaving || (entry.report && entry.report->isLeaving) ||
+                              this->statedLeaving.contains(entry);
     if (entry.warmUpRemaining > Duration::zero())
         runner->warmUpUntil = now + entry.warmUpRemaining;
     if (entry.report && entry.report->timeUntilStop)
@@ -103,10 +104,44 @@
     }
 }
 
-void RunnerPool::markLeaving(std::string_view id)
+std::vector<RunnerIncarnation> RunnerPool::recordLeavingAnswer(const RunnerEntry &expected,
+                                                               AnswerSender sender)
 {
-    if (const auto found = this->runnersById.find(id); found != this->runnersById.end())
-        found->second->entry.isLeaving = true;
+    if (sender == AnswerSender::Expected && this->statedLeaving.contains(expected))
+        return {};
+    std::vector<RunnerIncarnation> added =
+            this->statedLeaving.addSender(RunnerIncarnation::of(expected), sender, this->entries());
+    this->markStatedLeaving();
+    return added;
+}
+
+void RunnerPool::markStatedLeaving()
+{
+    for (const auto &[id, runner] : this->runnersById)
+        runner->entry.isLeaving = runner->entry.isLeaving || this->statedLeaving.contains(runner->entry);
+}
+
+std::vector<RunnerIncarnation> RunnerPool::listedLeaving() const
+{
+    std::vector<RunnerIncarnation> result;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (this->statedLeaving.contains(runner->entry))
+            result.push_back(RunnerIncarnation::of(runner->entry));
+    }
+    return result;
+}
+
+bool RunnerPool::areAllLeaving(std::string_view service) const
+{
+    bool isAnyKnown = false;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (runner->entry.service != service)
+            continue;
+        if (!runner->entry.isLeaving)
+            return false;
+        isAnyKnown = true;
+    }
+    return isAnyKnown;
 }
 
 RunnerPool::RunnerPointer RunnerPool::find(std::string_view id) const
@@ -115,6 +150,61 @@
     return found == this->runnersById.end() ? nullptr : found->second;
 }
 
+RunnerPauses::Change RunnerPool::recordPause(const Runner &runner, Duration pause, uint32_t gatewayCount,
+                                             TimePoint now, Random &random)
+{
+    const double seconds = runner.meanCallSeconds > 0 ? runner.meanCallSeconds : DefaultCallSeconds;
+    return this->pauses.record(runner.entry, pause, ReturnRate{gatewayCount, seconds, runner.entry.slots},
+                               now, random);
+}
+
+std::optional<TimePoint> RunnerPool::nextSend(const Runner &runner, TimePoint now) const
+{
+    if (this->pauses.isEmpty())
+        return std::nullopt;
+    return this->pauses.nextSend(runner.entry,
+                                 runner.ownLoad.activeRequests + runner.otherLoad.activeRequests, now);
+}
+
+std::optional<TimePoint> RunnerPool::nextSendToPaused(const RunnerCriteria &criteria, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (!isUsable(*runner, criteria))
+            continue;
+        const auto next = this->nextSend(*runner, now);
+        if (!next)
+            return std::nullopt;
+        first = std::min(*next, first.value_or(*next));
+    }
+    return first;
+}
+
+std::vector<std::string> RunnerPool::pausedIds(std::string_view service, TimePoint now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, runner] : this->runnersById) {
+        if (runner->entry.service == service && this->nextSend(*runner, now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<RunnerPauses::Cut> RunnerPool::removeCutPauses(TimePoint now)
+{
+    const auto isReplaced = [this](const std::string &id, const std::string &address, int64_t startedAtMs) {
+        const RunnerPointer runner = this->find(id);
+        return runner && (runner->entry.address != address || runner->entry.startedAtMs != startedAtMs);
+    };
+    return this->pauses.removeReplaced(isReplaced, now);
+}
+
+bool RunnerPool::isUsable(const Runner &runner, const RunnerCriteria &criteria)
+{
+    return runner.entry.service == criteria.service && !runner.entry.isExpectedToLeave() &&
+           (criteria.excluded == nullptr || !criteria.excluded->contains(runner.entry.id));
+}
+
 double RunnerPool::memoryUtilization(std::string_view service, const EngineTraits &engine) const
 {
     if (const auto known = this->knownUtilization.find(service); known != this->knownUtilization.end())
@@ -195,10 +285,7 @@
     bool isAnyFull = false;
     RunnerPointer lastResort;
     for (const auto &[id, runner] : this->runnersById) {
-        const bool isUsable = runner->entry.service == criteria.service &&
-                              !runner->entry.isExpectedToLeave() &&
-                              (criteria.excluded == nullptr || !criteria.excluded->contains(id));
-        if (!isUsable)
+        if (!isUsable(*runner, criteria) || this->nextSend(*runner, now))
             continue;
         const bool isEjected = runner->ejectedUntil && now < *runner->ejectedUntil;
         if (isEjected || (runner->entry.isUnresponsive && !criteria.isFromCoordinator)) {
@@ -214,7 +301,11 @@
     if (candidates.empty()) {
         if (!isAnyFull && lastResort)
             return lastResort;
-        return NoRunner{isAnyFull ? NoRunner::Reason::AllFull : NoRunner::Reason::NoneAvailable};
+        if (isAnyFull)
+            return NoRunner{NoRunner::Reason::AllFull};
+        if (const auto next = this->nextSendToPaused(criteria, now))
+            return NoRunner{NoRunner::Reason::AllPaused, *next};
+        return NoRunner{NoRunner::Reason::NoneAvailable};
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
