--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -198,7 +198,7 @@
                 responseMetadata = this->gateway.format.decodeResponse(parser.get());
                 this->gateway.recordAnswer(runner.entry, parser.get().result_int(), responseMetadata,
                                            this->context.metadata.id);
-                this->gateway.handleRunnerResponse(runner, responseMetadata, this->context.metadata.id);
+                this->gateway.recordPause(runner, responseMetadata, this->context.metadata.id);
             }
             if (!buffered.resize(parser.get().body().size()))
                 co_return SendResult{SendOutcome::Unknown, std::nullopt, "answer-too-large"};
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -87,7 +87,7 @@
         const RunnerPool::RunnerPointer runner = this->gateway.runners.find(entry.id);
         if (runner && runner->entry.address == entry.address &&
             runner->entry.startedAtMs == entry.startedAtMs)
-            this->gateway.handleRunnerResponse(*runner, metadata, {});
+            this->gateway.recordPause(*runner, metadata, {});
     });
     spawnLoop(this->gateway.io, "exchange", [this] { return this->exchangeLoop(); });
     this->configSubscriber.start();
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -89,8 +89,8 @@
     this->checkStreamsOnLeavingRunners();
 }
 
-void GatewayState::handleRunnerResponse(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
-                                        std::string_view requestId)
+void GatewayState::recordPause(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
+                               std::string_view requestId)
 {
     if (!metadata.pause)
         return;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -57,9 +57,9 @@
 
     /// Replaces the list of runners.
     void applyFleet(std::span<const RunnerEntry> entries);
-    /// Applies what an answer of the runner to the request with the id states about the runner itself.
-    void handleRunnerResponse(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
-                              std::string_view requestId);
+    /// Records the pause that the runner asks for in its answer to the request with the id, if any.
+    void recordPause(const RunnerPool::Runner &runner, const ResponseMetadata &metadata,
+                     std::string_view requestId);
     /// Wakes requests that wait for capacity and lets streams on leaving runners migrate, after the runners
     /// or their load have changed.
     void handleFleetUpdate();
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -424,7 +424,7 @@
         stream.metadata = this->gateway.format.decodeResponse(stream.parser->get());
         this->gateway.recordAnswer(stream.load.runner()->entry, stream.parser->get().result_int(),
                                    stream.metadata, this->context.metadata.id);
-        this->gateway.handleRunnerResponse(*stream.load.runner(), stream.metadata, this->context.metadata.id);
+        this->gateway.recordPause(*stream.load.runner(), stream.metadata, this->context.metadata.id);
     }
     const ResponseHeader &header = stream.parser->get().base();
     if (!stream.metadata.requestId.empty() && stream.metadata.requestId != this->context.metadata.id)
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -427,7 +427,7 @@
         if (response != nullptr) {
             const ResponseMetadata metadata = format.decodeResponse(response->base());
             this->gateway.recordAnswer(source->entry, status, metadata, this->context.metadata.id);
-            this->gateway.handleRunnerResponse(*source, metadata, this->context.metadata.id);
+            this->gateway.recordPause(*source, metadata, this->context.metadata.id);
         }
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
--- a/src/libgateway/runnerpauses.cpp
+++ b/src/libgateway/runnerpauses.cpp
@@ -48,8 +48,7 @@
     if (wasPaused && until <= found->second.until)
         return Change::None;
     if (found == this->pauses.end())
-        found = this->pauses.emplace(Incarnation{runner.id, runner.address, runner.startedAtMs}, Pause{})
-                        .first;
+        found = this->pauses.emplace(RunnerIncarnation::of(runner), Pause{}).first;
     const Duration interval = rate.interval();
     const auto offset = std::chrono::duration_cast<Duration>(interval * random.uniform());
     found->second = Pause{until, until + offset, interval};
--- a/src/libgateway/runnerpauses.h
+++ b/src/libgateway/runnerpauses.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libcore/core.h"
-#include "libgateway/fleetview.h"
+#include "libgateway/leavingrunners.h"
 
 #include <compare>
 #include <functional>
@@ -82,12 +82,6 @@
     bool isEmpty() const { return this->pauses.empty(); }
 
 private:
-    struct Incarnation
-    {
-        std::string id;
-        std::string address;
-        int64_t startedAtMs = 0;
-    };
     /// Compares incarnations with entries of the list.
     struct IncarnationLess
     {
@@ -110,7 +104,7 @@
         bool isOver(TimePoint now) const;
     };
 
-    std::map<Incarnation, Pause, IncarnationLess> pauses;
+    std::map<RunnerIncarnation, Pause, IncarnationLess> pauses;
 };
 
 } // namespace eelgrasslift
--- a/tests/hostile/test_runnerpause.cpp
+++ b/tests/hostile/test_runnerpause.cpp
@@ -202,7 +202,7 @@
     });
     ResponseMetadata metadata;
     metadata.pause = fromSeconds(LongPause);
-    fixture.gateway.handleRunnerResponse(*chosen, metadata, "id-0");
+    fixture.gateway.recordPause(*chosen, metadata, "id-0");
     fixture.runUntil([&] { return result.has_value(); });
     CHECK(result->status == 200);
     CHECK(arrivals.ids.size() == 1);
