--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -146,7 +146,8 @@
 {
     const EngineTraits *engine = this->context.engine();
     if (this->isMigrating || this->isSwitching || this->requestedSwitch || !this->load.runner() ||
-        !this->forwardedConnection || engine == nullptr || steadyNow() < this->nextMigrationAt)
+        !this->forwardedConnection || engine == nullptr || this->failedSwitches >= MaxFailedSwitches ||
+        steadyNow() < this->nextMigrationAt)
         return;
     if (this->completedMigration) {
         this->requestSwitch(SwitchReason::Copy);
