--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -424,12 +424,11 @@
             co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response == nullptr ? 0 : response->result_int();
-    if (response != nullptr)
-        if (response != nullptr) {
-            const ResponseMetadata metadata = format.decodeResponse(response->base());
-            this->gateway.recordAnswer(source->entry, status, metadata, this->context.metadata.id);
-            this->gateway.recordPause(*source, metadata, this->context.metadata.id);
-        }
+    if (response != nullptr) {
+        const ResponseMetadata metadata = format.decodeResponse(response->base());
+        this->gateway.recordAnswer(source->entry, status, metadata, this->context.metadata.id);
+        this->gateway.recordPause(*source, metadata, this->context.metadata.id);
+    }
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
                                   {"to", destination->entry.id},
