gateway: say that the grace period ended a request, not its runner

Cause: since a gateway ends its open requests itself at the end of the grace period; before, they ended with the process, without a line. It does so by closing the runner's connection, and the line blames the runner, as the line of a switch did before. Ruled out: more cut streams. The additional lines stand 7.65 s after SIGTERM, and none of them has a continuation that failed. Change: a request that was ended in this way reports "grace-period-over", in the log and in the error response.

--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -41,6 +41,7 @@
 
 void RequestSession::expire()
 {
+    this->isExpired = true;
     this->context.deadline = steadyNow();
     this->disconnect();
 }
@@ -93,17 +94,23 @@
     return toSeconds(*nextSend - now) + RetryAfterSpreadSeconds * this->gateway.random.uniform();
 }
 
+std::string_view RequestSession::failureCause(std::string_view cause) const
+{
+    return this->isExpired ? "grace-period-over" : cause;
+}
+
 asio::awaitable<void> RequestSession::sendErrorFor(NextStep step, std::string_view cause)
 {
+    const std::string_view reported = this->failureCause(cause);
     switch (step) {
     case NextStep::RefuseNotRun:
-        co_await this->sendError(503, cause);
+        co_await this->sendError(503, reported);
         break;
     case NextStep::FailTimeout:
-        co_await this->sendError(504, cause);
+        co_await this->sendError(504, reported);
         break;
     default:
-        co_await this->sendError(502, cause);
+        co_await this->sendError(502, reported);
         break;
     }
 }
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -68,6 +68,8 @@
     boost::asio::awaitable<void> sendError(unsigned status, std::string_view cause);
     /// Sends the error response with the status for a final step.
     boost::asio::awaitable<void> sendErrorFor(NextStep step, std::string_view cause);
+    /// The cause to report for a request that failed: the end of the grace period if expire() ended it.
+    std::string_view failureCause(std::string_view cause) const;
     /// Time after which the caller of a refused request should try again: the earliest end of the runners'
     /// pauses if all runners of the service pause.
     double retryAfterSeconds() const;
@@ -89,6 +91,8 @@
 
 private:
     void disconnect();
+
+    bool isExpired = false;
 };
 
 } // namespace eelgrasslift
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -259,7 +259,7 @@
             continue;
         }
         if (this->writer.isResponseStarted()) {
-            this->recordEnd(0, result.cause);
+            this->recordEnd(0, this->failureCause(result.cause));
             this->writer.abort();
             co_return;
         }
--- a/tests/hostile/test_shutdown.cpp
+++ b/tests/hostile/test_shutdown.cpp
@@ -93,6 +93,8 @@
     fixture.runUntil([&] { return result.has_value(); });
     CHECK((result->status == 502 || result->status == 504));
     CHECK(result->isComplete);
+    // The runner, whose connection the gateway itself has closed, is not blamed.
+    CHECK(result->body.find("grace-period-over") != std::string::npos);
     CHECK(fixture.runner.requestCount() == 1);
     // The routes' timeout is 3 s.
     CHECK(std::chrono::steady_clock::now() - expiredAt < 2s);
