gateway: do not count a runner as failed to which a continuation was not sent because of its pause

What callers would see: a runner that has asked for a pause while it holds the copy of a generation gets fewer requests afterwards, and after a few tries of the same generation none for another 1.5 s, although it is sound. Cause: the stream stays at its leaving runner and tries the copy again each 80 ms. open() sends nothing during the pause and says "not connected", which recordFailedSwitch() took for a runner that cannot be reached. Each try counted as a failure, and the third one in a row ejects a runner. The other place, run(), had a rule for pauses of its own. Ruled out: the path after a crash and that of resumable streams; their rows pass before and after. Change: RelayOutcome::Withheld says that nothing was sent because the runner pauses or has stated that it is leaving; neither place counts it. A switch that is given up before it is tried says the same. Test: "A runner that asks for a pause instead of a continuation does not count as failed".

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -226,8 +226,9 @@
                                this->current.runner->entry.isExpectedToLeave() || this->completedMigration ||
                                this->isMigrating;
         // A runner that asks for a pause is sound.
-        if (!isCertainlyNotRun(result.outcome) ||
-            !this->gateway.runners.isPaused(*this->current.runner, steadyNow()))
+        const bool isRefusedForPause = isCertainlyNotRun(result.outcome) &&
+                                       this->gateway.runners.isPaused(*this->current.runner, steadyNow());
+        if (!isRefusedForPause && result.relayOutcome != RelayOutcome::Withheld)
             RunnerPool::recordSend(*this->current.runner, isHealthy ? SendHealth::Good : SendHealth::Failed,
                                    steadyNow() - sentAt, steadyNow());
         this->retryController.recordOutcome(result.outcome);
@@ -319,7 +320,8 @@
     const RunnerPool::Runner &runner = *destination.runner;
     const bool isContinuation = !destination.continueFrom.empty();
     RunnerStream stream;
-    const RelayResult paused{RelayOutcome::Refused, SendOutcome::NotConnected, "runner-paused", std::nullopt};
+    const RelayResult paused{RelayOutcome::Withheld, SendOutcome::NotConnected, "runner-paused",
+                             std::nullopt};
     if (!co_await this->waitForPause(destination, previous))
         co_return paused;
     this->gateway.runners.countSendAfterPause(runner, steadyNow());
@@ -332,7 +334,7 @@
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "not-connected",
                               std::nullopt};
     if (this->gateway.runners.hasStatedLeaving(runner.entry))
-        co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "runner-leaving",
+        co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "runner-leaving",
                               std::nullopt};
     if (stream.backup.runner() && this->gateway.runners.hasStatedLeaving(stream.backup.runner()->entry))
         stream.backup.release();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -31,7 +31,14 @@
 
 private:
     /// How the relay of an attempt to the caller ended.
-    enum class RelayOutcome { Complete, Broken, Stalled, Refused, CallerDisconnected };
+    enum class RelayOutcome {
+        Complete,
+        Broken,
+        Stalled,
+        Refused,
+        Withheld, ///< Nothing was sent, since the runner pauses or is leaving; says nothing about its health.
+        CallerDisconnected
+    };
 
     /// Why the stream should go on at another runner while its current one is still connected.
     enum class SwitchReason { Backup, Copy, Stall };
@@ -105,7 +112,7 @@
     void moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
                     SwitchReason reason);
     /// Excludes a destination that has failed, unless it can still be used.
-    void recordFailedSwitch(const Destination &destination, SendOutcome outcome, SwitchReason reason);
+    void recordFailedSwitch(const Destination &destination, const RelayResult &failure, SwitchReason reason);
     /// Decides where to continue after a failed attempt; nothing if the stream cannot be continued.
     boost::asio::awaitable<std::optional<Destination>> planContinuation(const RelayResult &failed,
                                                                         Destination previous);
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -258,7 +258,7 @@
     // A stalled runner may have gone on meanwhile.
     if (reason == SwitchReason::Stall && stream.connection->hasUnreadBytes())
         destination.reset();
-    RelayResult failure{RelayOutcome::Broken, SendOutcome::NotConnected, "no-runner", std::nullopt};
+    RelayResult failure{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-runner", std::nullopt};
     SwitchStep step = destination ? SwitchStep::Retry : SwitchStep::Stay;
     for (uint32_t refusals = 1; step == SwitchStep::Retry && !this->isAbandoned; ++refusals) {
         auto opened = co_await this->open(*destination, stream.connection);
@@ -286,7 +286,7 @@
                                     {"cause", std::string(failure.cause)},
                                     {"stays", isConnected() ? "yes" : "no"}});
     if (destination)
-        this->recordFailedSwitch(*destination, failure.outcome, reason);
+        this->recordFailedSwitch(*destination, failure, reason);
     if (reason == SwitchReason::Stall)
         this->nextResumeAt = steadyNow() + ResumeRetryDelay;
     else
@@ -327,15 +327,15 @@
     this->gateway.notifyCapacityFreed();
 }
 
-void StreamSession::recordFailedSwitch(const Destination &destination, SendOutcome outcome,
+void StreamSession::recordFailedSwitch(const Destination &destination, const RelayResult &failure,
                                        SwitchReason reason)
 {
     ++this->failedSwitches;
     this->gateway.metrics.countContinuation(std::string(destination.method), false);
-    if (outcome != SendOutcome::RefusedByRunner)
+    if (failure.outcome != SendOutcome::RefusedByRunner && failure.relayOutcome != RelayOutcome::Withheld)
         RunnerPool::recordSend(*destination.runner, SendHealth::Failed, Duration::zero(), steadyNow());
     // What the runner has never seen is still there.
-    if (outcome == SendOutcome::NotConnected) {
+    if (failure.outcome == SendOutcome::NotConnected) {
         if (reason == SwitchReason::Copy)
             this->completedMigration = destination;
         return;
--- a/tests/hostile/test_runnerpause.cpp
+++ b/tests/hostile/test_runnerpause.cpp
@@ -244,6 +244,12 @@
 
     CallerView play() { return this->fixture.call(this->test.path, "id-1"); }
 
+    /// The runner that has refused the continuation; nullptr if none has.
+    RunnerPool::RunnerPointer pausedRunner() const
+    {
+        return this->fixture.gateway.runners.find(this->pausedId);
+    }
+
     int continuationCount = 0;
     int copyCount = 0;
     TimePoint pausedAt{};
@@ -289,6 +295,7 @@
     {
         if (++this->continuationCount == 1 && !this->test.isCopyRefused) {
             this->pausedAt = steadyNow();
+            this->pausedId = valueOf(head, "X-Expect-Instance");
             co_await sendBytes(connection, pauseAnswer(this->test.pause));
             co_return;
         }
@@ -301,6 +308,7 @@
 
     ContinuationCase test;
     bool isStarted = false;
+    std::string pausedId;
     GatewayFixture fixture;
 };
 
@@ -331,6 +339,25 @@
         CHECK(toSeconds(*script.continuedAt - script.pausedAt) >= test.pause);
 }
 
+// Guards against a runner that is sound, and gets no requests after its pause because it counts as failed.
+TEST_CASE("A runner that asks for a pause instead of a continuation does not count as failed",
+          "[hostile][pause]")
+{
+    const auto test = GENERATE(values<ContinuationCase>({
+            {"backup of a leaving runner", "/backed/a", 150ms, false, LongPause, false, 1, true},
+            {"copy of a leaving runner", "/generation/a", 1500ms, false, LongPause, false, 1, true},
+            {"backup after a crash", "/backed/a", 0ms, true, LongPause, false, 1, false},
+            {"resumed stream", "/stream/a", 0ms, true, LongPause, false, 1, false},
+    }));
+    INFO(test.name);
+    ContinuationScript script(test);
+    script.play();
+    const RunnerPool::RunnerPointer paused = script.pausedRunner();
+    REQUIRE(paused);
+    CHECK(paused->failureRate == 0);
+    CHECK_FALSE(paused->ejectedUntil);
+}
+
 namespace {
 
 /// A coordinator that places all generations at one runner.
