gateway: do not send a request whose time ended while its connection was established

At the end of the grace period RequestSession::expire() sets the deadline to now and closes the connection in use. A session that was still establishing its connection has none yet: it went on, sent the request with a negative remaining time, and a plain call waited for the answer with the time from before. The process exits 200 ms later, so the caller saw a closed connection for a request that a runner had just been given.

Ruled out: the deadline of the route itself, since the timeout of the connection ends with it.

Test: "A request without a connection at the end of the grace period is not sent", four rows. Before: the runner got one request in each row that was printed (/unsafe, /stream, /generation), with 504 after 3.0 s (/unsafe) or 502 instead of 503. After: all rows pass.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -148,14 +148,15 @@
 
 asio::awaitable<CallSession::SendResult> CallSession::send(RunnerPool::Runner &runner, bool isLastAttempt)
 {
-    const TimePoint now = steadyNow();
-    const Duration remaining = this->context.deadline - now;
     this->lastRunnerId = runner.entry.id;
-    this->gateway.runners.countSendAfterPause(runner, now);
+    this->gateway.runners.countSendAfterPause(runner, steadyNow());
     RunnerConnectionPointer connection = co_await this->gateway.connections.acquire(
-            runner.entry.address, std::min(ConnectTimeout, remaining));
+            runner.entry.address, std::min(ConnectTimeout, this->remainingTime()));
     if (!connection || this->isAbandoned)
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "not-connected"};
+    const Duration remaining = this->remainingTime();
+    if (remaining <= Duration::zero())
+        co_return SendResult{SendOutcome::NotConnected, std::nullopt, "no-time-left"};
     if (this->gateway.runners.hasStatedLeaving(runner.entry))
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "runner-leaving"};
     // The pause may have begun while the connection was established.
--- a/tests/hostile/test_shutdown.cpp
+++ b/tests/hostile/test_shutdown.cpp
@@ -97,3 +97,24 @@
     // The routes' timeout is 3 s.
     CHECK(std::chrono::steady_clock::now() - expiredAt < 2s);
 }
+
+// Guards against a request that is still sent to a runner, and is cut at the exit, because the grace period
+// ended while the connection was being established.
+TEST_CASE("A request without a connection at the end of the grace period is not sent", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a");
+    INFO(path);
+    GatewayFixture fixture([](tcp::socket &, int, std::string) -> asio::awaitable<void> { co_return; });
+    const bool isPlacedByCoordinator = path.starts_with("/generation/");
+    std::optional<CallerView> result;
+    fixture.start(path, "id-1", [&](const CallerView &view) { result = view; });
+    fixture.runUntil([&] {
+        return fixture.lastSession() && (!isPlacedByCoordinator || fixture.scheduler.placementCount == 1);
+    });
+    fixture.lastSession()->expire();
+    fixture.runUntil([&] { return result.has_value(); });
+    // No runner has seen the request, so the caller may repeat it at once.
+    CHECK(result->status == 503);
+    CHECK(result->isComplete);
+    CHECK(fixture.runner.requestCount() == 0);
+}
