gateway: switch a slow resumable stream to no more runners than its route allows

A resumable stream whose runner is slow goes on at another one. Only the shared retry budget limited that, not the max_attempts of the route, so one attempt of a caller ran on one more runner with each stall.

Ruled out: continuations from a copy or backup, which count as the same run, and continuations after a runner broke off, which stay as they were.

chooseSwitchDestination() asks RetryController::allowsAnotherRunner() before it places the stream; without one the stream stays.

Test: "A slow resumable stream is sent to no more runners than its route allows".

--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -242,6 +242,8 @@
         co_return std::exchange(this->completedMigration, std::nullopt);
     if (reason == SwitchReason::Backup || !this->context.route->isResumable)
         co_return this->backupDestination();
+    if (!this->retryController.allowsAnotherRunner())
+        co_return std::nullopt;
     this->triedRunners.insert(this->load.runner()->entry.id);
     const RunnerPool::RunnerPointer runner = co_await this->place();
     if (!runner || !this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow()))
--- a/src/libgateway/retrycontroller.h
+++ b/src/libgateway/retrycontroller.h
@@ -61,6 +61,8 @@
         return this->stepWithoutRetry(SendOutcome::NotConnected, now);
     }
 
+    /// Whether the route allows one more runner beside the current one, whose send is not recorded yet.
+    bool allowsAnotherRunner() const { return this->possibleRuns + 1 < this->maxAttempts; }
     /// Whether any recorded send may have run the request.
     bool mayHaveRun() const { return this->possibleRuns > 0; }
     TimePoint deadline() const { return this->requestDeadline; }
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -219,3 +221,42 @@
     CHECK(script.continuationCount == 0);
     fixture.runUntil([&] { return fixture.runner.closedCount() > 0; });
 }
+
+// Guards against a request that is sent to more runners than its route allows, one after each stall.
+TEST_CASE("A slow resumable stream is sent to no more runners than its route allows", "[hostile]")
+{
+    constexpr auto StallPause = 900ms;
+    constexpr int EventsBeforeStall = 5;
+    std::map<std::string, int> sends;
+    GatewayFixture *gateway = nullptr;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
+        const std::string name = "X-Expect-Instance: ";
+        const size_t at = head.find(name) + name.size();
+        ++sends[head.substr(at, head.find('\r', at) - at)];
+        const std::string lastEvent = "Last-Event-Id: ";
+        const size_t eventAt = head.find(lastEvent);
+        const int first =
+                eventAt == std::string::npos ? 1 : std::stoi(head.substr(eventAt + lastEvent.size())) + 1;
+        bool isOpen = co_await sendBytes(connection, StreamHead);
+        for (int id = first; id <= EventCount && isOpen; ++id) {
+            isOpen = co_await sendBytes(connection, chunk(eventText(id)));
+            if (id != first + EventsBeforeStall - 1)
+                continue;
+            asio::steady_timer pause(gateway->io, StallPause);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        if (isOpen)
+            co_await sendBytes(connection, "0\r\n\r\n");
+    });
+    gateway = &fixture;
+    for (const char *id : {"p3", "p4"}) {
+        fixture.runners.push_back(fixture.runners.front());
+        fixture.runners.back().id = id;
+    }
+    fixture.gateway.applyFleet(fixture.runners);
+    const CallerView view = fixture.call("/stream/a", "id-1");
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    const auto route = fixture.gateway.routes()->match("h", "/stream/a");
+    CHECK(sends.size() <= route->maxAttempts);
+}
