gateway: do not count a caller's departure during a switch against the next runner

If the caller left while a stream looked for another runner, that runner was recorded as failed twice although nothing was sent to it: once by recordFailedSwitch() and once by run(), which took it for the current one since the connection to the current one was closed. Two such callers eject a sound runner for 1.5 s.

Ruled out: the current runner, which is recorded as good when its caller leaves.

switchRunner() returns that the caller has left before it records anything.

Test: "A stream whose caller leaves during a switch ends without using the processor" also checks the failures of both runners. Before: 2 == 0. After: passes.

--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -280,6 +280,9 @@
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->isSwitching = false;
+    if (this->isAbandoned)
+        co_return RelayResult{RelayOutcome::CallerDisconnected, SendOutcome::Unknown, "caller-gone",
+                              std::nullopt};
     const RunnerPool::RunnerPointer source = this->load.runner();
     logInfo("continuation-failed", {{"request", this->context.metadata.id},
                                     {"runner", source->entry.id},
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -219,6 +219,9 @@
         handlerCount += static_cast<int>(fixture.io.run_one_for(1s));
     CHECK(handlerCount <= MaxHandlers);
     CHECK(script.continuationCount == 0);
+    // The runner that was chosen meanwhile has not been asked.
+    for (const char *id : {"m1", "m2"})
+        CHECK(fixture.gateway.runners.find(id)->consecutiveFailures == 0);
     fixture.runUntil([&] { return fixture.runner.closedCount() > 0; });
 }
 
