--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -242,6 +242,8 @@
         co_return std::exchange(this->completedMigration, std::nullopt);
     if (reason == SwitchReason::Backup || !this->context.route->isResumable)
         co_return this->backupDestination();
+    if (!this->retryController.allowsAnotherRunner())
+        co_return std::nullopt;
     this->triedRunners.insert(this->load.runner()->entry.id);
     const RunnerPool::RunnerPointer runner = co_await this->place();
     if (!runner || !this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow()))
@@ -278,6 +280,9 @@
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->isSwitching = false;
+    if (this->isAbandoned)
+        co_return RelayResult{RelayOutcome::CallerDisconnected, SendOutcome::Unknown, "caller-gone",
+                              std::nullopt};
     const RunnerPool::RunnerPointer source = this->load.runner();
     logInfo("continuation-failed", {{"request", this->context.metadata.id},
                                     {"runner", source->entry.id},
