consensus: sync the parents of a new data folder

What operators would see: a member whose data folder is gone after a power loss, although its init had reported success; the member had voted and acknowledged since. Cause: createDataFolder() synced the folder's files and the folder, not the entry of the folder in its parent. Change: createFolders() syncs the parent of each folder that it creates. The init command leaves the creation to it. A folder that already exists is left alone, so a kill between the creation and the sync is not covered.

--- a/src/eelgrasslift/controlprocess.cpp
+++ b/src/eelgrasslift/controlprocess.cpp
@@ -172,8 +172,6 @@
 
 int runControlInit(const ControlInitSettings &settings)
 {
-    std::error_code ignored;
-    std::filesystem::create_directories(settings.dataFolder, ignored);
     Random random{systemSeed()};
     const auto result = initialiseCluster(settings.dataFolder, settings.peerListen.toString(), random);
     if (const auto *error = std::get_if<StorageError>(&result)) {
--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -132,13 +132,31 @@
                         failure.operation + " failed: " + std::strerror(failure.errorNumber)};
 }
 
-std::optional<StorageError> createDataFolder(const std::filesystem::path &folder, const Identity &identity,
-                                             const std::string &records)
+/// Creates the folder and its missing parents and makes them durable.
+std::optional<StorageError> createFolders(const std::filesystem::path &folder)
 {
     std::error_code error;
+    std::vector<std::filesystem::path> parents; // of the folders that are missing
+    for (std::filesystem::path missing = std::filesystem::absolute(folder, error).lexically_normal();
+         !std::filesystem::exists(missing, error) && missing.has_relative_path();
+         missing = missing.parent_path())
+        parents.push_back(missing.parent_path());
     std::filesystem::create_directories(folder, error);
     if (!std::filesystem::is_directory(folder, error))
         return StorageError{StorageErrorKind::FolderMissing, folder, "cannot be created"};
+    for (const std::filesystem::path &parent : parents) {
+        if (const FileOutcome failed = syncFolder(parent, syncFileDescriptor))
+            return toStorageError(*failed);
+    }
+    return std::nullopt;
+}
+
+std::optional<StorageError> createDataFolder(const std::filesystem::path &folder, const Identity &identity,
+                                             const std::string &records)
+{
+    if (std::optional<StorageError> failed = createFolders(folder))
+        return failed;
+    std::error_code error;
     // With this marker, files without an identity file come from an initialisation that a crash interrupted,
     // not from a member whose identity file was lost.
     const std::filesystem::path marker = folder / "initialising";
