consensus: repeat an initialisation that was interrupted while its marker was created

What operators would see: a coordinator that ends at each start with "folder not empty" after a kill or a power loss during its first start. Cause: the marker of an initialisation is written as initialising.new and renamed. Interrupted before the rename was durable, the folder had one file and no marker, which counted as the folder of somebody else. Change: a folder with nothing but initialising.new counts as interrupted. Test: a power loss at each file operation of a first start, with everything unsynced kept, lost, or each at random. Failed before for both ways to begin at the first operation ("folder not empty: a new member needs an empty data folder; power loss after operation 2: sync .. create initialising.new"); passes now. Conclusion: a member could be missing for good; nothing acknowledged was lost by this alone.

--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -132,6 +132,21 @@
                         failure.operation + " failed: " + std::strerror(failure.errorNumber)};
 }
 
+/// With the marker, files without an identity file come from an initialisation that a crash interrupted, not
+/// from a member whose identity file was lost. A crash that interrupts the creation of the marker leaves only
+/// its temporary file.
+bool wasInitialisationInterrupted(const std::filesystem::path &folder)
+{
+    std::error_code error;
+    if (isInitialised(folder))
+        return false;
+    if (std::filesystem::exists(folder / "initialising", error))
+        return true;
+    const std::filesystem::directory_iterator end;
+    std::filesystem::directory_iterator file{folder, error};
+    return file != end && file->path().filename() == "initialising.new" && file.increment(error) == end;
+}
+
 /// Creates the folder and its missing parents and makes them durable.
 std::optional<StorageError> createFolders(const std::filesystem::path &folder)
 {
@@ -157,11 +172,8 @@
     if (std::optional<StorageError> failed = createFolders(folder))
         return failed;
     std::error_code error;
-    // With this marker, files without an identity file come from an initialisation that a crash interrupted,
-    // not from a member whose identity file was lost.
     const std::filesystem::path marker = folder / "initialising";
-    const bool wasInterrupted = std::filesystem::exists(marker, error) && !isInitialised(folder);
-    if (!wasInterrupted && !std::filesystem::is_empty(folder, error))
+    if (!wasInitialisationInterrupted(folder) && !std::filesystem::is_empty(folder, error))
         return StorageError{StorageErrorKind::FolderNotEmpty, folder,
                             "a new member needs an empty data folder"};
     FileOutcome failed = replaceFile(marker, {}, syncFileDescriptor);
--- a/tests/consensus/test_powerloss.cpp
+++ b/tests/consensus/test_powerloss.cpp
@@ -258,6 +258,30 @@
     return ProcessRun(disk, candidates, founding, 1).run(0);
 }
 
+std::string describeEnd(const ProcessRun &run, size_t operations)
+{
+    constexpr size_t Described = 6;
+    std::string text = " after operation " + std::to_string(operations) + ":";
+    for (size_t i = operations - std::min(operations, Described); i < operations; ++i)
+        text += " " + std::string(toString(run.operations()[i].kind)) + " " + run.operations()[i].name;
+    return text;
+}
+
+/// Checks a power loss after each operation of the run.
+std::string checkPowerLosses(const ProcessRun &run, Founding founding, Random &random)
+{
+    for (size_t count = 0; count <= run.operationCount(); ++count) {
+        const RecordedDisk disk = run.diskAfter(count);
+        for (const auto changes : {UnsyncedChanges::Lost, UnsyncedChanges::Kept, UnsyncedChanges::Random}) {
+            const std::string failure =
+                    checkRestart(disk.afterPowerLoss(changes, random), run.candidatesAfter(count), founding);
+            if (!failure.empty())
+                return failure + "; power loss" + describeEnd(run, count);
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 // Guards against a member whose new data folder is gone after a power loss although it was initialised.
@@ -272,3 +296,13 @@
                        run.candidatesAfter(end), founding)
                   .empty());
 }
+
+// Guards against a member that can never start because a power loss interrupted its first start.
+TEST_CASE("A first start that a power loss interrupts at any file operation is repeated", "[powerloss]")
+{
+    const auto founding = GENERATE(Founding::Bootstrap, Founding::Join);
+    Random random{1};
+    ProcessRun run({}, {}, founding, 1);
+    CHECK(run.run(0).empty());
+    CHECK(checkPowerLosses(run, founding, random).empty());
+}
