consensus: sync the data folder before its content is trusted

What callers would see: an acknowledged configuration that is gone, or two leaders in a term, after a kill and a later power loss. Cause: a process that is killed between the rename of a file and the sync of the folder leaves a file that the next process sees but a power loss removes. An initial member then has the same id and an empty log: it has forgotten its votes and what it acknowledged. Change: opening the folder syncs it first. Test: the process is killed at each file operation of a first start, started again, and then loses power. Failed before for both ways to begin ("the identity is lost; restart after operation 23: ... sync identity.new rename identity.new"); passes now. Not shown to be what the users saw; it needs a kill within one sync of the first start.

--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -306,6 +306,9 @@
         return toStorageError(*failed);
     if (this->lockFile.lock())
         return StorageError{StorageErrorKind::FolderInUse, this->folder, "another process has it open"};
+    // An earlier process may have ended between a rename and the sync of the folder.
+    if (const FileOutcome failed = syncFolder(this->folder, this->options.syncDescriptor))
+        return toStorageError(*failed);
     if (std::optional<StorageError> failed = this->readSyncedSlots())
         return failed;
     if (std::optional<StorageError> failed = this->readLog())
--- a/tests/consensus/test_powerloss.cpp
+++ b/tests/consensus/test_powerloss.cpp
@@ -282,6 +282,23 @@
     return {};
 }
 
+/// Checks that after the end of the process at each operation of the run, and a restart, a power loss loses
+/// nothing that the restart has recovered.
+std::string checkKills(const ProcessRun &run, Founding founding, Random &random)
+{
+    for (size_t count = 0; count <= run.operationCount(); ++count) {
+        ProcessRun restarted(run.diskAfter(count), run.candidatesAfter(count), founding, 1);
+        std::string failure = restarted.run(0);
+        const size_t end = restarted.operationCount();
+        if (failure.empty())
+            failure = checkRestart(restarted.diskAfter(end).afterPowerLoss(UnsyncedChanges::Lost, random),
+                                   restarted.candidatesAfter(end), founding);
+        if (!failure.empty())
+            return failure + "; restart" + describeEnd(run, count);
+    }
+    return {};
+}
+
 } // namespace
 
 // Guards against a member whose new data folder is gone after a power loss although it was initialised.
@@ -306,3 +323,13 @@
     CHECK(run.run(0).empty());
     CHECK(checkPowerLosses(run, founding, random).empty());
 }
+
+// Guards against a member that votes and acknowledges under an identity that a later power loss removes.
+TEST_CASE("A first start that is killed at any file operation is completed durably", "[powerloss]")
+{
+    const auto founding = GENERATE(Founding::Bootstrap, Founding::Join);
+    Random random{1};
+    ProcessRun run({}, {}, founding, 1);
+    CHECK(run.run(0).empty());
+    CHECK(checkKills(run, founding, random).empty());
+}
