--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -132,18 +132,48 @@
                         failure.operation + " failed: " + std::strerror(failure.errorNumber)};
 }
 
-std::optional<StorageError> createDataFolder(const std::filesystem::path &folder, const Identity &identity,
-                                             const std::string &records)
+/// With the marker, files without an identity file come from an initialisation that a crash interrupted, not
+/// from a member whose identity file was lost. A crash that interrupts the creation of the marker leaves only
+/// its temporary file.
+bool wasInitialisationInterrupted(const std::filesystem::path &folder)
+{
+    std::error_code error;
+    if (isInitialised(folder))
+        return false;
+    if (std::filesystem::exists(folder / "initialising", error))
+        return true;
+    const std::filesystem::directory_iterator end;
+    std::filesystem::directory_iterator file{folder, error};
+    return file != end && file->path().filename() == "initialising.new" && file.increment(error) == end;
+}
+
+/// Creates the folder and its missing parents and makes them durable.
+std::optional<StorageError> createFolders(const std::filesystem::path &folder)
 {
     std::error_code error;
+    std::vector<std::filesystem::path> parents; // of the folders that are missing
+    for (std::filesystem::path missing = std::filesystem::absolute(folder, error).lexically_normal();
+         !std::filesystem::exists(missing, error) && missing.has_relative_path();
+         missing = missing.parent_path())
+        parents.push_back(missing.parent_path());
     std::filesystem::create_directories(folder, error);
     if (!std::filesystem::is_directory(folder, error))
         return StorageError{StorageErrorKind::FolderMissing, folder, "cannot be created"};
-    // With this marker, files without an identity file come from an initialisation that a crash interrupted,
-    // not from a member whose identity file was lost.
+    for (const std::filesystem::path &parent : parents) {
+        if (const FileOutcome failed = syncFolder(parent, syncFileDescriptor))
+            return toStorageError(*failed);
+    }
+    return std::nullopt;
+}
+
+std::optional<StorageError> createDataFolder(const std::filesystem::path &folder, const Identity &identity,
+                                             const std::string &records)
+{
+    if (std::optional<StorageError> failed = createFolders(folder))
+        return failed;
+    std::error_code error;
     const std::filesystem::path marker = folder / "initialising";
-    const bool wasInterrupted = std::filesystem::exists(marker, error) && !isInitialised(folder);
-    if (!wasInterrupted && !std::filesystem::is_empty(folder, error))
+    if (!wasInitialisationInterrupted(folder) && !std::filesystem::is_empty(folder, error))
         return StorageError{StorageErrorKind::FolderNotEmpty, folder,
                             "a new member needs an empty data folder"};
     FileOutcome failed = replaceFile(marker, {}, syncFileDescriptor);
@@ -276,6 +306,9 @@
         return toStorageError(*failed);
     if (this->lockFile.lock())
         return StorageError{StorageErrorKind::FolderInUse, this->folder, "another process has it open"};
+    // An earlier process may have ended between a rename and the sync of the folder.
+    if (const FileOutcome failed = syncFolder(this->folder, this->options.syncDescriptor))
+        return toStorageError(*failed);
     if (std::optional<StorageError> failed = this->readSyncedSlots())
         return failed;
     if (std::optional<StorageError> failed = this->readLog())
