gateway: do not count a runner as failed to which nothing was sent for lack of time

Cause: two branches met: one says that nothing was sent because the time was over, the other counts only what concerns the runner's health. The first one reported a refusal, which counted. Change: it reports that nothing was sent.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -334,7 +334,8 @@
         co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "not-connected",
                               std::nullopt};
     if (this->remainingTime() <= Duration::zero())
-        co_return RelayResult{RelayOutcome::Refused, SendOutcome::NotConnected, "no-time-left", std::nullopt};
+        co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-time-left",
+                              std::nullopt};
     if (this->gateway.runners.hasStatedLeaving(runner.entry))
         co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "runner-leaving",
                               std::nullopt};
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -36,7 +36,7 @@
         Broken,
         Stalled,
         Refused,
-        Withheld, ///< Nothing was sent, since the runner pauses or is leaving; says nothing about its health.
+        Withheld, ///< Nothing was sent, for a reason that says nothing about the runner's health.
         CallerDisconnected
     };
 
