--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -214,6 +214,16 @@
     this->gateway.applyFleet(this->runners);
 }
 
+void GatewayFixture::suspectStop()
+{
+    const auto busy = std::ranges::find_if(this->runners, [&](const RunnerEntry &entry) {
+        return this->gateway.runners.find(entry.id)->ownLoad.activeRequests > 0;
+    });
+    REQUIRE(busy != this->runners.end());
+    busy->seemsLeaving = true;
+    this->gateway.applyFleet(this->runners);
+}
+
 void GatewayFixture::runUntil(const std::function<bool()> &condition)
 {
     const auto deadline = std::chrono::steady_clock::now() + TestTimeout;
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -86,6 +86,10 @@
     /// test if there is none.
     void announceStop(Duration timeUntilStop);
 
+    /// Lets the gateway know that health checks say that the runner with a request in flight is leaving,
+    /// though neither it nor the list says so. Fails the test if there is none.
+    void suspectStop();
+
     /// Runs the connections until the condition holds; fails the test if it does not within 20 s.
     void runUntil(const std::function<bool()> &condition);
 
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -57,6 +57,8 @@
     OtherRunner other;
     /// Whether the generation ends at the other runner.
     bool isMoved;
+    /// Health checks say after the tenth event that the first runner is leaving.
+    bool seemsLeaving = false;
 };
 
 /// Plays the part of all runners: a generation runs at one of them, which goes on, and the gateway tries to
@@ -110,6 +112,8 @@
             isOpen = co_await sendBytes(connection, chunk(eventText(id)));
             if (id == 10 && this->test.noticePeriod > Duration::zero())
                 this->fixture.announceStop(this->test.noticePeriod);
+            if (id == 10 && this->test.seemsLeaving)
+                this->fixture.suspectStop();
             co_await this->wait(id == 10 ? this->test.pause : EventInterval);
         }
         if (isOpen)
@@ -263,3 +267,16 @@
     const auto route = fixture.gateway.routes()->match("h", "/stream/a");
     CHECK(sends.size() <= route->maxAttempts);
 }
+
+// Guards against an answer that is cut because health checks were wrong about a runner that went on, and the
+// next one refused after the connection to it was closed.
+TEST_CASE("A generation whose runner only seems to leave is not cut by a late refusal", "[hostile]")
+{
+    const std::string path = GENERATE("/generation/a", "/backed/a");
+    INFO(path);
+    GenerationScript script({"seems to leave", path, 0ms, 20ms, OtherRunner::RefusesLate, false, true});
+    const CallerView view = script.play();
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    CHECK(script.continuationCount > 0);
+}
