gateway: keep a runner that only health checks call leaving when the next one answers late

What callers saw: a generation ends without its end although its runner goes on. Then the gateway closed the connection to a runner that it expected to leave, also if nothing but a health check had said so; health checks are wrong on some deployments. If the next runner refused later, the answer was cut. Change: at the end of the overlap the gateway closes the next connection if the current runner still sends and neither the list nor a report nor the runner itself has said that it leaves. By then a report has confirmed a true notice; otherwise the copy is lost and made again.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -364,13 +364,13 @@
     const auto isWaiting = std::make_shared<bool>(true);
     asio::steady_timer overlapTimer(this->gateway.io, MaxRunnerOverlap);
     if (previous) {
-        const bool canStay = !this->load.runner()->entry.isExpectedToLeave();
-        overlapTimer.async_wait([previous, next = stream.connection, canStay,
+        overlapTimer.async_wait([previous, next = stream.connection, source = this->load.runner(),
                                  isWaiting](const boost::system::error_code &timerError) {
             if (timerError || !*isWaiting)
                 return;
             boost::system::error_code ignored;
-            const bool stays = canStay && previous->hasUnreadBytes();
+            // Health checks alone may be wrong about a runner that goes on.
+            const bool stays = !source->entry.isLeaving && previous->hasUnreadBytes();
             (stays ? next : previous)->stream.socket().close(ignored);
         });
     }
