gateway: let the shutdown test listen at an address of its own

Cause: the test chose its ports at 127.0.0.1 and released them before the gateway listened. The two ports could also be the same. Change: both are chosen at the same time, at a loopback address that follows from the process id. Ruled out: a fault of the gateway, which had reported the address and ended with its exit code.

--- a/tests/hostile/test_shutdown.cpp
+++ b/tests/hostile/test_shutdown.cpp
@@ -9,10 +9,12 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <csignal>
 #include <deque>
 #include <poll.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
@@ -21,10 +23,16 @@
 
 namespace {
 
-Endpoint freeEndpoint(asio::io_context &io)
+/// Endpoints with different free ports, at a loopback address of this process: at a shared one, another
+/// process could take a port before the gateway listens.
+std::array<Endpoint, 2> freeEndpoints(asio::io_context &io)
 {
-    const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    constexpr uint32_t FirstAddress = (127U << 24U) + (254U << 16U);
+    const asio::ip::address_v4 address(FirstAddress + (static_cast<uint32_t>(getpid()) & 0xffffU));
+    const tcp::acceptor first(io, tcp::endpoint(address, 0));
+    const tcp::acceptor second(io, tcp::endpoint(address, 0));
+    return {Endpoint{address.to_string(), first.local_endpoint().port()},
+            Endpoint{address.to_string(), second.local_endpoint().port()}};
 }
 
 /// Connects to the gateway; nothing if it does not accept connections.
@@ -46,8 +54,9 @@
 {
     asio::io_context io;
     NodeSettings settings;
-    settings.callerListen = freeEndpoint(io);
-    settings.readinessListen = freeEndpoint(io);
+    const auto [callers, readiness] = freeEndpoints(io);
+    settings.callerListen = callers;
+    settings.readinessListen = readiness;
     const platform::PlatformFormat format;
     int exitCode = -1;
     std::thread gateway([&] {
