consensus: end all calls before the client of the members is destroyed

Cause: each call in flight held its channel (peer and ClientContext). After server and ConsensusPeers were destroyed, the last call to end dropped the last channel on a thread of gRPC. gRPC 1.51 then shuts its shared completion queue down and joins the threads of that queue, of which this thread is one; pthread_join() fails, the result is ignored, the queue is deleted, and the thread goes on with it. Ruled out: the order of server and replicator, whose destructors run on the main thread. Change: ConsensusPeers owns its calls; gRPC's callback only posts the result. The destructor cancels the open calls and waits for their ends. Test: failed before with 0 of 1 and 0 of 3 calls ended when the client was destroyed; passes now. Not mended: PeerClient of the entry process waits for its calls but its callbacks may also drop the last channel.

--- a/src/eelgrasslift/consensuspeers.cpp
+++ b/src/eelgrasslift/consensuspeers.cpp
@@ -6,6 +6,9 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <condition_variable>
+#include <mutex>
+
 namespace eelgrasslift {
 
 namespace {
@@ -44,6 +47,37 @@
     grpc::ClientContext context;
     wire::ConsensusEnvelope request;
     google::protobuf::Empty reply;
+    std::string address;
+    std::shared_ptr<Peer> peer;
+};
+
+/// Counts the calls that gRPC has not ended yet. Can be used by any thread.
+class ConsensusPeers::CallCounter
+{
+public:
+    void increment()
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->count;
+    }
+
+    void decrement()
+    {
+        const std::lock_guard lock(this->mutex);
+        --this->count;
+        this->condition.notify_all();
+    }
+
+    void waitForZero()
+    {
+        std::unique_lock lock(this->mutex);
+        this->condition.wait(lock, [this] { return this->count == 0; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable condition;
+    size_t count = 0;
 };
 
 ConsensusPeers::ConsensusPeers(std::shared_ptr<ClosableExecutor> closableExecutor, Duration callDeadline,
@@ -51,9 +85,15 @@
     : executor(std::move(closableExecutor))
     , deadline(callDeadline)
     , maxCallsPerPeer(maxOpenCalls)
+    , openCalls(std::make_shared<CallCounter>())
 {}
 
-ConsensusPeers::~ConsensusPeers() = default;
+ConsensusPeers::~ConsensusPeers()
+{
+    for (const auto &[key, call] : this->calls)
+        call->context.TryCancel();
+    this->openCalls->waitForZero();
+}
 
 void ConsensusPeers::send(const std::string &address, const raft::Envelope &envelope)
 {
@@ -67,27 +107,35 @@
         return;
     }
     ++peer->openCalls;
-    auto call = std::make_shared<Call>();
+    auto owned = std::make_unique<Call>();
+    Call *call = owned.get();
+    this->calls.emplace(call, std::move(owned));
+    call->address = address;
+    call->peer = peer;
     call->request = toWire(envelope);
     call->context.set_deadline(
             std::chrono::system_clock::now() +
             std::chrono::duration_cast<std::chrono::system_clock::duration>(this->deadline));
+    this->openCalls->increment();
     peer->stub->async()->Deliver(&call->context, &call->request, &call->reply,
-                                 [call, peer = peer, address, executor = this->executor,
+                                 [call, executor = this->executor, counter = this->openCalls,
                                   self = this->weak_from_this()](const grpc::Status &status) {
-                                     executor->post([peer, address, self, isDelivered = status.ok()] {
+                                     executor->post([call, self, isDelivered = status.ok()] {
                                          if (const auto owner = self.lock())
-                                             owner->handleCallFinished(address, peer, isDelivered);
+                                             owner->handleCallFinished(call, isDelivered);
                                      });
+                                     // The owner may be destroyed from here on.
+                                     counter->decrement();
                                  });
 }
 
-void ConsensusPeers::handleCallFinished(const std::string &address, const std::shared_ptr<Peer> &peer,
-                                        bool isDelivered)
+void ConsensusPeers::handleCallFinished(const Call *call, bool isDelivered)
 {
+    const auto finished = this->calls.extract(call);
+    const std::shared_ptr<Peer> &peer = call->peer;
     --peer->openCalls;
     peer->consecutiveFailures = isDelivered ? 0 : peer->consecutiveFailures + 1;
-    const auto found = this->peers.find(address);
+    const auto found = this->peers.find(call->address);
     if (peer->consecutiveFailures >= FailuresBeforeNewChannel && found != this->peers.end() &&
         found->second == peer)
         this->peers.erase(found);
--- a/src/eelgrasslift/consensuspeers.h
+++ b/src/eelgrasslift/consensuspeers.h
@@ -18,6 +18,7 @@
 public:
     /// deadline limits one call, maxCallsPerPeer the open calls per address.
     ConsensusPeers(std::shared_ptr<ClosableExecutor> executor, Duration deadline, size_t maxCallsPerPeer);
+    /// Cancels the open calls and waits until they have ended.
     ~ConsensusPeers();
 
     /// Sends envelope to address, "ip:port", or drops it.
@@ -32,13 +33,18 @@
 private:
     struct Peer;
     struct Call;
+    class CallCounter;
 
-    void handleCallFinished(const std::string &address, const std::shared_ptr<Peer> &peer, bool isDelivered);
+    void handleCallFinished(const Call *call, bool isDelivered);
 
     std::shared_ptr<ClosableExecutor> executor;
     Duration deadline;
     size_t maxCallsPerPeer;
     std::map<std::string, std::shared_ptr<Peer>, std::less<>> peers;
+    /// Calls whose end has not been handled yet. A call keeps its channel open. gRPC joins its threads when
+    /// the last channel is closed, so that none of them may close it: calls are destroyed here only.
+    std::map<const Call *, std::unique_ptr<Call>> calls;
+    std::shared_ptr<CallCounter> openCalls;
     uint64_t droppedEnvelopes = 0;
 };
 
--- a/tests/program/test_replicator.cpp
+++ b/tests/program/test_replicator.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasslift/consensuscodec.h"
 #include "eelgrasslift/consensuspeers.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <grpcpp/grpcpp.h>
 
@@ -346,6 +347,25 @@
     executor->close();
 }
 
+// Guards against a call that outlives its client: if gRPC's own thread drops the last channel, it waits for
+// itself to end and goes on with freed memory.
+TEST_CASE("The calls of a consensus client have ended when it is destroyed")
+{
+    const size_t callCount = GENERATE(1U, 3U);
+    boost::asio::io_context io;
+    // Connections are established and never served.
+    const boost::asio::ip::tcp::acceptor silentMember(io, {boost::asio::ip::address_v4::loopback(), 0});
+    const std::string address = "127.0.0.1:" + std::to_string(silentMember.local_endpoint().port());
+    const auto executor = std::make_shared<ClosableExecutor>(io);
+    auto peers = std::make_shared<ConsensusPeers>(executor, 60s, callCount);
+    for (size_t i = 0; i < callCount; ++i)
+        peers->send(address, raft::Envelope{ClusterId{1}, 2, 3, "127.0.0.1:1", raft::JoinRequest{}});
+    peers.reset();
+    // Each call posts its result when it ends.
+    CHECK(io.poll() == callCount);
+    executor->close();
+}
+
 // Guards against fields that are lost or swapped in the conversion to protobuf.
 TEST_CASE("Every consensus message is unchanged after encoding and decoding")
 {
