soak: check that runners which leave or ask for a pause get no requests

The soak sent Server-Leaving but did not check its effect, and no stand-in asked for a pause. Change: two more promises. After a gateway has passed on Server-Leaving: 1, no request reaches that runner from it later than drain_ms; between half a second after a 503 with Retry-After and the end of that time, at most two requests of that gateway reach the runner. A restart or a pause of the gateway excuses both. Runners are overloaded now and then and then refuse with Retry-After; half of the runners that leave say so in their responses only, so that list and reports do not hide a gateway that ignores the header. Limits: only requests of callers are counted, since calls of a gateway's own do not tell their sender. Not done: a proxy between the processes.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -171,10 +171,14 @@
     parser.body_limit(boost::none);
     // A response may have arrived although the request could not be written in full.
     error = {};
-    while (!error && !parser.is_done())
+    const Response &response = parser.get();
+    while (!error && !parser.is_done()) {
+        const bool isHeadKnown = parser.is_header_done();
         co_await http::async_read_some(this->stream, this->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
-    const Response &response = parser.get();
+        if (!isHeadKnown && parser.is_header_done() && fieldOf(response, "Server-Leaving") == "1")
+            this->ledger.noteLeaving(call.id, std::string(fieldOf(response, "X-Instance-Id")));
+    }
     const bool isEventStream =
             isStream(call.kind) && parser.is_header_done() && response.result() == http::status::ok;
     if (isEventStream) {
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -1,5 +1,9 @@
 #include "faults.h"
 
+#include "content.h"
+
+#include <algorithm>
+
 namespace eelgrasslift::soak {
 
 namespace {
@@ -10,6 +14,7 @@
 constexpr double MeanSeriesPauseSeconds = 0.15;
 // The platform's notice of a runner that leaves; runners serve a little longer.
 constexpr double NoticeSeconds = 3;
+constexpr double MeanOverloadPauseSeconds = 2.5;
 
 std::string toString(const NodeId &node)
 {
@@ -36,6 +41,12 @@
         , population(drawnFrom)
     {}
 
+    OverloadRunner drawOverload() { return {this->runner(), this->between(1, 3)}; }
+    LeavingNotice drawNotice()
+    {
+        return this->random.chance(0.5) ? LeavingNotice::Nowhere : LeavingNotice::Everywhere;
+    }
+
     Fault draw()
     {
         // Weights of the kinds, in percent: a gateway that is stopped under load is the most frequent.
@@ -100,12 +111,18 @@
     }
     std::string operator()(const RetireRunner &fault) const
     {
-        return toString(fault.runner) + " leaves in " + toString(fault.duration);
+        const bool isLagging = fault.notice == LeavingNotice::Nowhere;
+        return toString(fault.runner) + " leaves in " + toString(fault.duration) +
+               (isLagging ? ", stated in responses only" : "");
     }
     std::string operator()(const SlowRunner &fault) const
     {
         return toString(fault.runner) + " slow for " + toString(fault.duration);
     }
+    std::string operator()(const OverloadRunner &fault) const
+    {
+        return toString(fault.runner) + " overloaded for " + toString(fault.duration);
+    }
     std::string operator()(const SilenceRunner &fault) const
     {
         return toString(fault.runner) + " silent for " + toString(fault.duration);
@@ -116,6 +133,23 @@
     }
 };
 
+/// Adds what runners tell gateways: overloads, and how they announce that they leave. Drawn from a generator
+/// of its own, so that the other faults of a seed in seeds.txt stay the same.
+void drawNotices(uint64_t seed, Duration length, const Population &population,
+                 std::vector<ScheduledFault> &faults)
+{
+    Random random(hashOf("notices " + std::to_string(seed)));
+    FaultSource source(random, seed, population);
+    for (ScheduledFault &scheduled : faults) {
+        if (auto *retirement = std::get_if<RetireRunner>(&scheduled.fault))
+            retirement->notice = source.drawNotice();
+    }
+    const auto drawPause = [&] { return fromSeconds(random.exponential(MeanOverloadPauseSeconds)); };
+    for (Duration time = drawPause(); time < length; time += drawPause())
+        faults.push_back({time, source.drawOverload()});
+    std::ranges::stable_sort(faults, {}, &ScheduledFault::time);
+}
+
 } // namespace
 
 std::vector<ScheduledFault> drawFaults(uint64_t seed, Duration length, const Population &population)
@@ -124,17 +158,18 @@
     FaultSource source(random, seed, population);
     std::vector<ScheduledFault> faults;
     uint64_t seriesLeft = 0;
-    Duration time{};
-    for (;;) {
-        time += fromSeconds(random.exponential(seriesLeft > 0 ? MeanSeriesPauseSeconds : MeanPauseSeconds));
-        if (time >= length)
-            return faults;
+    const auto drawPause = [&] {
+        return fromSeconds(random.exponential(seriesLeft > 0 ? MeanSeriesPauseSeconds : MeanPauseSeconds));
+    };
+    for (Duration time = drawPause(); time < length; time += drawPause()) {
         faults.push_back({time, source.draw()});
         if (seriesLeft > 0)
             --seriesLeft;
         else if (random.chance(SeriesProbability))
             seriesLeft = 1 + random.below(MaxSeriesLength);
     }
+    drawNotices(seed, length, population, faults);
+    return faults;
 }
 
 size_t coordinatorThatLosesData(uint64_t seed, const Population &population)
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -54,17 +54,29 @@
 {
     size_t coordinator = 0;
 };
+/// Where a runner that is leaving says so, beside the header of its responses.
+enum class LeavingNotice {
+    Everywhere, ///< In the list, its report and its health checks.
+    Nowhere     ///< These show it as serving until its end.
+};
 /// The runner announces that it stops, serves for the duration, ends and is replaced.
 struct RetireRunner
 {
     RunnerPlace runner;
     Duration duration{};
+    LeavingNotice notice = LeavingNotice::Everywhere;
 };
 struct SlowRunner
 {
     RunnerPlace runner;
     Duration duration{};
 };
+/// The runner refuses all requests for the duration and asks for a pause until its end.
+struct OverloadRunner
+{
+    RunnerPlace runner;
+    Duration duration{};
+};
 /// The runner sends nothing for the duration; its connections stay open.
 struct SilenceRunner
 {
@@ -78,7 +90,7 @@
 };
 
 using Fault = std::variant<Terminate, Kill, Pause, Reload, KillAllCoordinators, LoseData, RetireRunner,
-                           SlowRunner, SilenceRunner, ResetRunner>;
+                           SlowRunner, SilenceRunner, ResetRunner, OverloadRunner>;
 
 struct ScheduledFault
 {
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -37,13 +37,6 @@
     return "unknown";
 }
 
-bool ProcessLife::wasFrozenWithin(TimePoint from, TimePoint until) const
-{
-    return std::ranges::any_of(this->freezes, [&](const Freeze &freeze) {
-        return freeze.from <= until && (!freeze.until || *freeze.until >= from);
-    });
-}
-
 /// Judges the outcome of a request that has ended.
 class Ledger::Verdict
 {
@@ -159,6 +152,23 @@
     request.sentAt = steadyNow();
 }
 
+void Ledger::reach(const std::string &id, const std::string &runner)
+{
+    if (const auto found = this->requests.find(id); found != this->requests.end())
+        this->notices.checkArrival(id, runner, found->second.gateway);
+}
+
+void Ledger::askForPause(const std::string &id, const std::string &runner, Duration duration)
+{
+    if (const auto found = this->requests.find(id); found != this->requests.end())
+        this->notices.recordPause(runner, found->second.gateway, duration);
+}
+
+void Ledger::noteLeaving(const std::string &id, const std::string &runner)
+{
+    this->notices.recordLeaving(runner, this->requests.at(id).gateway);
+}
+
 void Ledger::beginRun(const std::string &id, bool isContinuation)
 {
     const auto found = this->requests.find(id);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "journal.h"
+#include "runnernotices.h"
 
 #include <memory>
 #include <optional>
@@ -20,24 +21,6 @@
 /// max_attempts of the route for safe requests.
 inline constexpr uint32_t SafeAttempts = 2;
 
-/// What happened to a process between its start and its end.
-struct ProcessLife
-{
-    struct Freeze
-    {
-        TimePoint from;
-        /// Absent while it lasts.
-        std::optional<TimePoint> until;
-    };
-
-    std::string name;
-    std::optional<TimePoint> terminatedAt;
-    std::optional<TimePoint> killedAt;
-    std::vector<Freeze> freezes;
-
-    bool wasFrozenWithin(TimePoint from, TimePoint until) const;
-};
-
 // What the caller of a request got.
 
 /// A successful response with the expected headers and the whole body.
@@ -74,10 +57,17 @@
 public:
     explicit Ledger(Journal &runJournal)
         : journal(runJournal)
+        , notices(runJournal)
     {}
 
     /// A caller sends the request to a gateway.
     void send(const std::string &id, RequestKind kind, std::shared_ptr<const ProcessLife> gateway);
+    /// The request has reached the runner.
+    void reach(const std::string &id, const std::string &runner);
+    /// The runner has refused the request and wants no others of its gateway for the duration.
+    void askForPause(const std::string &id, const std::string &runner, Duration duration);
+    /// The caller has got an answer in which the runner states that it is leaving.
+    void noteLeaving(const std::string &id, const std::string &runner);
     /// A runner begins to run the request. A continuation from a valid copy counts as the same run.
     void beginRun(const std::string &id, bool isContinuation);
     /// The runner of the request broke off, fell silent or was slow.
@@ -101,6 +91,7 @@
     class Verdict;
 
     Journal &journal;
+    RunnerNotices notices;
     std::unordered_map<std::string, Request> requests;
     std::vector<TimePoint> breaks;
 };
--- a/soak/nodes.cpp
+++ b/soak/nodes.cpp
@@ -77,6 +77,7 @@
         file << (coordinator.id.index > 0 ? "," : "") << coordinator.ip << ":" << OperatorPort;
     file << "\nbootstrap=" << (isFirstStart ? "true" : "false") << "\nfault_tolerance.machines=1\n"
          << "cloud.address=" << this->addresses.list().toString() << "\ncloud.rate_per_s=50\n"
+         << "bounds.drain_ms=" << toMilliseconds(DrainTime) << "\n"
          << "bounds.grace_s=" << toSeconds(GracePeriod) << "\nbounds.retry_budget_ratio=0.2\n"
          << "bounds.budget_extra=58\nbounds.budget_window_s=10\n";
 }
--- a/soak/runner.cpp
+++ b/soak/runner.cpp
@@ -105,8 +105,9 @@
               [self = this->shared_from_this()]() -> asio::awaitable<void> { return self->accept(); });
 }
 
-void Runner::leave(Duration duration)
+void Runner::leave(Duration duration, LeavingNotice leavingNotice)
 {
+    this->notice = leavingNotice;
     this->leavesAt = after(duration);
 }
 
@@ -152,7 +153,7 @@
             {"zone", "zone-a"},
             {"version", "v1"},
             {"slots", this->spec.slots},
-            {"state", this->isLeaving() ? "draining" : "ready"},
+            {"state", this->isLeaveAnnounced() ? "draining" : "ready"},
             {"cold_left_ms", 0}};
 }
 
@@ -185,8 +186,13 @@
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
+        const std::string id(fieldOf(request, "X-Attempt-Id"));
+        const std::string_view expectedRunner = fieldOf(request, "X-Expect-Instance");
+        // Requests for another runner are not counted; they get 421.
+        if (expectedRunner.empty() || expectedRunner == this->spec.id)
+            this->ledger.reach(id, this->spec.id);
         if (steadyNow() < this->silentUntil)
-            this->ledger.disturb(std::string(fieldOf(request, "X-Attempt-Id")));
+            this->ledger.disturb(id);
         co_await this->waitWhileSilent();
         isOpen = connection->socket().is_open() && co_await this->respond(*connection, std::move(request));
     }
@@ -199,8 +205,10 @@
     const std::string id(fieldOf(request, "X-Attempt-Id"));
     if (target == "/v1/report")
         co_return co_await this->send(connection, this->makeResponse(200, {}, this->report()));
-    if (target == "/health")
-        co_return co_await this->send(connection, this->makeResponse(this->isLeaving() ? 503 : 200, {}));
+    if (target == "/health") {
+        const unsigned status = this->isLeaveAnnounced() ? 503 : 200;
+        co_return co_await this->send(connection, this->makeResponse(status, {}));
+    }
     if (target == "/v1/kv-move")
         co_return co_await this->copy(connection, request.body());
     if (target.starts_with("/v1/"))
@@ -208,6 +216,8 @@
     const std::string_view expectedRunner = fieldOf(request, "X-Expect-Instance");
     if (!expectedRunner.empty() && expectedRunner != this->spec.id)
         co_return co_await this->send(connection, this->refusal(421, id));
+    if (steadyNow() < this->overloadedUntil)
+        co_return co_await this->refuseAndAskForPause(connection, id);
     const std::string copyName(fieldOf(request, "Kv-From"));
     if (this->runs.size() >= this->spec.slots ||
         (!copyName.empty() && !this->copies.take(copyName, id, this->spec.endpoint.toString())))
@@ -228,7 +238,7 @@
     const bool isComplete = co_await this->sendStream(connection, *run, first, last);
     if (isComplete && !backup.empty())
         this->copies.erase(backup + "/" + id);
-    co_return isComplete && !this->isLeaving();
+    co_return isComplete && !this->isLeaveAnnounced();
 }
 
 asio::awaitable<bool> Runner::sendStream(Connection &connection, Run &run, uint64_t first, uint64_t last)
@@ -314,10 +324,21 @@
     return response;
 }
 
+asio::awaitable<bool> Runner::refuseAndAskForPause(Connection &connection, const std::string &requestId)
+{
+    // Rounded down, so that the time that is checked is not longer than the one that is stated.
+    const std::chrono::milliseconds pause{toMilliseconds(this->overloadedUntil - steadyNow())};
+    Response response = this->refusal(503, requestId);
+    response.set(http::field::retry_after, std::to_string(toSeconds(pause)));
+    const bool isOpen = co_await this->send(connection, std::move(response));
+    this->ledger.askForPause(requestId, this->spec.id, pause);
+    co_return isOpen;
+}
+
 asio::awaitable<bool> Runner::send(Connection &connection, Response response) const
 {
     boost::system::error_code error;
-    response.keep_alive(!this->isLeaving());
+    response.keep_alive(!this->isLeaveAnnounced());
     response.prepare_payload();
     co_await http::async_write(connection, response, asio::redirect_error(asio::use_awaitable, error));
     co_return !error && response.keep_alive();
@@ -331,8 +352,8 @@
                 {"kv_used", this->runs.size() * TokensPerRun},
                 {"kv_total", MemoryTokens},
                 {"handles", 0},
-                {"state", this->isLeaving() ? "draining" : "ready"}};
-    if (this->leavesAt)
+                {"state", this->isLeaveAnnounced() ? "draining" : "ready"}};
+    if (this->isLeaveAnnounced())
         report["leaves_ms"] = std::max<int64_t>(toMilliseconds(*this->leavesAt - steadyNow()), 0);
     return report.dump();
 }
--- a/soak/runner.h
+++ b/soak/runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "faults.h"
 #include "httpcall.h"
 #include "ledger.h"
 
@@ -52,10 +53,13 @@
 
     /// Accepts connections until stop(). Throws boost::system::system_error if the address cannot be bound.
     void start();
-    /// Announces in list, report, health checks and responses that it stops after the duration.
-    void leave(Duration duration);
+    /// States in its responses that it is leaving, and announces it as the notice says, with the duration
+    /// until its end.
+    void leave(Duration duration, LeavingNotice leavingNotice);
     /// Ends: breaks off what runs.
     void stop();
+    /// Refuses all requests for the duration and asks for a pause.
+    void overload(Duration duration) { this->overloadedUntil = this->after(duration); }
     void slowDown(Duration duration) { this->slowUntil = this->after(duration); }
     void fallSilent(Duration duration);
     void resetConnections();
@@ -77,12 +81,15 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> respond(Connection &connection, Request request);
+    boost::asio::awaitable<bool> refuseAndAskForPause(Connection &connection, const std::string &requestId);
     boost::asio::awaitable<bool> send(Connection &connection, Response response) const;
     boost::asio::awaitable<bool> sendStream(Connection &connection, Run &run, uint64_t first, uint64_t last);
     boost::asio::awaitable<bool> copy(Connection &connection, const std::string &body);
     /// Takes the time of a step of work, longer while the runner is slow or silent.
     boost::asio::awaitable<void> work(Duration duration, const std::string &requestId);
     boost::asio::awaitable<void> waitWhileSilent();
+    /// Whether list, report and health checks show that the runner is leaving.
+    bool isLeaveAnnounced() const { return this->isLeaving() && this->notice == LeavingNotice::Everywhere; }
     Response makeResponse(unsigned status, const std::string &requestId, std::string body = {}) const;
     Response refusal(unsigned status, const std::string &requestId) const;
     std::string report() const;
@@ -96,6 +103,8 @@
     std::list<std::weak_ptr<Connection>> connections;
     std::set<Run *> runs;
     std::optional<TimePoint> leavesAt;
+    LeavingNotice notice = LeavingNotice::Everywhere;
+    TimePoint overloadedUntil;
     TimePoint slowUntil;
     TimePoint silentUntil;
 };
--- a/soak/runnerfleet.cpp
+++ b/soak/runnerfleet.cpp
@@ -65,12 +65,12 @@
     return runner;
 }
 
-void RunnerFleet::retire(const RunnerPlace &place, Duration duration)
+void RunnerFleet::retire(const RunnerPlace &place, Duration duration, LeavingNotice notice)
 {
     const auto runner = this->find(place);
     if (!runner || runner->isLeaving())
         return;
-    runner->leave(duration);
+    runner->leave(duration, notice);
     spawnTask(this->io, "soak-replace", this->replace(place, duration));
 }
 
--- a/soak/runnerfleet.h
+++ b/soak/runnerfleet.h
@@ -20,7 +20,7 @@
     /// Starts all runners and the list. Returns false if the list's address cannot be bound.
     bool start();
     /// The runner leaves, stops after the duration and is replaced. Does nothing if it already leaves.
-    void retire(const RunnerPlace &place, Duration duration);
+    void retire(const RunnerPlace &place, Duration duration, LeavingNotice notice);
     /// nullptr while the runner is being replaced.
     std::shared_ptr<Runner> find(const RunnerPlace &place) const;
     /// The configuration of the given version, as the operator sends it.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -39,12 +39,20 @@
             this->nodes.kill({Role::Coordinator, index});
     }
     void operator()(const LoseData &fault) const { this->nodes.loseData(fault.coordinator); }
-    void operator()(const RetireRunner &fault) const { this->fleet.retire(fault.runner, fault.duration); }
+    void operator()(const RetireRunner &fault) const
+    {
+        this->fleet.retire(fault.runner, fault.duration, fault.notice);
+    }
     void operator()(const SlowRunner &fault) const
     {
         if (const auto runner = this->fleet.find(fault.runner))
             runner->slowDown(fault.duration);
     }
+    void operator()(const OverloadRunner &fault) const
+    {
+        if (const auto runner = this->fleet.find(fault.runner))
+            runner->overload(fault.duration);
+    }
     void operator()(const SilenceRunner &fault) const
     {
         if (const auto runner = this->fleet.find(fault.runner))
