gateway: test that sessions count the requests that they send to a runner after its pause

Cause: RunnerPauses paces the requests after a pause by what it is told of each send. The pacing had tests, the two calls of countSendAfterPause() had none: without them all waiting requests of a gateway come back in the same instant and all tests passed. Change: "A request to a runner that has paused delays the next one", for each kind of request. The pause is recorded as of an earlier time; the row is played again if the processor was busy for longer than the interval between two requests.

--- a/tests/hostile/test_runnerpause.cpp
+++ b/tests/hostile/test_runnerpause.cpp
@@ -179,6 +179,38 @@
     CHECK(toSeconds(servedAt - lastPauseAt) >= ShortPause);
 }
 
+// Guards against requests that all come back at once after a pause because the sessions do not count them.
+TEST_CASE("A request to a runner that has paused delays the next one", "[hostile][pause]")
+{
+    const auto path = GENERATE(values<std::string>(Paths));
+    INFO(path);
+    // Enough for the longest interval between two requests of one gateway, a second.
+    constexpr uint32_t GatewayCount = 10'000;
+    constexpr Duration Interval = 1s;
+    constexpr Duration Pause = 30s;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, success(path));
+    });
+    const char *service = path == "/generation/a" ? "m" : path == "/backed/a" ? "b" : "p";
+    const auto entry = std::ranges::find(fixture.runners, service, &RunnerEntry::service);
+    fixture.gateway.applyFleet(std::vector{*entry});
+    RunnerPool &pool = fixture.gateway.runners;
+    const RunnerPool::RunnerPointer runner = pool.find(entry->id);
+    // Plays again if the processor was so busy that the interval has passed unused.
+    bool isInTime = false;
+    for (int i = 0; !isInTime; ++i) {
+        Random random{1};
+        const Duration offset = fromSeconds(toSeconds(Interval) * Random{1}.uniform());
+        const TimePoint before = steadyNow();
+        pool.recordPause(*runner, Pause, GatewayCount, before - Pause - offset - 1ms, random);
+        REQUIRE_FALSE(pool.nextSend(*runner, before));
+        CHECK(fixture.call(path, "id-" + std::to_string(i)).status == 200);
+        isInTime = steadyNow() - before < Interval * 0.9;
+        if (isInTime)
+            CHECK(pool.nextSend(*runner, before).has_value());
+    }
+}
+
 // Guards against a request that has chosen its runner and reaches it after the pause has begun.
 TEST_CASE("A request whose connection is established during a pause goes to another runner",
           "[hostile][pause]")
