gateway: test pauses that begin while a generation runs, and statements in the answer to a copy request

Cause: with each guard of migrate(), handleRunnerLeaving() and isBackupReachable() against pauses taken out, and with the two lines that read the answer to a copy request taken out, all tests passed. Change: "A generation stays at its runner while a pause rules out each other one" (backup's runner, copy's destination, copy's source) and "What a runner states in its answer to a copy request holds". The scripts wait for the gateway's first event and for the end of the transfer, not for a time.

--- a/tests/hostile/test_runnerpause.cpp
+++ b/tests/hostile/test_runnerpause.cpp
@@ -406,8 +406,9 @@
         this->excluded = request.excluded;
         co_return TransferPermit{1, this->runnerId};
     }
-    void finishTransfer(uint64_t) override {}
+    void finishTransfer(uint64_t) override { this->isFinished = true; }
 
+    bool isFinished = false;
     std::string runnerId;
     std::vector<std::string> excluded;
 };
@@ -485,3 +486,113 @@
     CHECK(pausedPolls <= pausedPollsAtStart);
     CHECK(otherPolls <= otherPollsAtStart + 1);
 }
+
+namespace {
+
+/// A generation whose runner pauses or leaves in its middle, while the same or the other one asks for a
+/// pause.
+struct MidwayCase
+{
+    const char *name;
+    std::string path;
+    /// Whether its own runner pauses instead of the other one.
+    bool isSourcePaused;
+    /// Time until the runner stops; 0: it is slow instead.
+    Duration noticePeriod;
+};
+
+/// Waits until the gateway has the first event of the generation at the runner.
+asio::awaitable<void> waitForFirstEvent(asio::steady_timer &timer, const RunnerPool::Runner &runner)
+{
+    while (runner.ownLoad.prefillTokens > 0) {
+        timer.expires_after(5ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+// Guards against a generation that is copied, or continued from its backup, during a pause of a runner that
+// takes part in it, and against the events that each such try holds up.
+TEST_CASE("A generation stays at its runner while a pause rules out each other one", "[hostile][pause]")
+{
+    const auto test = GENERATE(values<MidwayCase>({
+            {"leaving, backup's runner pauses", "/backed/a", false, 150ms},
+            {"slow, backup's runner pauses", "/backed/a", false, 0ms},
+            {"leaving, copy's destination pauses", "/generation/a", false, 1500ms},
+            {"leaving, copy's source pauses", "/generation/a", true, 1500ms},
+    }));
+    INFO(test.name);
+    std::string paused;
+    StubbornScheduler scheduler;
+    GatewayFixture fixture(
+            [&](tcp::socket &connection, int count, std::string head) -> asio::awaitable<void> {
+                if (count > 1) {
+                    co_await sendBytes(connection, pauseAnswer(LongPause));
+                    co_return;
+                }
+                const std::string own = valueOf(head, "X-Expect-Instance");
+                const std::string other = own.substr(0, 1) + (own.ends_with("1") ? "2" : "1");
+                co_await sendBytes(connection, StreamHead + chunk(events(1, 1)));
+                asio::steady_timer timer(fixture.io);
+                co_await waitForFirstEvent(timer, *fixture.gateway.runners.find(own));
+                paused = test.isSourcePaused ? own : other;
+                scheduler.runnerId = other;
+                scheduler.excluded.clear();
+                ResponseMetadata metadata;
+                metadata.pause = fromSeconds(LongPause);
+                fixture.gateway.recordPause(*fixture.gateway.runners.find(paused), metadata, "id-0");
+                if (test.noticePeriod > Duration::zero())
+                    fixture.announceStop(test.noticePeriod);
+                timer.expires_after(300ms);
+                co_await timer.async_wait(asio::use_awaitable);
+                co_await sendBytes(connection, chunk(events(2, 3)) + "0\r\n\r\n");
+            });
+    scheduler.runnerId = test.path == "/backed/a" ? "b1" : "m1";
+    fixture.gateway.fleetScheduler = &scheduler;
+    const CallerView view = fixture.call(test.path, "id-1");
+    CHECK(view.isComplete);
+    CHECK(view.body == events(1, 3));
+    CHECK(fixture.runner.requestCount() == 1);
+    CHECK(fixture.gateway.metrics.serialize().find(R"(done="false")") == std::string::npos);
+    if (test.path == "/generation/a")
+        CHECK(scheduler.excluded == std::vector{paused});
+}
+
+// Guards against a statement that is lost because it comes in the answer to a copy request.
+TEST_CASE("What a runner states in its answer to a copy request holds", "[hostile][pause]")
+{
+    const auto [fields, isPaused, isLeaving] = GENERATE(table<std::string, bool, bool>({
+            {"", false, false},
+            {"Retry-After: 30\r\n", true, false},
+            {"Server-Leaving: 1\r\n", false, true},
+            {"Retry-After: 30\r\nServer-Leaving: 1\r\n", true, true},
+    }));
+    INFO(fields);
+    RunnerPool::RunnerPointer source;
+    StubbornScheduler scheduler;
+    GatewayFixture fixture([&, refusal = "HTTP/1.1 503 Busy\r\n" + fields + "Content-Length: 0\r\n\r\n"](
+                                   tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
+        if (head.starts_with("POST /v1/kv-move")) {
+            co_await sendBytes(connection, refusal);
+            co_return;
+        }
+        source = fixture.gateway.runners.find(valueOf(head, "X-Expect-Instance"));
+        co_await sendBytes(connection, StreamHead + chunk(events(1, 1)));
+        asio::steady_timer timer(fixture.io);
+        co_await waitForFirstEvent(timer, *source);
+        scheduler.runnerId = source->entry.id == "m1" ? "m2" : "m1";
+        fixture.announceStop(1500ms);
+        while (!scheduler.isFinished) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await sendBytes(connection, chunk(events(2, 3)) + "0\r\n\r\n");
+    });
+    scheduler.runnerId = "m1";
+    fixture.gateway.fleetScheduler = &scheduler;
+    CHECK(fixture.call("/generation/a", "id-1").isComplete);
+    REQUIRE(source);
+    CHECK(fixture.gateway.runners.isPaused(*source, steadyNow()) == isPaused);
+    CHECK(fixture.gateway.runners.hasStatedLeaving(source->entry) == isLeaving);
+}
