gateway: test that a runner counts as leaving before the next list arrives

Cause: a report or a health answer that states it marks the runner at once, and each list marks it again. The tests read lists each 10 ms, so the first of the two could be taken out without a failure. Evidence: with the call of markLeaving() in FleetReader::recordAnswer() taken out, the new test waits for 20 s and fails for both polls (2 of 8 assertions); it passes on the code as it is.

--- a/tests/hostile/test_leavinganswer.cpp
+++ b/tests/hostile/test_leavinganswer.cpp
@@ -517,6 +517,22 @@
     CHECK_FALSE(listed.isLeaving());
 }
 
+// Guards against placements at a leaving runner until the next list arrives.
+TEST_CASE("A runner whose report or health answer states it counts as leaving before the next list",
+          "[hostile]")
+{
+    const std::string path = GENERATE("/v1/report", "/health");
+    INFO(path);
+    ListedRunner listed({});
+    listed.readLists(2);
+    const int updatesBefore = listed.updateCount;
+    listed.reader.setListInterval(1h);
+    listed.runUntil([&] { return listed.updateCount > updatesBefore; });
+    REQUIRE_FALSE(listed.isLeaving());
+    listed.path = path;
+    listed.runUntil([&] { return listed.isLeaving(); });
+}
+
 // Guards against a coordinator that places generations at a runner of which a gateway has heard that it is
 // leaving, and against a gateway's old status about an earlier start of the runner.
 TEST_CASE("A coordinator takes a runner for leaving by the status of a gateway", "[hostile]")
