gateway: test that a 421 which states leaving concerns all ids at the address

Cause: LeavingRunners had a test for an answer of an unknown runner; that a session tells it so had none.

--- a/tests/hostile/test_leavinganswer.cpp
+++ b/tests/hostile/test_leavinganswer.cpp
@@ -242,6 +242,19 @@
     CHECK(runners.fixture.call(path, "id-5").status == 200);
 }
 
+// Guards against requests that reach a leaving runner under the ids of earlier runners at its address.
+TEST_CASE("A leaving runner that is not the expected one gets no request under another id", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a", "/backed/a");
+    INFO(path);
+    GatewayFixture fixture([](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n" + Leaving +
+                                               "Content-Length: 0\r\n\r\n");
+    });
+    CHECK(fixture.call(path, "id-1").status == 503);
+    CHECK(fixture.runner.requestCount() == 1);
+}
+
 // Guards against a request that has chosen its runner, and is sent to it although the runner has stated in
 // the meantime that it is leaving.
 TEST_CASE("A request that waits for its connection turns to another runner", "[hostile]")
