--- a/tests/hostile/test_leavinganswer.cpp
+++ b/tests/hostile/test_leavinganswer.cpp
@@ -242,6 +242,19 @@
     CHECK(runners.fixture.call(path, "id-5").status == 200);
 }
 
+// Guards against requests that reach a leaving runner under the ids of earlier runners at its address.
+TEST_CASE("A leaving runner that is not the expected one gets no request under another id", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a", "/backed/a");
+    INFO(path);
+    GatewayFixture fixture([](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n" + Leaving +
+                                               "Content-Length: 0\r\n\r\n");
+    });
+    CHECK(fixture.call(path, "id-1").status == 503);
+    CHECK(fixture.runner.requestCount() == 1);
+}
+
 // Guards against a request that has chosen its runner, and is sent to it although the runner has stated in
 // the meantime that it is leaving.
 TEST_CASE("A request that waits for its connection turns to another runner", "[hostile]")
@@ -517,6 +530,22 @@
     CHECK_FALSE(listed.isLeaving());
 }
 
+// Guards against placements at a leaving runner until the next list arrives.
+TEST_CASE("A runner whose report or health answer states it counts as leaving before the next list",
+          "[hostile]")
+{
+    const std::string path = GENERATE("/v1/report", "/health");
+    INFO(path);
+    ListedRunner listed({});
+    listed.readLists(2);
+    const int updatesBefore = listed.updateCount;
+    listed.reader.setListInterval(1h);
+    listed.runUntil([&] { return listed.updateCount > updatesBefore; });
+    REQUIRE_FALSE(listed.isLeaving());
+    listed.path = path;
+    listed.runUntil([&] { return listed.isLeaving(); });
+}
+
 // Guards against a coordinator that places generations at a runner of which a gateway has heard that it is
 // leaving, and against a gateway's old status about an earlier start of the runner.
 TEST_CASE("A coordinator takes a runner for leaving by the status of a gateway", "[hostile]")
