consensus: make the synced length durable before a restart trusts it

What callers would see: an acknowledged configuration that is gone, or a coordinator that never starts again ("lost data", "no valid slot"), after kills that are followed by a power loss. Cause: the length of the log counts when its slot in the file synced is written. A process that ended between the write and the sync of a slot (killed, or because the sync failed) left a slot that the next process read and trusted, but that a power loss takes back. Change: opening the folder writes the slot again and syncs it before it removes files and before anything is answered. It is written again because a second fsync does not repeat a failed one. A damaged slot is replaced at the same time. A member that restarts on a full disk now waits for space at its start instead of at its first entry. Not shown to be what the users saw.

--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -313,6 +313,8 @@
         return failed;
     if (std::optional<StorageError> failed = this->readLog())
         return failed;
+    if (const FileOutcome failed = this->rewriteSyncedLength())
+        return toStorageError(*failed);
     this->removeStaleFiles();
     return std::nullopt;
 }
@@ -485,13 +487,27 @@
     this->recordSyncedLength();
 }
 
+FileOutcome FileLogStorage::writeSlot()
+{
+    const uint64_t offset = (this->slotSequence % 2) * SlotSize;
+    const std::string slot = encodeSlot(this->slotSequence, this->logNumber, this->logLength);
+    if (FileOutcome failed = this->syncedFile.writeAt(offset, slot))
+        return failed;
+    return this->syncedFile.sync(this->options.syncDescriptor);
+}
+
+FileOutcome FileLogStorage::rewriteSyncedLength()
+{
+    // The next sequence number belongs to the slot that is damaged.
+    if (this->hasDamagedSlot)
+        ++this->slotSequence;
+    return this->writeSlot();
+}
+
 void FileLogStorage::recordSyncedLength()
 {
     ++this->slotSequence;
-    const uint64_t offset = (this->slotSequence % 2) * SlotSize;
-    this->terminateOnFailure(this->syncedFile.writeAt(
-            offset, encodeSlot(this->slotSequence, this->logNumber, this->logLength)));
-    this->terminateOnFailure(this->syncedFile.sync(this->options.syncDescriptor));
+    this->terminateOnFailure(this->writeSlot());
     this->syncedLength = this->logLength;
 }
 
--- a/src/libconsensus/filelogstorage.h
+++ b/src/libconsensus/filelogstorage.h
@@ -89,6 +89,10 @@
     void removeStaleFiles() const;
     void append(std::string_view records);
     void recordSyncedLength();
+    /// Makes the slot that was read durable: an earlier process may have ended before it had synced it. It is
+    /// written again, since a sync alone does not repeat a failed one.
+    FileOutcome rewriteSyncedLength();
+    FileOutcome writeSlot();
     void terminateOnFailure(const FileOutcome &outcome) const;
 
     std::filesystem::path logPath(uint64_t number) const;
--- a/tests/consensus/test_powerloss.cpp
+++ b/tests/consensus/test_powerloss.cpp
@@ -299,6 +299,86 @@
     return {};
 }
 
+/// Repeats a run with each of its operations of the kind refused, from there on, and checks that after a
+/// restart and a power loss everything is there that the run had confirmed or the restart has recovered.
+std::string checkRefusals(const RecordedDisk &disk, const Candidates &candidates, Founding founding,
+                          bool (*isRefused)(DiskOperation::Kind), size_t steps, uint64_t seed)
+{
+    Random random{seed};
+    ProcessRun complete(disk, candidates, founding, seed);
+    complete.run(steps);
+    for (size_t first = 0; first < complete.operationCount(); ++first) {
+        if (!isRefused(complete.operations()[first].kind))
+            continue;
+        ProcessRun refused(disk, candidates, founding, seed);
+        refused.refuse([&](const DiskOperation &operation) {
+            return refused.operationCount() >= first && isRefused(operation.kind);
+        });
+        std::string failure = refused.run(steps);
+        const size_t end = refused.operationCount();
+        for (const auto changes : {UnsyncedChanges::Lost, UnsyncedChanges::Kept, UnsyncedChanges::Random}) {
+            if (failure.empty())
+                failure = checkRestart(refused.diskAfter(end).afterPowerLoss(changes, random),
+                                       refused.candidatesAfter(end), founding);
+        }
+        if (failure.empty()) {
+            ProcessRun restarted(refused.diskAfter(end), refused.candidatesAfter(end), founding, seed);
+            failure = restarted.run(0);
+            const size_t restart = restarted.operationCount();
+            if (failure.empty())
+                failure = checkRestart(
+                        restarted.diskAfter(restart).afterPowerLoss(UnsyncedChanges::Lost, random),
+                        restarted.candidatesAfter(restart), founding);
+        }
+        if (!failure.empty())
+            return failure + "; refused" + describeEnd(refused, end);
+    }
+    return {};
+}
+
+bool isWrite(DiskOperation::Kind kind)
+{
+    return kind == DiskOperation::Kind::Write;
+}
+
+bool isSync(DiskOperation::Kind kind)
+{
+    return kind == DiskOperation::Kind::Sync || kind == DiskOperation::Kind::SyncFolder;
+}
+
+constexpr uint64_t Seeds = 6;
+constexpr size_t RunsPerSeed = 3;
+constexpr size_t Steps = 10;
+
+/// Runs check for each seed with the disks of successive runs, each of which ends with the process or the
+/// power, and returns the number of seeds that failed.
+template <typename Check>
+size_t countFailures(Founding founding, Check check)
+{
+    size_t failures = 0;
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        Random random{seed};
+        RecordedDisk disk;
+        Candidates candidates;
+        std::string failure;
+        for (size_t i = 0; i < RunsPerSeed && failure.empty(); ++i) {
+            const uint64_t runSeed = random.next();
+            failure = check(disk, candidates, runSeed);
+            ProcessRun run(disk, candidates, founding, runSeed);
+            if (failure.empty())
+                failure = run.run(Steps);
+            const size_t end = random.below(run.operationCount() + 1);
+            candidates = run.candidatesAfter(end);
+            disk = run.diskAfter(end);
+            if (random.chance(0.3))
+                disk = disk.afterPowerLoss(UnsyncedChanges::Random, random);
+        }
+        if (!failure.empty() && ++failures <= 10)
+            std::cout << "seed " << seed << ": " << failure << '\n';
+    }
+    return failures;
+}
+
 } // namespace
 
 // Guards against a member whose new data folder is gone after a power loss although it was initialised.
@@ -333,3 +413,39 @@
     CHECK(run.run(0).empty());
     CHECK(checkKills(run, founding, random).empty());
 }
+
+// Guards against synced state that is lost, or other state that is recovered, after a power loss at any file
+// operation, also while a member recovers its folder.
+TEST_CASE("A power loss at any file operation loses nothing that was synced", "[powerloss]")
+{
+    const auto founding = GENERATE(Founding::Bootstrap, Founding::Join);
+    CHECK(countFailures(founding, [&](const RecordedDisk &disk, const Candidates &candidates, uint64_t seed) {
+              Random random{seed};
+              ProcessRun run(disk, candidates, founding, seed);
+              const std::string failure = run.run(Steps);
+              return failure.empty() ? checkPowerLosses(run, founding, random) : failure;
+          }) == 0);
+}
+
+// Guards against entries that a restarted member acknowledges again and a later power loss removes.
+TEST_CASE("What a member recovers after it was killed at any file operation is durable", "[powerloss]")
+{
+    const auto founding = GENERATE(Founding::Bootstrap, Founding::Join);
+    CHECK(countFailures(founding, [&](const RecordedDisk &disk, const Candidates &candidates, uint64_t seed) {
+              Random random{seed};
+              ProcessRun run(disk, candidates, founding, seed);
+              const std::string failure = run.run(Steps);
+              return failure.empty() ? checkKills(run, founding, random) : failure;
+          }) == 0);
+}
+
+// Guards against confirmed state that is lost because an error of a write or sync was ignored, or because a
+// restart trusts what a failed sync has left in memory.
+TEST_CASE("A full disk or a failed sync at any operation loses nothing that was synced", "[powerloss]")
+{
+    const auto founding = GENERATE(Founding::Bootstrap, Founding::Join);
+    const auto isRefused = GENERATE(isWrite, isSync);
+    CHECK(countFailures(founding, [&](const RecordedDisk &disk, const Candidates &candidates, uint64_t seed) {
+              return checkRefusals(disk, candidates, founding, isRefused, Steps, seed);
+          }) == 0);
+}
