consensus: join again through known members, not only through the addresses of the start

What operators would see: a coordinator that was cut off for a while and stays outside the cluster until it is restarted; the cluster has one disk less to lose. Cause: a voter that was removed during an outage asks to join at the addresses of its start only. A coordinator reads its seeds once. When all three have been replaced since, nobody answers, and the members that it knows are not asked. Ruled out: a member that is a learner (the leader goes on to contact it). Change: requests to join also go, in turn, to the members in the log. Not shown to be what the users saw.

--- a/src/libconsensus/raftnode.h
+++ b/src/libconsensus/raftnode.h
@@ -48,9 +48,9 @@
     /// A voter without contact with the leader for this long is removed if the cluster has maxVoters voters
     /// and a learner that has caught up can replace it. If not set, only operators remove such voters.
     std::optional<Duration> unresponsiveVoterTimeout;
-    /// Addresses to which a member sends JoinRequests, in turn, while it is not part of a cluster or is a
-    /// learner without leader contact. With unresponsiveVoterTimeout, a voter without leader contact sends
-    /// them too, since it may have been removed during an outage.
+    /// Addresses to which a member sends JoinRequests, in turn with those of the members that it knows, while
+    /// it is not part of a cluster or is a learner without leader contact. With unresponsiveVoterTimeout, a
+    /// voter without leader contact sends them too, since it may have been removed during an outage.
     std::vector<std::string> joinAddresses;
 };
 
@@ -239,6 +239,7 @@
     void onMessage(MemberId from, const raft::JoinRequest &request);
     void onMessage(MemberId from, const raft::JoinReply &reply);
     void sendJoinRequest();
+    std::vector<std::string> addressesToJoin() const;
     bool needsToJoin() const;
     bool mayHaveBeenRemoved() const;
     void changeMembership(const raft::MembershipChange &change, raft::RequestId request);
--- a/src/libconsensus/raftnode_membership.cpp
+++ b/src/libconsensus/raftnode_membership.cpp
@@ -200,15 +200,28 @@
            this->now - this->lastLeaderContact > 2 * this->settings.electionTimeoutMax;
 }
 
+std::vector<std::string> RaftNode::addressesToJoin() const
+{
+    // All members at the join addresses may have been replaced since this member was started.
+    std::vector<std::string> result = this->settings.joinAddresses;
+    for (const auto &[id, member] : this->raftLog.membership()) {
+        if (member.address != this->address &&
+            std::find(result.begin(), result.end(), member.address) == result.end())
+            result.push_back(member.address);
+    }
+    return result;
+}
+
 void RaftNode::sendJoinRequest()
 {
     if (this->now < this->nextJoin)
         return;
     this->nextJoin = this->now + this->settings.joinInterval;
-    const std::vector<std::string> &addresses = this->settings.joinAddresses;
     std::string target = std::exchange(this->leaderHint, {});
-    if (target.empty())
+    if (target.empty()) {
+        const std::vector<std::string> addresses = this->addressesToJoin();
         target = addresses[this->joinAttempt++ % addresses.size()];
+    }
     if (target != this->address)
         this->sendTo(target, 0, JoinRequest{});
 }
--- a/tests/consensus/simulation.cpp
+++ b/tests/consensus/simulation.cpp
@@ -77,7 +77,9 @@
 {
     RaftSettings hostSettings = this->settings;
     for (size_t i = 0; i < this->hosts.size(); ++i) {
-        if (i != host.number)
+        const bool isSeed =
+                !host.seeds || std::find(host.seeds->begin(), host.seeds->end(), i) != host.seeds->end();
+        if (i != host.number && isSeed)
             hostSettings.joinAddresses.push_back(addressOf(i));
     }
     ++host.incarnation;
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -26,6 +26,7 @@
     bool isPaused = false;
     bool isRetired = false; // removed from the cluster and never restarted
     bool crashesAtNextSync = false;
+    std::optional<std::vector<size_t>> seeds; // hosts that it asks when it joins; all others if not set
     double clockRate = 1.0;
     Duration clockBase{0};
     Duration clockSetAt{0};
