consensus: test lost disks also with three, four and six hosts

Cause of this test: the schedule of lost disks had eight hosts and two tolerated losses only; three hosts with one have no spare member, and a replacement joins while the group has lost a third. Change: the schedule takes hosts and tolerated losses from a table; the row of eight hosts keeps its 300 seeds. Victims are drawn from the hosts that are left, as before. Conclusion: no change of the product.

--- a/tests/consensus/test_disklosses.cpp
+++ b/tests/consensus/test_disklosses.cpp
@@ -10,38 +10,45 @@
 
 namespace {
 
-// As on the users' larger deployments: of eight VMs with disks, two may be lost at the same time. A VM counts
-// as lost until CatchUpTime after its return.
+// A VM counts as lost until CatchUpTime after its return.
 constexpr size_t InitialVoters = 3;
-constexpr size_t Hosts = 8;
-constexpr size_t MaxVoters = 5;
-constexpr size_t ToleratedLosses = 2;
 constexpr Duration CatchUpTime = 6s;
 constexpr Duration RecoveryTime = 15s;
 
-RaftSettings spareMemberSettings()
+/// VMs with disks, and how many of them may be lost at the same time.
+struct Deployment
+{
+    size_t hosts = 0;
+    size_t toleratedLosses = 0;
+    uint64_t seeds = 0; // of the test
+
+    size_t maxVoters() const { return 2 * this->toleratedLosses + 1; }
+};
+
+RaftSettings spareMemberSettings(const Deployment &deployment)
 {
     RaftSettings settings = Simulation::testSettings();
-    settings.maxVoters = MaxVoters;
+    settings.maxVoters = deployment.maxVoters();
     settings.unresponsiveVoterTimeout = 2s;
     return settings;
 }
 
-/// A cluster of five voters and three learners under losses that it must tolerate.
+/// A cluster under losses that it must tolerate.
 class LossSchedule
 {
 public:
-    explicit LossSchedule(uint64_t seed)
-        : simulation(seed, InitialVoters, spareMemberSettings())
+    LossSchedule(const Deployment &lossDeployment, uint64_t seed)
+        : deployment(lossDeployment)
+        , simulation(seed, InitialVoters, spareMemberSettings(lossDeployment))
     {}
 
     /// Returns what went wrong, or nothing.
     std::string run()
     {
-        while (this->simulation.hostCount() < Hosts)
+        while (this->simulation.hostCount() < this->deployment.hosts)
             this->simulation.startJoining(this->simulation.addHost());
-        if (!this->simulation.runUntil([&] { return this->countVoters() == MaxVoters; }))
-            return "no five voters";
+        if (!this->simulation.runUntil([&] { return this->countVoters() == this->deployment.maxVoters(); }))
+            return "too few voters";
         this->simulation.scheduleEvery(400ms, [this] {
             this->propose();
             this->simulation.confirmOnAllHosts();
@@ -88,17 +95,17 @@
                                                  [](const auto &entry) { return entry.second.isVoter; }));
     }
 
-    /// Loses one or two VMs, one shortly after the other, and waits until neither counts as
-    /// lost any more.
+    /// Loses as many VMs as are tolerated, or fewer, one shortly after the other, and waits until neither
+    /// counts as lost any more.
     void loseSome()
     {
         Random &random = this->simulation.random;
         std::vector<std::pair<size_t, Loss>> losses;
         std::vector<size_t> candidates = this->present();
-        const size_t count = 1 + random.below(ToleratedLosses);
+        const size_t count = 1 + random.below(this->deployment.toleratedLosses);
         while (losses.size() < count) {
             const auto victim =
-                    candidates.begin() + static_cast<std::ptrdiff_t>(random.below(Hosts - losses.size()));
+                    candidates.begin() + static_cast<std::ptrdiff_t>(random.below(candidates.size()));
             losses.emplace_back(*victim, static_cast<Loss>(random.below(LossKinds)));
             candidates.erase(victim);
             this->lose(losses.back().first, losses.back().second);
@@ -144,8 +151,8 @@
         this->simulation.healNetwork(victim);
     }
 
-    /// Right after an acknowledgement all hosts lose power, and two that have synced the acknowledged entry
-    /// also lose their disks.
+    /// Right after an acknowledgement all hosts lose power, and as many as are tolerated of those that have
+    /// synced the acknowledged entry also lose their disks.
     void loseDisksWhileAllLosePower()
     {
         this->simulation.runUntil([&] { return this->hasCommitted(); });
@@ -161,7 +168,7 @@
         for (const size_t i : this->present())
             this->simulation.crash(i);
         this->simulation.run(1500ms);
-        for (size_t lost = 0; lost < ToleratedLosses && !synced.empty(); ++lost) {
+        for (size_t lost = 0; lost < this->deployment.toleratedLosses && !synced.empty(); ++lost) {
             const size_t at = this->simulation.random.below(synced.size());
             this->simulation.loseDisk(synced[at]);
             synced.erase(synced.begin() + static_cast<std::ptrdiff_t>(at));
@@ -191,6 +198,7 @@
 
     bool hasCommitted() const { return this->simulation.isAcknowledged(this->lastProposal); }
 
+    Deployment deployment;
     Simulation simulation;
     raft::RequestId lastProposal = 0;
 };
@@ -199,14 +207,16 @@
 
 // Guards against an acknowledged change that is gone, or a cluster that stands still, after the tolerated
 // number of disks was lost while voters were replaced.
-TEST_CASE("Acknowledged changes survive the loss of two of eight disks while all lose power", "[disklosses]")
+TEST_CASE("Acknowledged changes survive the loss of disks while all lose power", "[disklosses]")
 {
-    constexpr uint64_t Seeds = 300;
+    const auto deployment =
+            GENERATE(values<Deployment>({{8, 2, 300}, {6, 2, 100}, {3, 1, 200}, {4, 1, 100}}));
+    CAPTURE(deployment.hosts);
     size_t failures = 0;
-    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
-        const std::string failure = LossSchedule(seed).run();
+    for (uint64_t seed = 1; seed <= deployment.seeds; ++seed) {
+        const std::string failure = LossSchedule(deployment, seed).run();
         if (!failure.empty() && ++failures <= 10)
-            std::cout << "seed " << seed << ": " << failure << '\n';
+            std::cout << deployment.hosts << " hosts, seed " << seed << ": " << failure << '\n';
     }
     CHECK(failures == 0);
 }
