consensus: complete an interrupted bootstrap at a later start

What operators would see: a cluster that never starts after power failed, or processes were killed, during its very first start. Cause: a coordinator bootstraps only while its settings say that the system starts for the first time. Interrupted after its marker was written, it asked to join at the next start. If two of three initial members do, the third waits for their votes and they for a cluster. Ruled out: a loss of what was acknowledged; one interrupted initial member alone joins the other two. Change: the marker of an interrupted initialisation keeps the initial members. bootstrapAtStart() completes such a bootstrap with them, whatever the settings say by then, and holds the decision that stood in the coordinator. The identity that it derives again has never been used, since a folder is synced before it is trusted. A lost disk has no marker and joins, as before. Not covered: a power loss before the marker is durable, after which the folder is like that of a lost disk. Test: a power loss at each file operation of a bootstrap, then a start that is not the first, with other seeds; a table of starts that must not bootstrap. Log: cluster-founded names the address of the member; the number of initial members is no longer in it.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -55,19 +55,16 @@
 
 std::optional<StorageError> bootstrapDataFolder(const NodeSettings &settings, const std::string &ownAddress)
 {
-    if (isInitialised(settings.dataFolder) || !settings.isBootstrap)
-        return std::nullopt;
     std::vector<std::string> initialMembers;
     for (const Endpoint &seed : settings.seeds)
         initialMembers.push_back(Endpoint{
                 seed.address, static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset)}
                                          .toString());
-    if (std::find(initialMembers.begin(), initialMembers.end(), ownAddress) == initialMembers.end())
-        return std::nullopt;
-    auto result = bootstrapCluster(settings.dataFolder, initialMembers, ownAddress);
+    auto result = bootstrapAtStart(settings.dataFolder, initialMembers, ownAddress, settings.isBootstrap);
     if (auto *error = std::get_if<StorageError>(&result))
         return std::move(*error);
-    logInfo("cluster-founded", {{"members", std::to_string(initialMembers.size())}});
+    if (std::get<bool>(result))
+        logInfo("cluster-founded", {{"address", ownAddress}});
     return std::nullopt;
 }
 
--- a/src/libconsensus/filelogstorage.cpp
+++ b/src/libconsensus/filelogstorage.cpp
@@ -166,8 +166,35 @@
     return std::nullopt;
 }
 
+std::string encodeInitialMembers(std::span<const std::string> initialMembers)
+{
+    ByteWriter writer;
+    for (const std::string &address : initialMembers)
+        writer.addText(address);
+    return withChecksum(writer.bytes());
+}
+
+/// Returns the initial members of a bootstrap that was interrupted, or none.
+std::vector<std::string> interruptedBootstrap(const std::filesystem::path &folder)
+{
+    std::vector<std::string> initialMembers;
+    std::optional<std::string> marker = readFile(folder / "initialising");
+    if (!marker)
+        marker = readFile(folder / "initialising.new");
+    if (!marker || !wasInitialisationInterrupted(folder))
+        return initialMembers;
+    const std::optional<std::string_view> content = verifiedContent(*marker);
+    if (!content)
+        return initialMembers;
+    for (ByteReader reader{*content}; reader.isValid() && !reader.isAtEnd();)
+        initialMembers.emplace_back(reader.readText());
+    return initialMembers;
+}
+
+/// initialMembers: those of a bootstrap, kept in the marker.
 std::optional<StorageError> createDataFolder(const std::filesystem::path &folder, const Identity &identity,
-                                             const std::string &records)
+                                             const std::string &records,
+                                             std::span<const std::string> initialMembers = {})
 {
     if (std::optional<StorageError> failed = createFolders(folder))
         return failed;
@@ -176,7 +203,7 @@
     if (!wasInitialisationInterrupted(folder) && !std::filesystem::is_empty(folder, error))
         return StorageError{StorageErrorKind::FolderNotEmpty, folder,
                             "a new member needs an empty data folder"};
-    FileOutcome failed = replaceFile(marker, {}, syncFileDescriptor);
+    FileOutcome failed = replaceFile(marker, encodeInitialMembers(initialMembers), syncFileDescriptor);
     if (!failed)
         failed = replaceFile(folder / "log-1", records, syncFileDescriptor);
     if (!failed)
@@ -262,11 +289,28 @@
     }
     const LogEntry first{1, 1, EntryKind::Membership, encodeMembership(membership)};
     const std::string records = encodeHardState(HardState{1, 0}) + encodeEntries({&first, 1});
-    if (std::optional<StorageError> error = createDataFolder(folder, identity, records))
+    if (std::optional<StorageError> error = createDataFolder(folder, identity, records, addresses))
         return *error;
     return identity;
 }
 
+Result<bool, StorageError> bootstrapAtStart(const std::filesystem::path &folder,
+                                            std::span<const std::string> initialMembers,
+                                            const std::string &ownAddress, bool isFirstStart)
+{
+    if (isInitialised(folder))
+        return false;
+    std::vector<std::string> members = interruptedBootstrap(folder);
+    if (members.empty() && isFirstStart)
+        members.assign(initialMembers.begin(), initialMembers.end());
+    if (std::find(members.begin(), members.end(), ownAddress) == members.end())
+        return false;
+    Result<Identity, StorageError> result = bootstrapCluster(folder, members, ownAddress);
+    if (auto *error = std::get_if<StorageError>(&result))
+        return std::move(*error);
+    return true;
+}
+
 Result<Identity, StorageError> prepareJoiningMember(const std::filesystem::path &folder, Random &random)
 {
     const Identity identity{{}, generateMemberId(random)};
--- a/src/libconsensus/filelogstorage.h
+++ b/src/libconsensus/filelogstorage.h
@@ -55,7 +55,7 @@
 ///   snapshot-N    snapshot that log-N starts from
 ///   synced        number and synced length of the current log, in two alternating checksummed slots
 ///   lock          locked while the folder is open
-///   initialising  exists until all files of a new member are written
+///   initialising  initial members of a bootstrap; exists until all files of a new member are written
 /// Bytes of the log after the synced length may be partly written and are truncated; damage before it is an
 /// error. Files named *.new are incomplete.
 class FileLogStorage : public LogStorage
@@ -125,6 +125,14 @@
                                                 std::span<const std::string> initialMembers,
                                                 const std::string &ownAddress);
 
+/// Calls bootstrapCluster() if this is the first start of the cluster, the folder is not initialised and
+/// ownAddress is one of initialMembers, and returns whether it has. A bootstrap that was interrupted is
+/// completed with its own initial members at a later start too: if several initial members joined instead,
+/// the rest would wait for them and they for a cluster.
+Result<bool, StorageError> bootstrapAtStart(const std::filesystem::path &folder,
+                                            std::span<const std::string> initialMembers,
+                                            const std::string &ownAddress, bool isFirstStart);
+
 /// Initialises an empty or missing folder as the data folder of a member that will join an existing cluster,
 /// with a random member id and no cluster id. Errors: as for initialiseCluster().
 Result<Identity, StorageError> prepareJoiningMember(const std::filesystem::path &folder, Random &random);
--- a/tests/consensus/test_bootstrap.cpp
+++ b/tests/consensus/test_bootstrap.cpp
@@ -52,3 +52,35 @@
     CHECK(std::holds_alternative<StorageError>(
             bootstrapCluster(folder.path / "data", initialMembers, initialMembers[0])));
 }
+
+// Guards against a lost disk that founds a second cluster, and a joining member that is taken for an initial
+// one.
+TEST_CASE("Only the first start of an initial member bootstraps", "[bootstrap]")
+{
+    struct Case
+    {
+        std::string name;
+        bool isFirstStart = false;
+        std::string ownAddress;
+        bool wasJoining = false;
+        bool bootstraps = false;
+    };
+    const auto start = GENERATE(values<Case>({{"first start", true, "10.0.0.1:1", false, true},
+                                              {"lost disk", false, "10.0.0.1:1", false, false},
+                                              {"not an initial member", true, "10.0.0.9:1", false, false},
+                                              {"interrupted joining", false, "10.0.0.1:1", true, false}}));
+    CAPTURE(start.name);
+    const std::vector<std::string> initialMembers{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+    const TemporaryFolder folder;
+    const std::filesystem::path data = folder.path / "data";
+    if (start.wasJoining) {
+        Random random{1};
+        REQUIRE(std::holds_alternative<Identity>(prepareJoiningMember(data, random)));
+        std::filesystem::rename(data / "identity", data / "initialising");
+        std::filesystem::resize_file(data / "initialising", 0);
+    }
+    const auto result = bootstrapAtStart(data, initialMembers, start.ownAddress, start.isFirstStart);
+    REQUIRE(std::holds_alternative<bool>(result));
+    CHECK(std::get<bool>(result) == start.bootstraps);
+    CHECK(isInitialised(data) == start.bootstraps);
+}
--- a/tests/consensus/test_powerloss.cpp
+++ b/tests/consensus/test_powerloss.cpp
@@ -404,6 +404,38 @@
     CHECK(checkPowerLosses(run, founding, random).empty());
 }
 
+// Guards against a cluster that never starts since power failed during its first start and its initial
+// members then try to join instead.
+TEST_CASE("An interrupted bootstrap is completed at a later start", "[powerloss]")
+{
+    Random random{1};
+    ProcessRun run({}, {}, Founding::Bootstrap, 1);
+    REQUIRE(run.run(0).empty());
+    size_t interruptions = 0;
+    for (size_t count = 0; count <= run.operationCount(); ++count) {
+        const RecordedDisk disk = run.diskAfter(count);
+        for (const auto changes : {UnsyncedChanges::Lost, UnsyncedChanges::Kept, UnsyncedChanges::Random}) {
+            const TemporaryFolder folder;
+            const std::filesystem::path data = folder.path / "data";
+            disk.afterPowerLoss(changes, random).writeTo(data);
+            if (isInitialised(data) || !std::filesystem::exists(data / "initialising"))
+                continue;
+            ++interruptions;
+            const std::vector<std::string> otherSeeds{"10.0.0.8:1", "10.0.0.9:1"};
+            const auto result = bootstrapAtStart(data, otherSeeds, InitialMembers[0], false);
+            REQUIRE(std::holds_alternative<bool>(result));
+            CHECK(std::get<bool>(result));
+            auto opened = FileLogStorage::open(data);
+            REQUIRE(std::holds_alternative<std::unique_ptr<FileLogStorage>>(opened));
+            const TemporaryFolder other;
+            const auto expected = bootstrapCluster(other.path / "data", InitialMembers, InitialMembers[0]);
+            CHECK(std::get<std::unique_ptr<FileLogStorage>>(opened)->recovered().identity ==
+                  std::get<Identity>(expected));
+        }
+    }
+    CHECK(interruptions > 0);
+}
+
 // Guards against a member that votes and acknowledges under an identity that a later power loss removes.
 TEST_CASE("A first start that is killed at any file operation is completed durably", "[powerloss]")
 {
