consensus: test that all power fails while members join

Cause of this test: nothing had run a power loss of all hosts while learners join and are promoted. Change: four power losses at random moments of the first seconds, with a random part of the unsynced writes of each disk; then there must be all voters and all members, and every acknowledged change at each of them. Now the changes end first. Conclusion: no change of the product.

--- a/tests/consensus/test_disklosses.cpp
+++ b/tests/consensus/test_disklosses.cpp
@@ -64,6 +64,41 @@
         return this->simulation.violations().empty() ? std::string{} : this->simulation.violations().front();
     }
 
+    /// Lets all hosts lose power several times while they join. Returns what went wrong, or nothing.
+    std::string losePowerWhileJoining()
+    {
+        constexpr int PowerLosses = 4;
+        while (this->simulation.hostCount() < this->deployment.hosts)
+            this->simulation.startJoining(this->simulation.addHost());
+        this->simulation.scheduleEvery(100ms, [this] {
+            if (this->isProposing)
+                this->propose();
+        });
+        for (int i = 0; i < PowerLosses; ++i) {
+            this->simulation.run(Duration{this->simulation.random.below(Duration{4s}.count())});
+            for (const size_t host : this->present())
+                this->simulation.crash(host);
+            for (const size_t host : this->present()) {
+                this->simulation.run(Duration{this->simulation.random.below(Duration{100ms}.count())});
+                this->simulation.restart(host);
+            }
+        }
+        this->lastProposal = 0;
+        const bool hasVoters = this->simulation.runUntil(
+                [&] { return this->countVoters() == this->deployment.maxVoters() && this->hasCommitted(); },
+                RecoveryTime);
+        // A member learns of a commit with the next message, so the last one is compared without further
+        // ones.
+        this->isProposing = false;
+        const bool isComplete =
+                hasVoters &&
+                this->simulation.runUntil([&] { return this->areMembersUpToDate(); }, RecoveryTime);
+        if (!isComplete)
+            return describeFailure(this->simulation);
+        this->simulation.checkAcknowledged();
+        return this->simulation.violations().empty() ? std::string{} : this->simulation.violations().front();
+    }
+
 private:
     enum class Loss { Disk, Power, Pause, Partition, OneWayPartition, Replacement };
     static constexpr size_t LossKinds = 6;
@@ -201,6 +236,7 @@
     Deployment deployment;
     Simulation simulation;
     raft::RequestId lastProposal = 0;
+    bool isProposing = true;
 };
 
 } // namespace
@@ -220,3 +256,18 @@
     }
     CHECK(failures == 0);
 }
+
+// Guards against hosts that never become members, or a change that is gone, since power failed while they
+// joined.
+TEST_CASE("All hosts become members although power fails while they join", "[disklosses]")
+{
+    const auto deployment = GENERATE(values<Deployment>({{8, 2, 200}, {3, 1, 100}, {4, 1, 100}}));
+    CAPTURE(deployment.hosts);
+    size_t failures = 0;
+    for (uint64_t seed = 1; seed <= deployment.seeds; ++seed) {
+        const std::string failure = LossSchedule(deployment, seed).losePowerWhileJoining();
+        if (!failure.empty() && ++failures <= 10)
+            std::cout << deployment.hosts << " hosts, seed " << seed << ": " << failure << '\n';
+    }
+    CHECK(failures == 0);
+}
