standins: start a crashed engine again behind its open socket

Cause: no stand-in could show an engine that is back at once under the same address. Conclusion: without the flag the stand-in behaves as before.

--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-EngineServer::EngineServer(boost::asio::io_context &context, EngineServerSettings serverSettings)
+EngineServer::EngineServer(boost::asio::io_context &context, boost::asio::ip::tcp::acceptor acceptor,
+                           EngineServerSettings serverSettings)
     : context(context)
     , settings(std::move(serverSettings))
     , incarnation(newIncarnation())
@@ -43,7 +44,7 @@
     , journal(this->settings.journal)
     , tickTimer(context)
     , loaded{this->settings.model, this->settings.version, "none", "decode"}
-    , server(context, parseEndpoint(this->settings.listen),
+    , server(std::move(acceptor),
              withErrorReplies([this](const SessionPtr &session) { this->handle(session); }))
 {
     this->batch.setRunObserver([this](const Generation &generation) { this->onRun(generation); });
--- a/standins/engineserver.h
+++ b/standins/engineserver.h
@@ -36,9 +36,9 @@
 class EngineServer
 {
 public:
-    /// Listens on EngineServerSettings::listen and starts the batch. Exits the process if the address is
-    /// invalid.
-    EngineServer(boost::asio::io_context &context, EngineServerSettings settings);
+    /// Starts the batch and accepts connections on the acceptor, which listens already.
+    EngineServer(boost::asio::io_context &context, boost::asio::ip::tcp::acceptor acceptor,
+                 EngineServerSettings settings);
 
     boost::asio::ip::tcp::endpoint localEndpoint() const { return this->server.localEndpoint(); }
 
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -214,7 +214,11 @@
 }
 
 HttpServer::HttpServer(net::io_context &context, const tcp::endpoint &endpoint, HttpSession::Handler handler)
-    : acceptor(context, endpoint)
+    : HttpServer(tcp::acceptor(context, endpoint), std::move(handler))
+{}
+
+HttpServer::HttpServer(tcp::acceptor acceptor, HttpSession::Handler handler)
+    : acceptor(std::move(acceptor))
     , handler(std::move(handler))
 {
     this->accept();
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -107,6 +107,8 @@
 public:
     HttpServer(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint,
                HttpSession::Handler handler);
+    /// Accepts on an acceptor that listens already.
+    HttpServer(boost::asio::ip::tcp::acceptor acceptor, HttpSession::Handler handler);
 
     boost::asio::ip::tcp::endpoint localEndpoint() const { return this->acceptor.local_endpoint(); }
 
--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -4,7 +4,13 @@
 
 #include <CLI/CLI.hpp>
 
+#include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
 
 using namespace eelgrasslift;
 using namespace eelgrasslift::standins;
@@ -40,21 +46,49 @@
     addDuration(app, "--linger-ms", settings.drainLinger, "wait for callers of unread answers in a drain");
 }
 
+/// Serves in child processes, and starts the next one when a child crashes. The listening socket stays open
+/// meanwhile. Returns in each child, with the socket.
+int respawn(const std::string &listen)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, parseEndpoint(listen));
+    printListening(acceptor.local_endpoint());
+    const int socket = acceptor.release();
+    while (true) {
+        const pid_t child = fork();
+        if (child == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            return socket;
+        }
+        int status = 0;
+        if (child < 0 || waitpid(child, &status, 0) != child || !WIFSIGNALED(status))
+            std::_Exit(EXIT_FAILURE);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     CLI::App app("Stand-in for a model engine");
     EngineServerSettings settings;
+    bool respawns = false;
     addOptions(app, settings);
+    app.add_flag("--respawn", respawns, "start a crashed process again; the listening socket stays open");
     CLI11_PARSE(app, argc, argv);
     const rlimit noCoreFile{0, 0}; // the crash marker aborts the process on purpose
     setrlimit(RLIMIT_CORE, &noCoreFile);
 
+    using Acceptor = boost::asio::ip::tcp::acceptor;
+    const std::optional<int> socket = respawns ? std::optional(respawn(settings.listen)) : std::nullopt;
     boost::asio::io_context context;
-    EngineServer server(context, settings);
+    EngineServer server(context,
+                        socket ? Acceptor(context, boost::asio::ip::tcp::v4(), *socket)
+                               : Acceptor(context, parseEndpoint(settings.listen)),
+                        settings);
     TermSignal term(context, [&] { server.drain(); });
-    printListening(server.localEndpoint());
+    if (!respawns)
+        printListening(server.localEndpoint());
     context.run();
     return 0;
 }
