entry: recognise the death of an engine by its incarnation

Cause: after a lost connection an entry only tested whether the target accepts a TCP connection. The poller sees the new incarnation only when the run has been removed. Ruled out: marks that reach another entry late (each uncounted death has no mark at all); an engine that is back at once in this run (the script restarts engines after the answer). The latter has the same effect, and makes the fault reproducible. Change: CrashQuarantine keeps the process that each target reported last. Another one in a later report is the death of the first. After a lost connection the session asks the engine until it refuses, reports its process, or 500 ms have passed; before an isolated run the entry asks too, so that a run at a restarted engine is not counted in the death before it. A run whose process stays unknown is unresolved: its isolation is held until the next report, at most 10 s, and if the target accepted connections the request becomes a suspect, which is not refused. A death that a run shows twice is counted once.

--- a/src/eelgrasslift/completionsession.cpp
+++ b/src/eelgrasslift/completionsession.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslift/completionsession.h"
 
+#include "eelgrasslift/engineload.h"
 #include "eelgrasslift/logging.h"
 #include "eelgrasslift/targetprobe.h"
 
@@ -17,6 +18,9 @@
 constexpr uint32_t EstimatedBytesPerToken = 4;
 /// Number of delivered tokens between two progress reports to the target selector.
 constexpr uint64_t ProgressInterval = 32;
+/// Limits how long an unresponsive target can delay the restart of a lost request or the reply to its caller.
+constexpr Duration DeathCheckLimit = std::chrono::milliseconds{500};
+constexpr std::chrono::milliseconds DeathCheckInterval{20};
 constexpr size_t PrefixBlockBytes = 256;
 constexpr size_t MaxPrefixBlocks = 64;
 
@@ -352,17 +356,66 @@
 
 asio::awaitable<bool> CompletionSession::checkTargetDeath(std::string target)
 {
-    const ProbeResult probe = co_await probeTarget(this->endpoints[target]);
-    if (probe != ProbeResult::Refused)
-        co_return false;
+    // A target that accepts connections may have died all the same: the kernel closes the connections of a
+    // dying process before its listening socket, and a restarted process listens at the same address.
+    const std::optional<RunId> run = this->currentRun;
+    const Endpoint endpoint = this->endpoints[target];
+    const TimePoint deadline = monotonicNow() + DeathCheckLimit;
+    ProbeResult probe = ProbeResult::Reachable;
+    for (TimePoint now = monotonicNow(); now < deadline; now = monotonicNow()) {
+        probe = co_await probeTarget(endpoint);
+        if (probe == ProbeResult::Refused)
+            co_return co_await this->reportDeath(target, run);
+        if (probe == ProbeResult::Unreachable || !run)
+            break;
+        const TimePoint askedAt = monotonicNow();
+        const Duration remaining = std::max(deadline - askedAt, Duration{DeathCheckInterval});
+        const auto load = co_await readEngineLoad(endpoint, remaining);
+        if (load) {
+            const IncarnationReport report{target, load->incarnation, askedAt};
+            const ProcessFate fate = co_await this->reportIncarnation(report, *run);
+            if (fate != ProcessFate::Unknown)
+                co_return fate == ProcessFate::Died;
+        }
+        asio::steady_timer timer(this->call.connection.executor(), DeathCheckInterval);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (run)
+        co_await this->reportConnectionLost(target, *run, probe == ProbeResult::Reachable);
+    co_return false;
+}
+
+asio::awaitable<bool> CompletionSession::reportDeath(std::string target, std::optional<RunId> run)
+{
     // The other entries must have the quarantine marks before a lost request is restarted or its caller can
     // send it again.
-    const auto reportDeath = [&context = this->context, target](std::function<void(bool)> done) {
-        context.control.post([&context, target, done = std::move(done)] {
-            context.state.targetDied(target, [done] { done(true); });
+    const auto report = [&context = this->context, target, run](std::function<void(bool)> done) {
+        context.control.post([&context, target, run, done = std::move(done)] {
+            context.state.targetDied(target, run, [done] { done(true); });
+        });
+    };
+    co_return co_await awaitCallback<bool>(report);
+}
+
+asio::awaitable<ProcessFate> CompletionSession::reportIncarnation(IncarnationReport report, RunId run)
+{
+    const auto start = [&context = this->context, report, run](std::function<void(ProcessFate)> done) {
+        context.control.post([&context, report, run, done = std::move(done)] {
+            context.state.reportIncarnation(report, run, done);
+        });
+    };
+    co_return co_await awaitCallback<ProcessFate>(start);
+}
+
+asio::awaitable<bool> CompletionSession::reportConnectionLost(std::string target, RunId run, bool isAccepting)
+{
+    const auto report = [&context = this->context, target, run, isAccepting](std::function<void(bool)> done) {
+        context.control.post([&context, target, run, isAccepting, done = std::move(done)] {
+            context.state.connectionLost(target, run, isAccepting, [done] { done(true); });
         });
     };
-    co_return co_await awaitCallback<bool>(reportDeath);
+    co_return co_await awaitCallback<bool>(report);
 }
 
 void CompletionSession::on(const OpenResume &action)
--- a/src/eelgrasslift/completionsession.h
+++ b/src/eelgrasslift/completionsession.h
@@ -81,9 +81,13 @@
     void handleEngineEvent(uint32_t connection, const std::string &target, const EngineEvent &engineEvent);
     boost::asio::awaitable<void> handleEngineFailure(uint32_t connection, std::string target,
                                                      EngineFailure engineFailure);
-    /// Probes the target and returns whether its process has died. If so, first calls
-    /// EntryState::targetDied() and waits until it is done.
+    /// Finds out whether the target's process has died: it refuses connections, or reports another process
+    /// than the one that the current run belongs to. Returns when the other entries know the suspects.
     boost::asio::awaitable<bool> checkTargetDeath(std::string target);
+    // The functions below call those of EntryState and wait until they are done.
+    boost::asio::awaitable<bool> reportDeath(std::string target, std::optional<RunId> run);
+    boost::asio::awaitable<ProcessFate> reportIncarnation(IncarnationReport report, RunId run);
+    boost::asio::awaitable<bool> reportConnectionLost(std::string target, RunId run, bool isAccepting);
     /// Requests a retry from the retry budget and waits for the back-off. Returns whether it was granted.
     boost::asio::awaitable<bool> waitForRetry();
     boost::asio::awaitable<void> resumeLater(OpenResume action);
--- a/src/eelgrasslift/entryisolation.cpp
+++ b/src/eelgrasslift/entryisolation.cpp
@@ -52,7 +52,9 @@
     IsolationRequest request;
     RunId run = 0;
     PlacementCallback done;
-    bool isEnded = false;
+    /// The run has ended, but its isolation continues while it is unresolved.
+    bool hasRunEnded = false;
+    bool isLost = false;
 };
 
 /// The death of a target whose quarantine marks are being broadcast to the other entries.
@@ -71,7 +73,14 @@
             [this](const Sha256 &fingerprint, const std::string &target, RunId run, PlacementCallback done) {
                 this->isolate(fingerprint, target, run, std::move(done));
             },
-            [this](RunId run) { this->endIsolation(run); });
+            [this](RunId run) {
+                const auto found = this->isolations.find(run);
+                if (found != this->isolations.end() &&
+                    this->crashQuarantine.isUnresolved(run, currentInstant()))
+                    found->second->hasRunEnded = true;
+                else
+                    this->endIsolation(run);
+            });
 }
 
 std::map<std::string, std::string> EntryState::liveEntryAddresses() const
@@ -86,17 +95,63 @@
 
 void EntryState::tickIsolations()
 {
-    for (auto &[run, isolation] : std::map(this->isolations))
+    for (auto &[run, isolation] : std::map(this->isolations)) {
         this->execute(isolation, isolation->claim.tick(currentInstant()));
+        if (isolation->hasRunEnded && !this->crashQuarantine.isUnresolved(run, currentInstant()))
+            this->endIsolation(run);
+    }
 }
 
-void EntryState::targetDied(const std::string &target, std::function<void()> done)
+void EntryState::targetDied(const std::string &target, std::optional<RunId> run, std::function<void()> done)
 {
     // After a pause of this process, isolations that were lost meanwhile must be detected before the death is
     // counted.
     this->tickIsolations();
-    const std::vector<QuarantineMark> marks = this->crashQuarantine.targetDied(target, currentInstant());
+    std::vector<QuarantineMark> marks;
+    if (!run || this->crashQuarantine.isInFlight(*run))
+        marks = this->crashQuarantine.targetDied(target, currentInstant());
     this->handleDirectoryEvent(ConnectionFailed{target});
+    if (!marks.empty()) {
+        this->metrics.targetDeaths.Increment();
+        logWarning("target-died", {{"target", target}, {"suspects", std::to_string(marks.size())}});
+    }
+    this->broadcastMarks(target, marks, std::move(done));
+}
+
+void EntryState::reportIncarnation(const IncarnationReport &report, std::optional<RunId> run,
+                                   std::function<void(ProcessFate)> done)
+{
+    this->tickIsolations();
+    const std::vector<QuarantineMark> marks =
+            this->crashQuarantine.incarnationReported(report, currentInstant());
+    if (!marks.empty()) {
+        this->handleDirectoryEvent(ConnectionFailed{report.target});
+        this->metrics.targetDeaths.Increment();
+        logWarning("target-restarted",
+                   {{"target", report.target}, {"suspects", std::to_string(marks.size())}});
+    }
+    const ProcessFate fate = run ? this->crashQuarantine.processFate(*run, report) : ProcessFate::Unknown;
+    if (fate == ProcessFate::Died || !marks.empty())
+        this->broadcastMarks(report.target, marks, [fate, done = std::move(done)] { done(fate); });
+    else
+        done(fate);
+}
+
+void EntryState::connectionLost(const std::string &target, RunId run, bool isAccepting,
+                                std::function<void()> done)
+{
+    this->tickIsolations();
+    this->crashQuarantine.connectionLost(run, currentInstant());
+    std::vector<QuarantineMark> marks;
+    if (isAccepting)
+        marks = this->crashQuarantine.suspectRun(run, currentInstant());
+    logWarning("target-process-unknown", {{"target", target}, {"accepting", isAccepting ? "yes" : "no"}});
+    this->broadcastMarks(target, marks, std::move(done));
+}
+
+void EntryState::broadcastMarks(const std::string &target, const std::vector<QuarantineMark> &marks,
+                                std::function<void()> done)
+{
     if (marks.empty()) {
         const auto death = this->pendingDeaths.find(target);
         if (death == this->pendingDeaths.end())
@@ -105,8 +160,6 @@
             death->second->callbacks.push_back(std::move(done));
         return;
     }
-    this->metrics.targetDeaths.Increment();
-    logWarning("target-died", {{"target", target}, {"suspects", std::to_string(marks.size())}});
     std::set<std::string> others;
     for (const auto &[id, address] : this->liveEntryAddresses())
         others.insert(id);
@@ -188,7 +241,7 @@
     }
     auto isolation = std::make_shared<Isolation>(Isolation{
             IsolationClaim(request, live, owners, this->settings.entriesPerDomain, IsolationClaimSettings{}),
-            request, run, std::move(done), false});
+            request, run, std::move(done), false, false});
     this->isolations.emplace(run, isolation);
     this->execute(isolation, isolation->claim.start(currentInstant()));
 }
@@ -212,20 +265,41 @@
                             this->peers.release(peer.address(), request, [](const auto &) {});
                     }
                 },
-                [&](const IsolationGranted &) {
-                    if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
-                        done(Placed{isolation->request.target, {}, isolation->run});
-                },
+                [&](const IsolationGranted &) { this->startIsolatedRun(isolation); },
                 [&](const IsolationRefused &refused) {
                     const PlacementFailure failure = refused.isQuarantined ? PlacementFailure::Quarantined
                                                                            : PlacementFailure::SuspectBusy;
                     if (const PlacementCallback done = std::exchange(isolation->done, nullptr))
                         done(PlacementRefused{failure, SuspectRetryAfter});
                 },
-                [&](const IsolationLost &) { this->crashQuarantine.isolationLost(isolation->run); });
+                [&](const IsolationLost &) {
+                    isolation->isLost = true;
+                    this->crashQuarantine.isolationLost(isolation->run);
+                });
     }
 }
 
+/// Asks the target for its process first: a run that is assigned to an earlier process would be counted in a
+/// death that it did not cause.
+void EntryState::startIsolatedRun(const std::shared_ptr<Isolation> &isolation)
+{
+    const auto start = [isolation] {
+        const PlacementCallback done = std::exchange(isolation->done, nullptr);
+        if (done && isolation->isLost)
+            done(PlacementRefused{PlacementFailure::SuspectBusy, SuspectRetryAfter});
+        else if (done)
+            done(Placed{isolation->request.target, {}, isolation->run});
+    };
+    const auto entry = this->targetDirectory.targets().find(isolation->request.target);
+    const auto endpoint = entry == this->targetDirectory.targets().end()
+                                  ? std::nullopt
+                                  : parseEndpoint(entry->second.vm.address);
+    if (this->readIncarnation && endpoint)
+        this->readIncarnation(isolation->request.target, *endpoint, start);
+    else
+        start();
+}
+
 void EntryState::sendIsolationRequest(const std::shared_ptr<Isolation> &isolation,
                                       const SendIsolationRequest &message)
 {
--- a/src/eelgrasslift/entryprocess.cpp
+++ b/src/eelgrasslift/entryprocess.cpp
@@ -105,6 +105,10 @@
     {
         this->control.call([this] {
             this->state.onDrain([this](DrainAction action) { this->onDrain(action); });
+            this->state.setIncarnationReader(
+                    [this](const std::string &target, const Endpoint &endpoint, std::function<void()> done) {
+                        this->poller.readIncarnation(target, endpoint, std::move(done));
+                    });
             this->state.start();
             return true;
         });
--- a/src/eelgrasslift/entrystate.h
+++ b/src/eelgrasslift/entrystate.h
@@ -22,6 +22,11 @@
 /// The rules in force at one moment; immutable, so that any thread may read them.
 using RulesSnapshot = std::shared_ptr<const AcceptedRules>;
 
+/// Asks a target which process serves it, and calls done on the control thread after
+/// EntryState::reportIncarnation(), or without it if there is no answer.
+using IncarnationReader =
+        std::function<void(const std::string &target, const Endpoint &endpoint, std::function<void()> done)>;
+
 /// The state that all requests of one entry process share: rules, peers, targets, account limits, retry
 /// budget, idempotency records, quarantine and shutdown. Exchanges parts of it with the other processes by
 /// gossip and direct calls.
@@ -82,9 +87,21 @@
     void handleDirectoryEvent(const DirectoryEvent &event);
 
     /// Handles the death of a target's process: marks the requests that ran on it as suspects and broadcasts
-    /// the marks to all live entries. Calls done when they have confirmed or MarkBroadcastSettings::timeout
-    /// has passed; the lost requests may then be restarted or reported to their callers.
-    void targetDied(const std::string &target, std::function<void()> done);
+    /// the marks to all live entries. run: the run that showed the death; if it was counted in an earlier
+    /// death, nothing is counted. Calls done when the entries have confirmed or
+    /// MarkBroadcastSettings::timeout has passed; the lost requests may then be restarted or reported to
+    /// their callers.
+    void targetDied(const std::string &target, std::optional<RunId> run, std::function<void()> done);
+    /// Handles a report of a target's process, and a death that it shows as targetDied() does. Calls done
+    /// with what the report shows for the run, if there is one.
+    void reportIncarnation(const IncarnationReport &report, std::optional<RunId> run,
+                           std::function<void(ProcessFate)> done);
+    /// Handles a lost connection after which the target did not report its process. isAccepting: whether it
+    /// accepted connections; then only the network is ruled out as the cause, and the request becomes a
+    /// suspect. Calls done as targetDied() does.
+    void connectionLost(const std::string &target, RunId run, bool isAccepting, std::function<void()> done);
+    /// Sets the function that asks a target for its process before an isolated run.
+    void setIncarnationReader(IncarnationReader reader) { this->readIncarnation = std::move(reader); }
 
     // Shutdown.
 
@@ -127,8 +144,13 @@
     void execute(const std::shared_ptr<Isolation> &isolation, const std::vector<IsolationAction> &actions);
     void sendIsolationRequest(const std::shared_ptr<Isolation> &isolation,
                               const SendIsolationRequest &message);
+    void startIsolatedRun(const std::shared_ptr<Isolation> &isolation);
     void endIsolation(RunId run);
     void tickIsolations();
+    /// Broadcasts the marks of a target's death and calls done at the end of it, or of the target's earlier
+    /// one if there are no marks.
+    void broadcastMarks(const std::string &target, const std::vector<QuarantineMark> &marks,
+                        std::function<void()> done);
     /// Sends the marks of the target's death to the entries that have not confirmed them.
     void sendMarks(const std::string &target);
     /// Resends marks that are due, and ends the broadcasts that are done.
@@ -156,6 +178,7 @@
     /// Number of open requests.
     size_t inFlight = 0;
     std::map<RunId, std::shared_ptr<Isolation>> isolations;
+    IncarnationReader readIncarnation;
     /// By target.
     std::map<std::string, std::shared_ptr<TargetDeath>> pendingDeaths;
     bool isSlotReplacementLogged = false;
--- a/src/eelgrasslift/targetpoller.cpp
+++ b/src/eelgrasslift/targetpoller.cpp
@@ -1,6 +1,7 @@
 #include "eelgrasslift/targetpoller.h"
 
 #include "eelgrasslift/asyncbridge.h"
+#include "eelgrasslift/engineload.h"
 #include "eelgrasslift/httpclient.h"
 #include "eelgrasslift/logging.h"
 #include "eelgrasslift/targetprobe.h"
@@ -18,34 +19,8 @@
 namespace {
 
 constexpr Duration PollTimeout = std::chrono::seconds{2};
-
-/// Converts an incarnation, which may be a number or a string, to a number.
-uint64_t toIncarnation(const nlohmann::json &value)
-{
-    if (value.is_number_unsigned())
-        return value.get<uint64_t>();
-    return value.is_string() ? std::hash<std::string>{}(value.get<std::string>()) : 0;
-}
-
-std::optional<LoadReport> parseLoad(std::string_view body)
-{
-    const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-    if (!document.is_object())
-        return std::nullopt;
-    const auto number = [&document](const char *key) {
-        const auto field = document.find(key);
-        return field != document.end() && field->is_number() ? field->get<double>() : 0.0;
-    };
-    LoadReport report;
-    report.incarnation = toIncarnation(document.value("incarnation", nlohmann::json(0U)));
-    report.reportedAtMs = static_cast<int64_t>(number("reported_at_ms"));
-    report.running = static_cast<uint32_t>(number("running"));
-    report.waiting = static_cast<uint32_t>(number("waiting"));
-    report.memoryUsed = number("memory_used");
-    report.memoryTotal = number("memory_total");
-    report.preemptions = static_cast<uint64_t>(number("preemptions"));
-    return report;
-}
+/// Limits how long an unresponsive engine can delay an isolated run.
+constexpr Duration IncarnationTimeout = std::chrono::milliseconds{500};
 
 asio::awaitable<void> sleepFor(Duration duration)
 {
@@ -123,7 +98,7 @@
             state.handleDirectoryEvent(ProbeSucceeded{id});
         });
     if (target.kind == TargetKind::Engine)
-        co_await this->readLoad(target);
+        co_await this->readLoad(target.id, target.endpoint, PollTimeout);
 }
 
 asio::awaitable<bool> TargetPoller::probe(PolledTarget target)
@@ -140,25 +115,30 @@
     co_return leaving == state.end() || !leaving->is_boolean() || !leaving->get<bool>();
 }
 
-asio::awaitable<void> TargetPoller::readLoad(PolledTarget target)
+asio::awaitable<void> TargetPoller::readLoad(std::string target, Endpoint endpoint, Duration timeout)
 {
-    const auto result =
-            co_await exchange(target.endpoint, makeRequest("GET", target.endpoint, "/v1/load"), PollTimeout);
-    const auto *response = std::get_if<HttpResponse>(&result);
-    if (response == nullptr || response->result_int() != 200)
-        co_return;
-    if (const auto report = parseLoad(response->body()))
-        this->context.control.post([this, id = target.id, report = *report] { this->applyLoad(id, report); });
+    const TimePoint askedAt = monotonicNow();
+    const auto report = co_await readEngineLoad(endpoint, timeout);
+    if (report)
+        this->context.control.post(
+                [this, target, report = *report, askedAt] { this->applyLoad(target, report, askedAt); });
 }
 
-void TargetPoller::applyLoad(const std::string &target, const LoadReport &report)
+void TargetPoller::readIncarnation(const std::string &target, const Endpoint &endpoint,
+                                   std::function<void()> done)
 {
-    const auto [known, isNew] = this->incarnations.try_emplace(target, report.incarnation);
-    if (!isNew && known->second != report.incarnation) {
-        // A new incarnation means that the engine was restarted between two polls.
-        known->second = report.incarnation;
-        this->context.state.targetDied(target, [] {});
-    }
+    asio::co_spawn(this->context.traffic, this->readLoad(target, endpoint, IncarnationTimeout),
+                   [this, done = std::move(done)](const std::exception_ptr &) {
+                       // Runs after the report, which has been posted before.
+                       this->context.control.post(done);
+                   });
+}
+
+void TargetPoller::applyLoad(const std::string &target, const LoadReport &report, TimePoint askedAt)
+{
+    // A new incarnation means that the engine was restarted between two polls.
+    this->context.state.reportIncarnation({target, report.incarnation, askedAt}, std::nullopt,
+                                          [](ProcessFate) {});
     this->context.state.placement().selector().applyReport(target, report, monotonicNow());
     this->context.state.placement().dispatch(currentInstant());
 }
--- a/src/eelgrasslift/targetpoller.h
+++ b/src/eelgrasslift/targetpoller.h
@@ -2,6 +2,7 @@
 
 #include "eelgrasslift/entrycontext.h"
 
+#include <functional>
 #include <string>
 
 namespace eelgrasslift {
@@ -17,6 +18,10 @@
     /// Starts the polling, which continues until the traffic threads stop.
     void start();
 
+    /// Asks an engine which process serves it, reports the answer to the EntryState, and calls done on the
+    /// control thread, also without an answer.
+    void readIncarnation(const std::string &target, const Endpoint &endpoint, std::function<void()> done);
+
 private:
     struct PolledTarget
     {
@@ -29,17 +34,15 @@
     boost::asio::awaitable<void> vmListLoop();
     boost::asio::awaitable<void> loadLoop();
     boost::asio::awaitable<void> poll(PolledTarget target);
-    boost::asio::awaitable<void> readLoad(PolledTarget target);
+    boost::asio::awaitable<void> readLoad(std::string target, Endpoint endpoint, Duration timeout);
     /// Returns whether the target accepts new work.
     boost::asio::awaitable<bool> probe(PolledTarget target);
     std::vector<PolledTarget> targetsToPoll() const;
-    void applyLoad(const std::string &target, const LoadReport &report);
+    void applyLoad(const std::string &target, const LoadReport &report, TimePoint askedAt);
 
     EntryContext &context;
     Endpoint vmList;
     Duration interval;
-    /// Last reported incarnation of each engine; used on the control thread.
-    std::map<std::string, uint64_t> incarnations;
 };
 
 } // namespace eelgrasslift
--- a/src/libserving/crashquarantine.cpp
+++ b/src/libserving/crashquarantine.cpp
@@ -44,7 +44,11 @@
 void CrashQuarantine::requestStarted(uint64_t request, const Sha256 &fingerprint, std::string_view target,
                                      bool isIsolated)
 {
-    this->inFlight[request] = {fingerprint, std::string{target}, isIsolated};
+    const auto process = this->processes.find(target);
+    InFlightRequest run{fingerprint, std::string{target}, isIsolated, std::nullopt, std::nullopt, false};
+    if (process != this->processes.end())
+        run.incarnation = process->second.incarnation;
+    this->inFlight[request] = std::move(run);
 }
 
 void CrashQuarantine::isolationLost(uint64_t request)
@@ -59,6 +63,10 @@
     const auto found = this->inFlight.find(request);
     if (found == this->inFlight.end())
         return;
+    if (!isComplete && found->second.lostAt) {
+        found->second.hasEnded = true;
+        return;
+    }
     const Sha256 fingerprint = found->second.fingerprint;
     this->inFlight.erase(found);
     if (!isComplete || !this->isSuspect(fingerprint, instant))
@@ -71,6 +79,62 @@
 }
 
 std::vector<QuarantineMark> CrashQuarantine::targetDied(std::string_view target, const Instant &instant)
+{
+    this->processes[std::string(target)] = TargetProcess{std::nullopt, instant.now};
+    return this->countDeath(target, instant);
+}
+
+std::vector<QuarantineMark> CrashQuarantine::incarnationReported(const IncarnationReport &report,
+                                                                 const Instant &instant)
+{
+    this->dropExpired(instant);
+    TargetProcess &process = this->processes[report.target];
+    if (process.incarnation == report.incarnation) {
+        process.knownAt = instant.now;
+        this->resolveAlive(report);
+        return {};
+    }
+    if (report.askedAt < process.knownAt)
+        return {};
+    const bool isRestart = process.incarnation.has_value();
+    process = TargetProcess{report.incarnation, instant.now};
+    return isRestart ? this->countDeath(report.target, instant) : std::vector<QuarantineMark>{};
+}
+
+ProcessFate CrashQuarantine::processFate(uint64_t request, const IncarnationReport &report) const
+{
+    const auto found = this->inFlight.find(request);
+    if (found == this->inFlight.end())
+        return ProcessFate::Died;
+    const auto process = this->processes.find(report.target);
+    const bool isCurrent =
+            process != this->processes.end() && process->second.incarnation == report.incarnation;
+    return isCurrent && found->second.incarnation == report.incarnation ? ProcessFate::Alive
+                                                                        : ProcessFate::Unknown;
+}
+
+void CrashQuarantine::connectionLost(uint64_t request, const Instant &instant)
+{
+    const auto found = this->inFlight.find(request);
+    if (found != this->inFlight.end())
+        found->second.lostAt = instant.now;
+}
+
+std::vector<QuarantineMark> CrashQuarantine::suspectRun(uint64_t request, const Instant &instant)
+{
+    const auto found = this->inFlight.find(request);
+    if (found == this->inFlight.end())
+        return {};
+    return {this->addDeath(found->second.fingerprint, false, instant)};
+}
+
+bool CrashQuarantine::isUnresolved(uint64_t request, const Instant &instant) const
+{
+    const auto found = this->inFlight.find(request);
+    return found != this->inFlight.end() && found->second.lostAt && !this->hasExpired(found->second, instant);
+}
+
+std::vector<QuarantineMark> CrashQuarantine::countDeath(std::string_view target, const Instant &instant)
 {
     std::vector<InFlightRequest> lostRequests;
     std::erase_if(this->inFlight, [&](const auto &item) {
@@ -81,17 +145,38 @@
     });
     std::vector<QuarantineMark> changed;
     for (const InFlightRequest &lostRequest : lostRequests) {
-        const uint32_t deaths = this->deathsOf(lostRequest.fingerprint, instant);
         const bool isIsolatedDeath = lostRequest.isIsolated && lostRequests.size() == 1;
-        QuarantineMark &mark = this->marksByFingerprint[lostRequest.fingerprint];
-        mark.fingerprint = lostRequest.fingerprint;
-        mark.deaths = isIsolatedDeath ? deaths + 1 : std::max(deaths, 1U);
-        mark.until = std::max(mark.until, addDuration(instant.wall, this->settings.markLifetime));
-        changed.push_back(mark);
+        changed.push_back(this->addDeath(lostRequest.fingerprint, isIsolatedDeath, instant));
     }
     return changed;
 }
 
+const QuarantineMark &CrashQuarantine::addDeath(const Sha256 &fingerprint, bool isIsolatedDeath,
+                                                const Instant &instant)
+{
+    const uint32_t deaths = this->deathsOf(fingerprint, instant);
+    QuarantineMark &mark = this->marksByFingerprint[fingerprint];
+    mark.fingerprint = fingerprint;
+    mark.deaths = isIsolatedDeath ? deaths + 1 : std::max(deaths, 1U);
+    mark.until = std::max(mark.until, addDuration(instant.wall, this->settings.markLifetime));
+    return mark;
+}
+
+/// A report that was asked for before the connection was lost does not show that the process lives.
+void CrashQuarantine::resolveAlive(const IncarnationReport &report)
+{
+    const auto isResolved = [&](const InFlightRequest &run) {
+        return run.target == report.target && run.incarnation == report.incarnation && run.lostAt &&
+               report.askedAt >= *run.lostAt;
+    };
+    std::erase_if(this->inFlight,
+                  [&](const auto &item) { return item.second.hasEnded && isResolved(item.second); });
+    for (auto &[request, run] : this->inFlight) {
+        if (isResolved(run))
+            run.lostAt.reset();
+    }
+}
+
 IsolationReply CrashQuarantine::reserve(const IsolationRequest &request, const Instant &instant)
 {
     this->dropExpired(instant);
@@ -191,8 +276,16 @@
     });
 }
 
+bool CrashQuarantine::hasExpired(const InFlightRequest &run, const Instant &instant) const
+{
+    return run.lostAt && instant.now - *run.lostAt >= this->settings.unresolvedLimit;
+}
+
 void CrashQuarantine::dropExpired(const Instant &instant)
 {
+    std::erase_if(this->inFlight, [&](const auto &item) {
+        return item.second.hasEnded && this->hasExpired(item.second, instant);
+    });
     std::erase_if(this->marksByFingerprint,
                   [&](const auto &item) { return item.second.until <= instant.wall; });
     std::erase_if(this->reservations, [&](const auto &item) { return item.second.until <= instant.now; });
--- a/tests/serving/test_crashquarantine.cpp
+++ b/tests/serving/test_crashquarantine.cpp
@@ -29,7 +29,8 @@
 }
 
 /// Simulates entries that send requests to shared targets. The requests below crasherCount kill every target
-/// that runs them. Callers resend requests that were lost. Entries are paused at random.
+/// that runs them. Callers resend requests that were lost. Entries are paused at random, and learn of a death
+/// in different ways.
 class CrashFleet : public VirtualTime
 {
 public:
@@ -125,10 +126,25 @@
         const size_t to = this->random.below(this->entries.size());
         for (const QuarantineMark &mark : this->entries[from].quarantine.marks(this->instant()))
             this->entries[to].quarantine.merge(mark, this->instant());
+        const size_t target = this->random.below(this->targetIncarnations.size());
+        this->runWhenNotPaused(from, [=, this] { this->poll(from, target); });
         if (this->now < TimePoint{} + 300s)
             this->schedule(100ms, [this] { this->gossip(); });
     }
 
+    /// Asks a target for its process. Returns the marks of the death that the reply shows.
+    std::vector<QuarantineMark> readIncarnation(size_t entry, size_t target)
+    {
+        const IncarnationReport report{std::to_string(target), this->targetIncarnations[target], this->now};
+        return this->entries[entry].quarantine.incarnationReported(report, this->instant());
+    }
+
+    void poll(size_t entry, size_t target)
+    {
+        if (this->now >= this->targetDownUntil[target])
+            this->broadcast(this->readIncarnation(entry, target), entry, target, {});
+    }
+
     void resubmit(int request)
     {
         this->openRequests -= request >= this->crasherCount ? 1 : 0;
@@ -250,6 +266,8 @@
         if (!isIsolated && this->deaths.count(request) > 0 && this->now < this->firstDeath[request] + 16ms)
             ++this->copiesAtFirstDeath[request];
         const uint64_t incarnation = this->targetIncarnations[target];
+        if (isIsolated)
+            this->broadcast(this->readIncarnation(entry, target), entry, target, {});
         this->entries[entry].quarantine.requestStarted(run, fingerprintOf(request), std::to_string(target),
                                                        isIsolated);
         this->running[run] = {request, entry, target};
@@ -295,22 +313,62 @@
                         this->perform(run, lostRequest.request, entry, target,
                                       claim->second->tick(this->instant()));
                 }
-                std::set<std::string> others;
-                for (size_t other = 0; other < this->entries.size(); ++other) {
-                    if (other != entry)
-                        others.insert(this->entryName(other));
-                }
-                auto broadcast = std::make_shared<MarkBroadcast>(
-                        this->entries[entry].quarantine.targetDied(std::to_string(target), this->instant()),
-                        others, MarkBroadcastSettings{});
                 std::erase_if(lostRequests, [&](const auto &item) { return item.second.entry != entry; });
-                this->broadcastMarks(broadcast, entry, target, lostRequests);
+                this->broadcast(this->detectDeath(entry, target, lostRequests), entry, target, lostRequests);
             });
         }
     }
 
     using LostRequests = std::vector<std::pair<uint64_t, RunningRequest>>;
 
+    /// The target refuses connections, or its next process answers already, or nothing answers for a time.
+    std::vector<QuarantineMark> detectDeath(size_t entry, size_t target, const LostRequests &lostRequests)
+    {
+        enum Evidence : uint64_t { Refused, Restarted, NoAnswer, EvidenceCount };
+        CrashQuarantine &quarantine = this->entries[entry].quarantine;
+        const uint64_t evidence = this->random.below(EvidenceCount);
+        if (evidence == Refused)
+            return quarantine.targetDied(std::to_string(target), this->instant());
+        std::vector<QuarantineMark> marks;
+        if (evidence == Restarted)
+            marks = this->readIncarnation(entry, target);
+        for (const auto &[run, lostRequest] : lostRequests) {
+            if (!quarantine.isInFlight(run))
+                continue;
+            quarantine.connectionLost(run, this->instant());
+            for (const QuarantineMark &mark : quarantine.suspectRun(run, this->instant()))
+                marks.push_back(mark);
+            quarantine.requestFinished(run, false, this->instant());
+        }
+        this->schedule(std::chrono::milliseconds{20 + this->random.below(3000)}, [=, this] {
+            this->runWhenNotPaused(entry, [=, this] { this->poll(entry, target); });
+        });
+        return marks;
+    }
+
+    void broadcast(const std::vector<QuarantineMark> &marks, size_t entry, size_t target,
+                   const LostRequests &lostRequests)
+    {
+        std::set<std::string> others;
+        for (size_t other = 0; other < this->entries.size(); ++other) {
+            if (other != entry)
+                others.insert(this->entryName(other));
+        }
+        if (!marks.empty() || !lostRequests.empty())
+            this->broadcastMarks(std::make_shared<MarkBroadcast>(marks, others, MarkBroadcastSettings{}),
+                                 entry, target, lostRequests);
+    }
+
+    void endClaimWhenResolved(uint64_t run, int request, size_t entry, size_t target)
+    {
+        if (!this->entries[entry].quarantine.isUnresolved(run, this->instant()))
+            return this->endClaim(run, request, entry, target);
+        this->schedule(50ms, [=, this] {
+            this->runWhenNotPaused(entry,
+                                   [=, this] { this->endClaimWhenResolved(run, request, entry, target); });
+        });
+    }
+
     void broadcastMarks(const std::shared_ptr<MarkBroadcast> &broadcast, size_t entry, size_t target,
                         const LostRequests &lostRequests)
     {
@@ -330,7 +388,7 @@
                         entry, [=, this] { this->broadcastMarks(broadcast, entry, target, lostRequests); });
             });
         for (const auto &[run, lostRequest] : lostRequests) {
-            this->endClaim(run, lostRequest.request, entry, target);
+            this->endClaimWhenResolved(run, lostRequest.request, entry, target);
             this->resubmit(lostRequest.request);
         }
     }
@@ -382,6 +440,73 @@
     CHECK(std::holds_alternative<RunNormally>(quarantine.admit(fingerprintOf(1), at(3s + 1h))));
 }
 
+// Guards against a death that is taken for a lost connection because the target, or its next process, accepts
+// connections, and against requests that are counted in a death that they did not see.
+TEST_CASE("A report of another process shows the death of the one before")
+{
+    enum class End { InFlight, Lost };
+    struct Row
+    {
+        std::string_view what;
+        End end;
+        uint64_t incarnation;
+        Duration askedAt, reportedAt;
+        /// Of a run in flight.
+        std::optional<ProcessFate> fate;
+        uint32_t deaths;
+        bool isUnresolved;
+    };
+    const auto row = GENERATE(values<Row>({
+            {"the same process", End::InFlight, 1, 3s, 3s, ProcessFate::Alive, 1, false},
+            {"another process", End::InFlight, 2, 3s, 3s, ProcessFate::Died, 2, false},
+            {"an older question", End::InFlight, 2, 1s, 3s, ProcessFate::Unknown, 1, false},
+            {"the same process after a lost connection", End::Lost, 1, 3s, 3s, std::nullopt, 1, false},
+            {"the same process before a lost connection", End::Lost, 1, 1s, 3s, std::nullopt, 1, true},
+            {"another process after a lost connection", End::Lost, 2, 11s, 11s, std::nullopt, 2, false},
+            {"another process after the limit", End::Lost, 2, 13s, 13s, std::nullopt, 1, false},
+    }));
+    CAPTURE(row.what);
+    CrashQuarantine quarantine{QuarantineSettings{}};
+    quarantine.requestStarted(1, fingerprintOf(1), "t", false);
+    quarantine.targetDied("t", at(1s));
+    CHECK(quarantine.incarnationReported({"t", 1, TimePoint{} + 1s}, at(2s)).empty());
+    quarantine.requestStarted(2, fingerprintOf(1), "t", true);
+    quarantine.requestStarted(3, fingerprintOf(2), "u", false);
+    if (row.end == End::Lost) {
+        quarantine.connectionLost(2, at(2s));
+        quarantine.requestFinished(2, false, at(2s));
+        CHECK(quarantine.isUnresolved(2, at(11s)));
+        CHECK_FALSE(quarantine.isUnresolved(2, at(12s)));
+    }
+    const IncarnationReport report{"t", row.incarnation, TimePoint{} + row.askedAt};
+    quarantine.incarnationReported(report, at(row.reportedAt));
+    if (row.fate)
+        CHECK(quarantine.processFate(2, report) == *row.fate);
+    CHECK(quarantine.isQuarantined(fingerprintOf(1), at(14s)) == (row.deaths == 2));
+    CHECK(quarantine.isSuspect(fingerprintOf(1), at(14s)) == (row.deaths == 1));
+    CHECK_FALSE(quarantine.isSuspect(fingerprintOf(2), at(14s)));
+    CHECK(quarantine.isUnresolved(2, at(row.reportedAt)) == row.isUnresolved);
+}
+
+// Guards against an innocent suspect that is refused because it runs on a target that has just restarted.
+TEST_CASE("A run of the next process is not counted in the death of the one before")
+{
+    CrashQuarantine quarantine{QuarantineSettings{}};
+    quarantine.incarnationReported({"t", 1, TimePoint{}}, at(0s));
+    quarantine.requestStarted(1, fingerprintOf(1), "t", false);
+    quarantine.requestStarted(2, fingerprintOf(2), "t", false);
+    const bool isRefused = GENERATE(true, false);
+    if (isRefused)
+        CHECK(quarantine.targetDied("t", at(1s)).size() == 2);
+    const IncarnationReport report{"t", 2, TimePoint{} + 2s};
+    CHECK(quarantine.incarnationReported(report, at(2s)).size() == (isRefused ? 0 : 2));
+    quarantine.requestStarted(3, fingerprintOf(1), "t", true);
+    CHECK(quarantine.incarnationReported({"t", 1, TimePoint{}}, at(3s)).empty());
+    CHECK(quarantine.incarnationReported({"t", 2, TimePoint{} + 3s}, at(3s)).empty());
+    CHECK(quarantine.isInFlight(3));
+    CHECK(quarantine.isSuspect(fingerprintOf(1), at(3s)));
+}
+
 // Guards against a mark that is lost or reappears when two entries exchange their marks.
 TEST_CASE("Marks of two entries are merged")
 {
