tests: share the steps of the two scenarios of crashing requests

Cause: crashrestart.lua repeated crash.lua but for the flags of the engines and the restart between the attempts.

--- a/tests/scenario/runner.cpp
+++ b/tests/scenario/runner.cpp
@@ -84,7 +84,7 @@
     luaL_openlibs(lua);
     addSteps(lua, context, settings);
     bool isSuccessful = true;
-    for (const char *file : {"steps.lua", "fleet.lua", "checks.lua"})
+    for (const char *file : {"steps.lua", "fleet.lua", "checks.lua", "crashes.lua"})
         isSuccessful = isSuccessful && runFile(lua, settings.lib + "/" + file);
     isSuccessful = isSuccessful && runFile(lua, settings.script);
     lua_close(lua);
