--- a/review/tools/casekit.cpp
+++ b/review/tools/casekit.cpp
@@ -30,6 +30,7 @@
 constexpr int ConnectTimeoutMs = 1000;
 constexpr int ReadyTimeoutMs = 20000;
 constexpr size_t ReadBytes = 65536;
+constexpr uint16_t InternalPorts = 16;
 
 // Processes to end if the case itself is ended.
 constexpr size_t MaxChildren = 64;
@@ -77,6 +78,30 @@
            });
 }
 
+bool isPortFree(uint16_t port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = toSocketAddress({"0.0.0.0", port});
+    const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+    close(fd);
+    return isFree;
+}
+
+/// The first of so many free ports in a row, below the usual range of ephemeral ports.
+uint16_t freePortRange(uint16_t count)
+{
+    constexpr uint16_t Lowest = 12000;
+    constexpr uint16_t Starts = 1000;
+    for (;;) {
+        const auto first = static_cast<uint16_t>(Lowest + randomBelow(Starts) * count);
+        uint16_t port = first;
+        while (port < first + count && isPortFree(port))
+            ++port;
+        if (port == first + count)
+            return first;
+    }
+}
+
 std::optional<Message> parseHead(const std::string &head)
 {
     Message message;
@@ -560,7 +585,7 @@
     this->frontPort = freePort(loopbackIp(10));
     this->readyPort = freePort(loopbackIp(10));
     this->controlPort = freePort(loopbackIp(0));
-    this->firstInternalPort = 7200;
+    this->firstInternalPort = freePortRange(InternalPorts);
     this->list = std::make_unique<Server>(Address{loopbackIp(30), 0}, [this](Connection &connection) {
         while (const auto request = connection.read(60000, true)) {
             const std::string body = this->listText(request->target());
@@ -606,7 +631,8 @@
          << "\nmachine_class=" << (isGateway ? "front" : "core")
          << "\nserves=" << (isGateway ? "front" : "control") << "\nip=" << ip
          << "\nzone=trakiya\nregion=plovdiv\nzones.trakiya=plovdiv\n"
-         << "internal_ports=" << this->firstInternalPort << "," << this->firstInternalPort + 15 << "\n";
+         << "internal_ports=" << this->firstInternalPort << "," << this->firstInternalPort + InternalPorts - 1
+         << "\n";
     if (isGateway)
         file << "listen.front=" << ip << ":" << this->frontPort << "\nlisten.ready=" << ip << ":"
              << this->readyPort << "\n";
