--- a/review/tools/casekit.cpp
+++ b/review/tools/casekit.cpp
@@ -78,24 +78,26 @@
            });
 }
 
-bool isPortFree(uint16_t port)
+bool isPortFree(const Address &address)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = toSocketAddress({"0.0.0.0", port});
-    const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+    const sockaddr_in target = toSocketAddress(address);
+    const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0;
     close(fd);
     return isFree;
 }
 
-/// The first of so many free ports in a row, below the usual range of ephemeral ports.
-uint16_t freePortRange(uint16_t count)
+/// The first of so many ports in a row that are free at all addresses, below the usual range of ephemeral
+/// ports.
+uint16_t freePortRange(const std::vector<std::string> &ips, uint16_t count)
 {
     constexpr uint16_t Lowest = 12000;
     constexpr uint16_t Starts = 1000;
     for (;;) {
         const auto first = static_cast<uint16_t>(Lowest + randomBelow(Starts) * count);
         uint16_t port = first;
-        while (port < first + count && isPortFree(port))
+        const auto isFreeAt = [&](const std::string &ip) { return isPortFree({ip, port}); };
+        while (port < first + count && std::all_of(ips.begin(), ips.end(), isFreeAt))
             ++port;
         if (port == first + count)
             return first;
@@ -585,7 +587,12 @@
     this->frontPort = freePort(loopbackIp(10));
     this->readyPort = freePort(loopbackIp(10));
     this->controlPort = freePort(loopbackIp(0));
-    this->firstInternalPort = freePortRange(InternalPorts);
+    std::vector<std::string> ips;
+    for (unsigned index = 0; index < this->options.coordinators; ++index)
+        ips.push_back(loopbackIp(index));
+    for (unsigned index = 0; index < this->options.gateways; ++index)
+        ips.push_back(loopbackIp(10 + index));
+    this->firstInternalPort = freePortRange(ips, InternalPorts);
     this->list = std::make_unique<Server>(Address{loopbackIp(30), 0}, [this](Connection &connection) {
         while (const auto request = connection.read(60000, true)) {
             const std::string body = this->listText(request->target());
