gateway: refuse parts that have ended the same runners only together

Cause: both parts had ended the same runners, and attributeCrashes() named one of them by guess: the one served longest ago or never, then the one further back in the prompt. A refused part is cleared only by a served request, and none was let through.

Change: parts that explain the same crashes, but for one, form a group, and only requests with all of them are refused. The next request with some of them decides: it is served, or ends a runner that the others do not explain. Each round costs at most two runners more, within the bound of the users, whose time runs from the fifth crash.

Whole requests that are blamed by mistake are still refused for an hour; see the postmortem.

--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -128,7 +128,7 @@
     return *this->knownPromptParts;
 }
 
-std::optional<RequestSession::Quarantine> RequestSession::quarantine() const
+std::optional<CrashRecords::Quarantine> RequestSession::quarantine() const
 {
     const CrashRecords &crashes = this->gateway.crashRecords;
     // Without records there is no need for the digest of the request.
@@ -136,17 +136,13 @@
         return std::nullopt;
     const TimePoint now = steadyNow();
     if (const auto until = crashes.quarantinedUntil(this->fingerprint(), now))
-        return Quarantine{this->fingerprint(), *until};
-    for (const Sha256 &part : this->promptParts()) {
-        if (const auto until = crashes.quarantinedUntil(part, now))
-            return Quarantine{part, *until};
-    }
-    return std::nullopt;
+        return CrashRecords::Quarantine{this->fingerprint(), *until};
+    return crashes.quarantineOf(this->promptParts(), now);
 }
 
 bool RequestSession::isQuarantined()
 {
-    const std::optional<Quarantine> quarantine = this->quarantine();
+    const std::optional<CrashRecords::Quarantine> quarantine = this->quarantine();
     if (!quarantine || this->isQuarantineLogged)
         return quarantine.has_value();
     this->isQuarantineLogged = true;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -118,17 +118,9 @@
     std::string lastRunnerId;
 
 private:
-    /// Why the request must not be sent.
-    struct Quarantine
-    {
-        /// Fingerprint of the request or of the part of its prompt that is refused.
-        Sha256 subject{};
-        TimePoint until{};
-    };
-
     void disconnect();
-    /// Nothing if the request may be sent.
-    std::optional<Quarantine> quarantine() const;
+    /// Why the request must not be sent; nothing if it may be.
+    std::optional<CrashRecords::Quarantine> quarantine() const;
 
     bool isExpired = false;
     bool isQuarantineLogged = false;
--- a/src/libgateway/crashblame.cpp
+++ b/src/libgateway/crashblame.cpp
@@ -5,6 +5,33 @@
 
 namespace eelgrasslift {
 
+namespace {
+
+bool explainsCrashesOf(const SuspectPromptPart &candidate, const SuspectPromptPart &part)
+{
+    const auto others = std::ranges::count_if(part.runners, [&](const RunnerIncarnation &runner) {
+        return !candidate.runners.contains(runner);
+    });
+    return static_cast<size_t>(others) <= MaxCrashDifference;
+}
+
+} // namespace
+
+bool CrashBlame::suspects(const Sha256 &part) const
+{
+    return std::ranges::any_of(this->groups,
+                               [&](const std::set<Sha256> &group) { return group.contains(part); });
+}
+
+bool CrashBlame::refuses(std::span<const Sha256> parts) const
+{
+    return std::ranges::any_of(this->groups, [&](const std::set<Sha256> &group) {
+        return std::ranges::all_of(group, [&](const Sha256 &suspect) {
+            return std::ranges::find(parts, suspect) != parts.end();
+        });
+    });
+}
+
 CrashBlame attributeCrashes(std::vector<SuspectPromptPart> suspects)
 {
     std::ranges::sort(suspects, [](const SuspectPromptPart &left, const SuspectPromptPart &right) {
@@ -23,7 +50,12 @@
         if (static_cast<size_t>(unexplained) < PromptPartCrashLimit ||
             part.requestCount < MinCrashingRequests)
             continue;
-        blame.parts.insert(part.fingerprint);
+        std::set<Sha256> group;
+        for (const SuspectPromptPart &candidate : suspects) {
+            if (explainsCrashesOf(candidate, part))
+                group.insert(candidate.fingerprint);
+        }
+        blame.groups.push_back(std::move(group));
         blame.runners.insert(part.runners.begin(), part.runners.end());
     }
     return blame;
--- a/src/libgateway/crashblame.h
+++ b/src/libgateway/crashblame.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace eelgrasslift {
@@ -26,16 +27,24 @@
 /// The parts of prompts that end runners, and the runners that have ended because of them.
 struct CrashBlame
 {
-    std::set<Sha256> parts;
+    /// Parts that have ended the same runners, so that it is not known which of them does. A request is
+    /// refused if its prompt has all parts of a group.
+    std::vector<std::set<Sha256>> groups;
     std::set<RunnerIncarnation> runners;
+
+    /// Whether the part is in a group, alone or beside others.
+    bool suspects(const Sha256 &part) const;
+    /// Whether requests with these parts, among others, are refused.
+    bool refuses(std::span<const Sha256> parts) const;
 };
 
-/// Finds the parts of prompts that explain the crashes. A part that has been served for a while, or was
-/// served later, is suspected less than others with the same crashes, and one further back in the prompt
-/// more, since fewer requests share it. What a part explains is held against no other one.
+/// Finds the parts of prompts that explain the crashes. Parts that explain the same ones are refused only
+/// together: requests with some of them show which one is sound, as they are served, or end another runner.
+/// What a group explains is held against no other part.
 ///
 /// Load pattern: requests with one part in common end runner after runner, four within a second, at all
-/// gateways. Sound requests share their other parts, and some of those begin at the same runners.
+/// gateways. Sound requests share their other parts, and some of those begin at the same runners. For some
+/// seconds all requests with a sound part may have the part that ends runners as well.
 CrashBlame attributeCrashes(std::vector<SuspectPromptPart> suspects);
 
 /// Runners that may end under a part of prompts before requests with it are refused. One less than the users
@@ -45,4 +54,8 @@
 /// A single request that is repeated proves nothing about its parts.
 constexpr size_t MinCrashingRequests = 2;
 
+/// Runners that one of two parts alone may have ended while both count as explanations of the same crashes.
+/// A runner also ends by itself now and then, under parts that have no fault.
+constexpr size_t MaxCrashDifference = 1;
+
 } // namespace eelgrasslift
--- a/src/libgateway/crashrecords.cpp
+++ b/src/libgateway/crashrecords.cpp
@@ -153,13 +153,13 @@
     if (!record.isSuspect(now))
         return false;
     if (record.subject == CrashSubject::PromptPart)
-        return this->blame.parts.contains(fingerprint);
+        return this->blame.suspects(fingerprint);
     return this->unexplainedCrashes(fingerprint, record) >= CrashLimit;
 }
 
 size_t CrashRecords::unexplainedCrashes(const Sha256 &fingerprint, const Record &record) const
 {
-    if (this->blame.parts.contains(fingerprint))
+    if (this->blame.suspects(fingerprint))
         return record.crashes.size();
     return static_cast<size_t>(std::ranges::count_if(record.crashes, [this](const auto &crash) {
         return !this->blame.runners.contains(crash.first);
@@ -212,9 +212,28 @@
     const auto found = this->records.find(fingerprint);
     if (found == this->records.end() || !this->isQuarantined(fingerprint, found->second, now))
         return std::nullopt;
+    if (found->second.subject == CrashSubject::PromptPart && !this->blame.refuses(std::span(&fingerprint, 1)))
+        return std::nullopt;
     return found->second.lastCrashAt() + Lifetime;
 }
 
+std::optional<CrashRecords::Quarantine> CrashRecords::quarantineOf(std::span<const Sha256> promptParts,
+                                                                   TimePoint now) const
+{
+    if (!this->blame.refuses(promptParts))
+        return std::nullopt;
+    std::optional<Quarantine> result;
+    for (const Sha256 &part : promptParts) {
+        const auto found = this->records.find(part);
+        if (found == this->records.end() || !this->isQuarantined(part, found->second, now))
+            continue;
+        const TimePoint until = found->second.lastCrashAt() + Lifetime;
+        if (!result || until > result->until)
+            result = Quarantine{part, until};
+    }
+    return result;
+}
+
 size_t CrashRecords::crashCount(const Sha256 &fingerprint, TimePoint now) const
 {
     const auto found = this->records.find(fingerprint);
--- a/src/libgateway/crashrecords.h
+++ b/src/libgateway/crashrecords.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -94,8 +95,19 @@
     /// Adds what another process reports.
     Change merge(const CrashReport &report, TimePoint now);
 
-    /// Returns until when requests with the fingerprint are refused; nothing if they are not.
+    /// Returns until when requests with the fingerprint, or all requests with the part, are refused; nothing
+    /// if they are not.
     std::optional<TimePoint> quarantinedUntil(const Sha256 &fingerprint, TimePoint now) const;
+
+    /// Why requests are refused.
+    struct Quarantine
+    {
+        /// The request, or a part of its prompt that may end runners.
+        Sha256 subject{};
+        TimePoint until{};
+    };
+    /// Returns whether requests whose prompts have these parts, among others, are refused; nothing if not.
+    std::optional<Quarantine> quarantineOf(std::span<const Sha256> promptParts, TimePoint now) const;
     /// Number of runners that have ended under the subject since it was last completed, without those that a
     /// part of prompts explains.
     size_t crashCount(const Sha256 &fingerprint, TimePoint now) const;
@@ -157,6 +169,7 @@
 
     /// Adds the crashes and the completion to the record of the subject, which is created if it is needed.
     Change update(const Sha256 &fingerprint, const Record &added, TimePoint now);
+    /// Whether requests with the fingerprint are refused, or some of those with the part.
     bool isQuarantined(const Sha256 &fingerprint, const Record &record, TimePoint now) const;
     /// Crashes of the record that are not explained by another subject.
     size_t unexplainedCrashes(const Sha256 &fingerprint, const Record &record) const;
