gateway: skip late responses without an id on connections in use again

Cause: a response without an id passed for the answer to the request that was sent last, for successes and failures; only refusals were held to more. Streams did the same.

Change: if the runner has named the request of an earlier response on the connection, one without an id is a late one. It is skipped, like one with another id, and the answer that follows is delivered. Runners that never name requests are served as before.

Evidence: "A second copy of an answer does not reach the next caller" now also plays copies without an id, with three statuses and on streams; it fails without the check.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -218,7 +218,7 @@
                 responseMetadata = this->gateway.format.decodeResponse(parser.get());
                 this->gateway.recordAnswer(runner.entry, parser.get().result_int(), responseMetadata,
                                            this->context.metadata.id);
-                if (!this->isStray(responseMetadata))
+                if (!this->isStray(responseMetadata, *connection))
                     this->gateway.recordPause(runner, responseMetadata, this->context.metadata.id);
             }
             // The timeout of the connection only ends a read that waits.
@@ -237,12 +237,13 @@
             continue;
         const bool isUnbounded = parser.need_eof();
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
-        if (this->isStray(responseMetadata)) {
+        if (this->isStray(responseMetadata, *connection)) {
             logWarning("stray-answer",
                        {{"request", this->context.metadata.id}, {"belongs_to", responseMetadata.requestId}});
             continue;
         }
         const bool isOwnRefusal = this->isOwnRefusal(responseMetadata, *connection);
+        this->recordOwnResponse(responseMetadata, *connection);
         this->gateway.connections.release(connection, responseMetadata);
         co_return this->classify(parser.release(), responseMetadata, isOwnRefusal);
     }
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -24,6 +24,8 @@
     std::string address;
     /// Whether an earlier request was sent on it.
     bool isReused = false;
+    /// Whether the peer has named the request in an earlier response.
+    bool namesRequests = false;
     /// When the pool stops reusing the connection.
     TimePoint idleUntil{};
 
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -73,16 +73,24 @@
     /// Time after which the caller of a refused request should try again: the earliest end of the runners'
     /// pauses if all runners of the service pause, or the end of its quarantine.
     double retryAfterSeconds() const;
-    /// Whether the response is a late one to an earlier request on the connection.
-    bool isStray(const ResponseMetadata &metadata) const
+    /// Whether the response is a late one to an earlier request on the connection. One without an id counts
+    /// as such if the runner has named the requests of earlier responses.
+    bool isStray(const ResponseMetadata &metadata, const RunnerConnection &connection) const
     {
-        return !metadata.requestId.empty() && metadata.requestId != this->context.metadata.id;
+        if (metadata.requestId.empty())
+            return connection.namesRequests && !this->context.metadata.id.empty();
+        return metadata.requestId != this->context.metadata.id;
+    }
+    /// Takes note that the connection has carried a response to this request.
+    void recordOwnResponse(const ResponseMetadata &metadata, RunnerConnection &connection) const
+    {
+        connection.namesRequests = connection.namesRequests || !metadata.requestId.empty();
     }
     /// Whether a refusal on the connection says that this request was not run. One without an id on a reused
     /// connection may be a late one to another call.
     bool isOwnRefusal(const ResponseMetadata &metadata, const RunnerConnection &connection) const
     {
-        return !this->isStray(metadata) &&
+        return !this->isStray(metadata, connection) &&
                (!connection.isReused || !metadata.requestId.empty() || this->context.metadata.id.empty());
     }
     /// Identifies requests of the same account with the same target and body, whatever their ids are.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -444,7 +444,7 @@
                                    stream.metadata, this->context.metadata.id);
         if (isInterim(stream.parser->get())) {
             ++interimCount;
-        } else if (this->isStray(stream.metadata)) {
+        } else if (this->isStray(stream.metadata, *stream.connection)) {
             logWarning("stray-answer",
                        {{"request", this->context.metadata.id}, {"belongs_to", stream.metadata.requestId}});
             const bool isSkipped = ++strayCount <= MaxStrayResponses &&
@@ -454,6 +454,7 @@
                                       std::nullopt};
         } else {
             this->gateway.recordPause(*stream.load.runner(), stream.metadata, this->context.metadata.id);
+            this->recordOwnResponse(stream.metadata, *stream.connection);
             isFinal = true;
         }
     }
--- a/tests/hostile/test_hostilerunner.cpp
+++ b/tests/hostile/test_hostilerunner.cpp
@@ -133,25 +133,48 @@
 }
 
 // Finding of operators of similar systems: a second copy of an answer came late, on a connection that was in
-// use again, and the next caller got it.
+// use again, and the next caller got it. The copy need not say which request it belongs to (review, case 1).
 TEST_CASE("A second copy of an answer does not reach the next caller", "[hostile]")
 {
-    const std::string path = GENERATE("/safe/a", "/unsafe/a");
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a");
     const bool comesWithNextRequest = GENERATE(false, true);
+    const bool hasId = GENERATE(true, false);
+    const std::string status = GENERATE("200 OK", "500 Error", "404 None");
+    INFO(path << ", " << status << (hasId ? "" : ", without an id"));
+    const auto bodyFor = [&](const std::string &id) { return "id: 1\ndata: " + id + "\n\n"; };
     std::string lastAnswer;
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
-        const std::string answer = answerTo(head, "body of " + idOf(head));
+        const std::string answer = answerTo(head, bodyFor(idOf(head)));
         if (comesWithNextRequest)
             co_await sendBytes(connection, lastAnswer + answer);
         else
-            co_await sendBytes(connection, answer + answer);
-        lastAnswer = answer;
+            co_await sendBytes(connection, answer + lastAnswer);
+        std::string copy = answer;
+        if (!hasId)
+            copy.erase(copy.find("X-Attempt-Id: "), ("X-Attempt-Id: " + idOf(head) + "\r\n").size());
+        lastAnswer = copy.replace(copy.find("200 OK"), std::string("200 OK").size(), status);
     });
     for (const std::string id : {"id-1", "id-2", "id-3"}) {
         const CallerView view = fixture.call(path, id);
         CHECK(view.status == 200);
-        CHECK(view.body == "body of " + id);
+        CHECK(view.body == bodyFor(id));
+    }
+}
+
+// Guards against a runner that names no requests in its responses and therefore serves one for each
+// connection only.
+TEST_CASE("A runner that names no requests is served on a connection that is in use again", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a");
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, Sealed + "Content-Length: 13\r\n\r\nid: 1\ndata:\n\n");
+    });
+    for (const std::string id : {"id-1", "id-2"}) {
+        const CallerView view = fixture.call(path, id);
+        CHECK(view.status == 200);
+        CHECK(view.body == "id: 1\ndata:\n\n");
     }
+    CHECK(fixture.runner.closedCount() == 0);
 }
 
 // Finding of operators of similar systems: stalled streams that sent a byte now and then never ended.
