coordinator: accept messages with the largest configuration

Cause: a coordinator takes configurations of up to 5 MiB into its log, but the server for messages between coordinators kept gRPC's limit of 4 MiB for a received message, so the leader sent the entry again for good.

Change: Replicator::addService() registers the service and sets the limit of its server from the largest command. All servers use it.

Evidence: "The largest command and those after it are committed" ends without a commit when the limit is not set.

--- a/src/eelgrasslift/controlprocess.cpp
+++ b/src/eelgrasslift/controlprocess.cpp
@@ -78,7 +78,7 @@
         grpc::ServerBuilder builder;
         int port = 0;
         builder.AddListeningPort(this->peerEndpoint.toString(), grpc::InsecureServerCredentials(), &port);
-        builder.RegisterService(&this->controlMember->replicator().service());
+        this->controlMember->replicator().addService(builder);
         builder.RegisterService(this->peerService.get());
         this->peerServer = builder.BuildAndStart();
         return this->peerServer != nullptr && port != 0;
--- a/src/eelgrasslift/replicator.cpp
+++ b/src/eelgrasslift/replicator.cpp
@@ -4,8 +4,10 @@
 #include "eelgrasslift/consensusservice.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <grpcpp/grpcpp.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <ctime>
 #include <deque>
 #include <set>
@@ -24,6 +26,11 @@
     return TimePoint{std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec}};
 }
 
+// Space in a message for what surrounds a command: indexes, terms and the headers of its entries.
+constexpr size_t MessageOverheadBytes = size_t{64} << 10;
+// Other services of the same server rely on gRPC's default.
+constexpr size_t DefaultMaxMessageBytes = size_t{4} << 20;
+
 std::string describeCluster(const ClusterId &clusterId)
 {
     return clusterId == ClusterId{} ? "none" : toHex(clusterId);
@@ -56,6 +63,14 @@
         return result;
     }
 
+    /// Size of the largest message: one with the largest command, or with several smaller ones.
+    size_t maxMessageBytes() const
+    {
+        const RaftSettings &raft = this->settings.raft;
+        return std::max(DefaultMaxMessageBytes,
+                        std::max(raft.maxCommandBytes, raft.maxAppendBytes) + MessageOverheadBytes);
+    }
+
     grpc::Service &grpcService()
     {
         if (!this->service) {
@@ -250,9 +265,10 @@
             std::make_shared<Implementation>(io, state, std::move(settings), std::move(storage))));
 }
 
-grpc::Service &Replicator::service()
+void Replicator::addService(grpc::ServerBuilder &builder)
 {
-    return this->implementation->grpcService();
+    builder.RegisterService(&this->implementation->grpcService());
+    builder.SetMaxReceiveMessageSize(static_cast<int>(this->implementation->maxMessageBytes()));
 }
 
 void Replicator::start()
--- a/src/eelgrasslift/replicator.h
+++ b/src/eelgrasslift/replicator.h
@@ -11,7 +11,7 @@
 #include <string_view>
 
 namespace grpc {
-class Service;
+class ServerBuilder;
 }
 
 namespace eelgrasslift {
@@ -68,12 +68,12 @@
     static Result<std::unique_ptr<Replicator>, StorageError>
     open(boost::asio::io_context &io, ReplicatedState &state, ReplicatorSettings settings);
 
-    /// The server that uses service() must have been shut down before.
+    /// The server with the service must have been shut down before.
     ~Replicator();
 
-    /// The gRPC service that receives messages of the other members; to be registered on a
-    /// grpc::ServerBuilder.
-    grpc::Service &service();
+    /// Adds the service that receives messages of the other members to their server, which accepts messages
+    /// with the largest command from then on.
+    void addService(grpc::ServerBuilder &builder);
 
     /// Restores the state from the snapshot and starts the timers. Must be called once.
     void start();
--- a/src/gateway/coordinatorprocess.cpp
+++ b/src/gateway/coordinatorprocess.cpp
@@ -44,7 +44,7 @@
                                  static_cast<uint16_t>(settings.firstInternalPort + ConsensusPortOffset)};
         grpc::ServerBuilder builder;
         builder.AddListeningPort(consensus.toString(), grpc::InsecureServerCredentials());
-        builder.RegisterService(&this->coordinator->replicator().service());
+        this->coordinator->replicator().addService(builder);
         this->consensusServer = builder.BuildAndStart();
         const Endpoint exchangeEndpoint{
                 settings.ip, static_cast<uint16_t>(settings.firstInternalPort + ExchangePortOffset)};
--- a/tests/program/test_replicator.cpp
+++ b/tests/program/test_replicator.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+// More than the default size limit of a gRPC message.
+constexpr size_t LargestCommand = size_t{5} << 20;
+
 /// State machine that stores the applied commands.
 class CommandList : public ReplicatedState
 {
@@ -102,6 +105,7 @@
         settings.raft.snapshotEntries = 20;
         settings.raft.retainedEntries = 2;
         settings.raft.snapshotChunkBytes = 64;
+        settings.raft.maxCommandBytes = LargestCommand;
         this->state = CommandList{};
         auto opened = Replicator::open(this->io, this->state, settings);
         if (const auto *error = std::get_if<StorageError>(&opened))
@@ -110,7 +114,7 @@
         grpc::ServerBuilder builder;
         int bound = 0;
         builder.AddListeningPort(this->port.address, grpc::InsecureServerCredentials(), &bound);
-        builder.RegisterService(&this->replicator->service());
+        this->replicator->addService(builder);
         this->server = builder.BuildAndStart();
         REQUIRE(bound != 0);
         this->replicator->start();
@@ -279,6 +283,17 @@
     cluster.checkAllApplied();
 }
 
+// Guards against a command that no other member receives, so that all later ones wait behind it (review, case
+// 5).
+TEST_CASE("The largest command and those after it are committed")
+{
+    Cluster cluster;
+    cluster.commit("before");
+    cluster.commit(std::string(LargestCommand, 'x'));
+    cluster.commit("after");
+    cluster.checkAllApplied();
+}
+
 // Guards against requests accepted by a member that is not the leader, and against callbacks that never run.
 TEST_CASE("Failed requests return typed errors and stop ends all open requests")
 {
