gateway: resume a stream at no more runners than its route allows

Cause: a stream that broke off after its response had begun continued by planContinuation(), which took a retry from the shared budget but did not ask the retry controller of the request.

Evidence: "A resumable stream that breaks off is sent to no more runners than its route allows" fails without the check.

--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -135,6 +135,8 @@
         co_return std::nullopt;
     }
     this->triedRunners.insert(this->lastRunnerId);
+    if (!this->retryController.allowsNextRunner())
+        co_return std::nullopt;
     if (!this->gateway.retryBudget.tryAcquireRetry(this->context.service, steadyNow()))
         co_return std::nullopt;
     const RunnerPool::RunnerPointer runner = co_await this->place();
--- a/src/libgateway/retrycontroller.h
+++ b/src/libgateway/retrycontroller.h
@@ -63,6 +63,8 @@
 
     /// Whether the route allows one more runner beside the current one, whose send is not recorded yet.
     bool allowsAnotherRunner() const { return this->possibleRuns + 1 < this->maxAttempts; }
+    /// Whether the route allows one more runner after those whose sends are recorded.
+    bool allowsNextRunner() const { return this->possibleRuns < this->maxAttempts; }
     /// Whether any recorded send may have run the request.
     bool mayHaveRun() const { return this->possibleRuns > 0; }
     TimePoint deadline() const { return this->requestDeadline; }
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
@@ -268,6 +269,29 @@
     CHECK(sends.size() <= route->maxAttempts);
 }
 
+// Guards against the same if each runner breaks off in the middle of the stream (review, resumed streams).
+TEST_CASE("A resumable stream that breaks off is sent to no more runners than its route allows", "[hostile]")
+{
+    std::set<std::string> runners;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
+        const std::string name = "X-Expect-Instance: ";
+        const size_t at = head.find(name) + name.size();
+        runners.insert(head.substr(at, head.find('\r', at) - at));
+        const int first = static_cast<int>(runners.size()) * 5;
+        co_await sendBytes(connection, StreamHead + chunk(eventText(first)));
+        connection.close();
+    });
+    for (const char *id : {"p3", "p4"}) {
+        fixture.runners.push_back(fixture.runners.front());
+        fixture.runners.back().id = id;
+    }
+    fixture.gateway.applyFleet(fixture.runners);
+    const CallerView view = fixture.call("/stream/a", "id-1");
+    CHECK_FALSE(view.isComplete);
+    CHECK(view.body == eventText(5) + eventText(10));
+    CHECK(runners.size() == fixture.gateway.routes()->match("h", "/stream/a")->maxAttempts);
+}
+
 // Guards against an answer that is cut because health checks were wrong about a runner that went on, and the
 // next one refused after the connection to it was closed.
 TEST_CASE("A generation whose runner only seems to leave is not cut by a late refusal", "[hostile]")
