gateway: bound the memory of events that have begun and of runners' statements

Asked by the users: can bytes without end, in a head or body, end the process that called the runner?

One answer cannot; each part of it has had a limit. Many at once could: each stream could keep 256 KiB of an event that never ends, with no limit for all of them, and each report, health check and answer to a copy call could have 4 MiB, at a coordinator from all model runners at once.

Change: events that have begun share the 24 MiB of responses that are being received (SharedBuffer, before a class of callsession.cpp). What a runner says of itself and of its copies is limited to 64 KiB for each call.

Evidence: "Events that have begun on many streams share the limit of memory" and "What a runner says of itself is bounded" fail without the limits.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrasslift/logging.h"
 #include "gateway/clock.h"
+#include "gateway/sharedbuffer.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -39,35 +40,6 @@
 
 constexpr size_t MaxResponseBytes = size_t{16} << 20;
 
-// Responses of this size are always buffered.
-constexpr size_t SmallResponseBytes = size_t{64} << 10;
-// Larger ones share this much of a gateway's memory.
-constexpr size_t MaxBufferedResponseBytes = size_t{24} << 20;
-
-/// Counts the bytes of a response that is being received, for as long as the object exists.
-class ResponseBuffer
-{
-public:
-    explicit ResponseBuffer(size_t &total)
-        : total(total)
-    {}
-    ~ResponseBuffer() { this->total -= this->size; }
-    ResponseBuffer(const ResponseBuffer &) = delete;
-    ResponseBuffer &operator=(const ResponseBuffer &) = delete;
-
-    /// Returns false if the response is large and there is no memory left for it.
-    bool resize(size_t newSize)
-    {
-        this->total += newSize - this->size;
-        this->size = newSize;
-        return this->size <= SmallResponseBytes || this->total <= MaxBufferedResponseBytes;
-    }
-
-private:
-    size_t &total;
-    size_t size = 0;
-};
-
 bool requiresNotRunHeader(unsigned status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -209,7 +181,7 @@
         boost::system::error_code error;
         ResponseMetadata responseMetadata;
         bool isHeaderDecoded = false;
-        ResponseBuffer buffered(this->gateway.bufferedResponseBytes);
+        SharedBuffer buffered(this->gateway.bufferedResponseBytes, MaxBufferedResponseBytes);
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                            asio::redirect_error(asio::use_awaitable, error));
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -34,8 +34,6 @@
 // detected.
 constexpr unsigned TcpUserTimeoutMs = 3000;
 
-constexpr size_t MaxCallResponseBytes = size_t{4} << 20;
-
 } // namespace
 
 asio::awaitable<RunnerConnectionPointer> ConnectionPool::connect(std::string address, Duration timeout)
@@ -107,8 +105,8 @@
         this->idleConnections.erase(found);
 }
 
-asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::call(std::string address,
-                                                                        OutgoingCall call, Duration timeout)
+asio::awaitable<Result<HttpResponse, HttpFailure>>
+ConnectionPool::call(std::string address, OutgoingCall call, Duration timeout, size_t maxResponseBytes)
 {
     const TimePoint deadline = steadyNow() + timeout;
     const auto endpoint = parseEndpoint(address);
@@ -124,7 +122,7 @@
         co_await http::async_write(connection->stream, request,
                                    asio::redirect_error(asio::use_awaitable, error));
         http::response_parser<http::string_body> parser;
-        parser.body_limit(MaxCallResponseBytes);
+        parser.body_limit(maxResponseBytes);
         if (!error)
             co_await http::async_read(connection->stream, connection->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -38,6 +38,12 @@
 
 using RunnerConnectionPointer = std::shared_ptr<RunnerConnection>;
 
+/// Size limit of what coordinators and the platform return.
+constexpr size_t MaxCallResponseBytes = size_t{4} << 20;
+/// The same for what a runner says of itself and of its copies. A report takes some kilobytes; a coordinator
+/// may receive those of hundreds of runners at the same time.
+constexpr size_t MaxRunnerStatementBytes = size_t{64} << 10;
+
 /// Pool of persistent connections. An idle connection is reused only while it is open and has no unread
 /// bytes: bytes after a complete response belong to no request. It is also discarded before the peer's idle
 /// timeout, since a request that arrives after the peer has closed the connection is lost.
@@ -61,10 +67,12 @@
     /// Closes the idle connections to an address that no longer responds.
     void dropIdle(std::string_view address);
 
-    /// Sends a request and receives the whole response, of at most 4 MiB, over a pooled connection. A GET is
-    /// sent again on another connection if a reused one breaks; other methods are not repeated.
-    boost::asio::awaitable<Result<HttpResponse, HttpFailure>> call(std::string address, OutgoingCall call,
-                                                                   Duration timeout);
+    /// Sends a request and receives the whole response over a pooled connection. A GET is sent again on
+    /// another connection if a reused one breaks; other methods are not repeated. A response with a larger
+    /// body than maxResponseBytes counts as Broken.
+    boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
+    call(std::string address, OutgoingCall call, Duration timeout,
+         size_t maxResponseBytes = MaxCallResponseBytes);
 
     /// Whether the connection is open and has no unread bytes.
     static bool isReusable(RunnerConnection &connection);
--- a/src/gateway/fleetreader.cpp
+++ b/src/gateway/fleetreader.cpp
@@ -170,7 +170,8 @@
 {
     OutgoingCall call = this->format.reportCall();
     const std::string &id = asked.id;
-    auto result = co_await this->connections.call(asked.address, std::move(call), ReportTimeout);
+    auto result = co_await this->connections.call(asked.address, std::move(call), ReportTimeout,
+                                                  MaxRunnerStatementBytes);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response != nullptr)
         this->recordAnswer(asked, *response);
@@ -231,7 +232,8 @@
 {
     OutgoingCall call{"GET", std::move(path), {}};
     const std::string &id = asked.id;
-    auto result = co_await this->connections.call(asked.address, std::move(call), HealthTimeout);
+    auto result = co_await this->connections.call(asked.address, std::move(call), HealthTimeout,
+                                                  MaxRunnerStatementBytes);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response != nullptr)
         this->recordAnswer(asked, *response);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -33,7 +33,7 @@
     GatewayMetrics metrics;
     Random random{systemSeed()};
     size_t openRequests = 0;
-    /// Bytes of responses of plain services that are being received.
+    /// Bytes of responses that are being received; see SharedBuffer.
     size_t bufferedResponseBytes = 0;
     bool isDraining = false;
     /// Gateways of the fleet, including this one.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -310,6 +310,7 @@
             this->backup.release();
         if (result.relayOutcome != RelayOutcome::Complete) {
             this->splitter.discardPartialEvent();
+            this->eventBuffer.resize(0);
             boost::system::error_code ignored;
             stream->connection->stream.socket().close(ignored);
         }
@@ -494,6 +495,7 @@
                                                                     Parser &parser)
 {
     std::string body;
+    SharedBuffer buffered(this->gateway.bufferedResponseBytes, MaxBufferedResponseBytes);
     std::array<char, ReadBufferBytes> bytes{};
     boost::system::error_code error;
     while (!parser.is_done() && !error && body.size() < MaxErrorResponseBytes) {
@@ -505,6 +507,8 @@
         if (error == http::error::need_buffer)
             error = {};
         body.append(bytes.data(), bytes.size() - parser.get().body().size);
+        if (!buffered.resize(body.size()))
+            co_return std::nullopt;
     }
     if (error || !parser.is_done())
         co_return std::nullopt;
@@ -593,7 +597,8 @@
             this->recordLostRun(this->load.runner()->entry, this->runStage());
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "foreign-event", std::nullopt};
         }
-        if (this->splitter.isTooLarge())
+        const bool fitsMemory = this->eventBuffer.resize(this->splitter.pendingBytes());
+        if (this->splitter.isTooLarge() || !fitsMemory)
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-too-large",
                                   std::nullopt};
         if (this->remainingTime() <= Duration::zero())
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/requestcontext.h"
+#include "gateway/sharedbuffer.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -98,8 +99,7 @@
     boost::asio::awaitable<std::optional<RelayResult>> receiveHeader(RunnerStream &stream,
                                                                      bool isContinuation);
     /// Returns nothing if the body is incomplete or larger than that of an error response may be.
-    static boost::asio::awaitable<std::optional<std::string>> readBody(RunnerConnection &connection,
-                                                                       Parser &parser);
+    boost::asio::awaitable<std::optional<std::string>> readBody(RunnerConnection &connection, Parser &parser);
     boost::asio::awaitable<RelayResult> receiveErrorResponse(const RunnerConnectionPointer &connection,
                                                              Parser &parser);
     /// Makes the stream the one whose events are forwarded.
@@ -163,6 +163,8 @@
     std::vector<LogField> endLogFields() const override;
 
     EventSplitter splitter;
+    /// Memory of the event that has begun.
+    SharedBuffer eventBuffer{this->gateway.bufferedResponseBytes, MaxBufferedResponseBytes};
     RetryController retryController;
     /// Destination of the current or last attempt.
     Destination current;
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -431,8 +431,8 @@
     const CopyRequest copyRequest{this->context.metadata.id, destination->entry.address};
     const TimePoint started = steadyNow();
     OutgoingCall call = format.copyCall(copyRequest);
-    auto result =
-            co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout);
+    auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout,
+                                                          MaxRunnerStatementBytes);
     const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response == nullptr ? 0 : response->result_int();
     if (response != nullptr) {
--- a/src/libgateway/eventsplitter.h
+++ b/src/libgateway/eventsplitter.h
@@ -35,6 +35,8 @@
     /// Whether the incomplete event is larger than any event may be: the bytes are no event stream, and the
     /// rest is not worth reading.
     bool isTooLarge() const { return this->pending.size() > MaxEventBytes; }
+    /// Bytes of the event that has begun and is not complete.
+    size_t pendingBytes() const { return this->pending.size(); }
 
     /// Discards the incomplete event of a runner that stopped.
     void discardPartialEvent()
--- a/tests/hostile/test_hostilerunner.cpp
+++ b/tests/hostile/test_hostilerunner.cpp
@@ -1,5 +1,10 @@
 #include "gatewayfixture.h"
 
+#include "eelgrasslift/endpoint.h"
+#include "gateway/fleetreader.h"
+#include "gateway/sharedbuffer.h"
+
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
@@ -115,6 +120,65 @@
     CHECK(fixture.gateway.bufferedResponseBytes == 0);
 }
 
+// Guards against many streams whose runner begins an event on each and never ends it.
+TEST_CASE("Events that have begun on many streams share the limit of memory", "[hostile]")
+{
+    constexpr int StreamCount = 160;
+    const std::string part(250'000, 'a');
+    size_t peak = 0;
+    int sentCount = 0;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, Sealed + "\r\n" + part);
+        ++sentCount;
+        // The gateway closes the connection.
+        char byte = 0;
+        boost::system::error_code error;
+        co_await connection.async_read_some(asio::buffer(&byte, 1),
+                                            asio::redirect_error(asio::use_awaitable, error));
+    });
+    int endedCount = 0;
+    for (int i = 0; i < StreamCount; ++i)
+        fixture.start("/stream/a", "id-" + std::to_string(i), [&](const CallerView &view) {
+            CHECK_FALSE(view.isComplete);
+            ++endedCount;
+        });
+    fixture.runUntil([&] {
+        peak = std::max(peak, fixture.gateway.bufferedResponseBytes);
+        return endedCount == StreamCount;
+    });
+    CHECK(sentCount >= StreamCount);
+    CHECK(peak > 0);
+    // Small ones are kept in any case.
+    CHECK(peak <= MaxBufferedResponseBytes + StreamCount * SharedBuffer::SmallMessageBytes);
+    CHECK(fixture.gateway.bufferedResponseBytes == 0);
+}
+
+// Guards against a coordinator that keeps the endless reports and health answers of many runners at once.
+TEST_CASE("What a runner says of itself is bounded", "[hostile]")
+{
+    const bool isTooLarge = GENERATE(false, true);
+    const std::string target = GENERATE("/v1/report", "/health");
+    const size_t padding = MaxRunnerStatementBytes + (isTooLarge ? 0 : -1000);
+    const std::string body = R"({"queue_depth":0,"padding":")" + std::string(padding, 'a') + "\"}";
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+        co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                               "\r\n\r\n" + body);
+    });
+    FleetReaderSettings settings;
+    settings.listEndpoint = *parseEndpoint("127.0.0.1:1");
+    settings.reportInterval = 20ms;
+    settings.healthInterval = 20ms;
+    FleetReader reader(fixture.io, fixture.format, fixture.gateway.connections,
+                       fixture.gateway.runners.leavingRunners(), settings);
+    int responseCount = 0;
+    reader.onResponse([&](const RunnerEntry &, const ResponseMetadata &) { ++responseCount; });
+    reader.setEngineServices({{"m", target == "/health" ? "/health" : ""}});
+    reader.setKnownRunners({fixture.runners[2]});
+    reader.setActive(true);
+    fixture.runUntil([&] { return fixture.runner.requestCount() >= 6; });
+    CHECK((responseCount > 0) != isTooLarge);
+}
+
 // Guards against an interim response that is passed on as the final one: the next caller on the connection
 // would get the answer to this request.
 TEST_CASE("An interim response is not the answer", "[hostile]")
