gateway: bound the memory of request bodies

Cause: each request in progress held its body twice, once as received and once as sent, and nothing bounded all of them.

Change: the request to the runner refers to the caller's body. Bodies of more than 64 KiB share 32 MiB: a request waits up to 0.7 s for memory before its body is read, or while it arrives in chunks, and is then refused with 503, cause body-memory, which is true, as it has not been sent. New gauge eelgrasslift_buffered_request_bytes.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -152,7 +152,7 @@
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "quarantined"};
     ++this->sendCount;
     this->activeConnection = connection;
-    HttpRequest request = this->makeRunnerRequest(runner, {});
+    RunnerRequest request = this->makeRunnerRequest(runner, {});
     boost::system::error_code error;
     const Duration attemptTimeout = std::max(
             isLastAttempt ? remaining : std::chrono::duration_cast<Duration>(remaining * AttemptTimeoutShare),
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -43,6 +43,8 @@
                                     "Sends withheld because runners had ended under the request"))
     , configVersion(addGauge(*shared, "eelgrasslift_config_version", "Configuration in force; 0: none"))
     , openRequests(addGauge(*shared, "eelgrasslift_open_requests", "Requests without a final answer"))
+    , bufferedRequestBytes(addGauge(*shared, "eelgrasslift_buffered_request_bytes",
+                                    "Bytes of the bodies of requests in progress"))
     , registry(shared)
     , requests(prometheus::BuildCounter()
                        .Name("eelgrasslift_requests_total")
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -40,6 +40,8 @@
     prometheus::Counter &quarantineRefusals;
     prometheus::Gauge &configVersion;
     prometheus::Gauge &openRequests;
+    /// Memory that the bodies of requests in progress occupy.
+    prometheus::Gauge &bufferedRequestBytes;
 
 private:
     explicit GatewayMetrics(const std::shared_ptr<prometheus::Registry> &shared);
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -5,6 +5,7 @@
 #include "gateway/clock.h"
 #include "gateway/coordinatorclient.h"
 #include "gateway/httpservice.h"
+#include "gateway/sharedbuffer.h"
 #include "gateway/streamsession.h"
 #include "gateway/task.h"
 
@@ -19,6 +20,7 @@
 #include <algorithm>
 #include <list>
 #include <sys/socket.h>
+#include <utility>
 
 namespace eelgrasslift {
 
@@ -41,6 +43,10 @@
 // Maximum wait of requests that arrive before the first configuration. Shorter than the latency objective of
 // generations and than the time that callers wait for their request to be read.
 constexpr Duration ConfigurationWait = std::chrono::milliseconds{700};
+// Maximum wait of a request with a large body for memory. Runners answer such requests within some hundred
+// milliseconds, and callers give up a request that is not read within a second.
+constexpr Duration BodyMemoryWait = std::chrono::milliseconds{700};
+constexpr std::string_view BodyMemoryRetryAfter = "0.6";
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds{50};
 
 /// Counts a request as open for as long as the object exists.
@@ -60,6 +66,42 @@
     size_t &count;
 };
 
+/// Memory of a request's body until the request has been handled.
+class RequestBody
+{
+public:
+    explicit RequestBody(GatewayState &state)
+        : gateway(state)
+        , memory(state.bufferedRequestBytes, MaxBufferedRequestBytes)
+    {}
+    ~RequestBody()
+    {
+        if (this->size > SharedBuffer::SmallMessageBytes)
+            this->gateway.notifyCapacityFreed();
+    }
+    RequestBody(const RequestBody &) = delete;
+    RequestBody &operator=(const RequestBody &) = delete;
+
+    /// Waits until there is memory for newSize bytes; returns false if there is none in time.
+    asio::awaitable<bool> reserve(size_t newSize, TimePoint waitUntil)
+    {
+        const size_t previousSize = std::exchange(this->size, newSize);
+        while (!this->memory.resize(newSize)) {
+            this->memory.resize(previousSize);
+            const TimePoint now = steadyNow();
+            if (now >= waitUntil)
+                co_return false;
+            co_await this->gateway.waitForCapacity(waitUntil - now);
+        }
+        co_return true;
+    }
+
+private:
+    GatewayState &gateway;
+    SharedBuffer memory;
+    size_t size = 0;
+};
+
 /// A caller's connection; handles its requests one after the other.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
@@ -135,12 +177,17 @@
         co_await http::async_read_header(this->stream, this->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         const TimePoint arrived = steadyNow();
+        RequestBody body(this->gateway);
+        bool fitsMemory = true;
         if (!error) {
             this->stream.expires_after(callerLimits.idleTimeout);
-            co_await http::async_read(this->stream, this->buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+            fitsMemory = co_await this->readBody(parser, body, error);
         }
         this->isReadingRequest = false;
+        if (!fitsMemory) {
+            co_await this->refuseUnreadBody(parser.get().base());
+            co_return false;
+        }
         ResponseWriter writer(this->stream, !error && parser.keep_alive(), this->gateway.isDraining);
         if (error) {
             co_await this->sendParseError(writer, error);
@@ -152,6 +199,37 @@
         co_return writer.isKeptAlive() && this->stream.socket().is_open();
     }
 
+    /// Reads the body. Waits for memory if it is large; returns false if there is none in time.
+    asio::awaitable<bool> readBody(Parser &parser, RequestBody &body, boost::system::error_code &error)
+    {
+        const TimePoint waitUntil = steadyNow() + BodyMemoryWait;
+        // The memory for a body of unknown length is taken as it arrives.
+        size_t size = parser.content_length().value_or(0);
+        while (!error) {
+            if (!co_await body.reserve(size, waitUntil))
+                co_return false;
+            if (parser.is_done())
+                break;
+            co_await http::async_read_some(this->stream, this->buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            size = std::max(size, parser.get().body().size());
+        }
+        co_return true;
+    }
+
+    asio::awaitable<void> refuseUnreadBody(const RequestHeader &header)
+    {
+        logInfo("request-refused", {{"request", this->gateway.format.decodeRequest(header).id},
+                                    {"status", "503"},
+                                    {"cause", "body-memory"},
+                                    {"buffered_bytes", std::to_string(this->gateway.bufferedRequestBytes)}});
+        const bool isPersistent = false;
+        ResponseWriter writer(this->stream, isPersistent, this->gateway.isDraining);
+        HttpResponse response = makeResponse(503, R"({"error":"body-memory"})");
+        response.set(http::field::retry_after, {BodyMemoryRetryAfter.data(), BodyMemoryRetryAfter.size()});
+        co_await writer.send(std::move(response));
+    }
+
     static asio::awaitable<void> sendParseError(ResponseWriter &writer,
                                                 const boost::system::error_code &error)
     {
@@ -326,6 +404,8 @@
     {
         if (request.target() == "/metrics") {
             this->state.metrics.openRequests.Set(static_cast<double>(this->state.openRequests));
+            this->state.metrics.bufferedRequestBytes.Set(
+                    static_cast<double>(this->state.bufferedRequestBytes));
             co_return makeResponse(200, this->state.metrics.serialize(), "text/plain; version=0.0.4");
         }
         if (!this->state.format.isReadinessCheck(request))
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -35,6 +35,8 @@
     size_t openRequests = 0;
     /// Bytes of responses that are being received; see SharedBuffer.
     size_t bufferedResponseBytes = 0;
+    /// Bytes of the bodies of requests in progress; see SharedBuffer.
+    size_t bufferedRequestBytes = 0;
     bool isDraining = false;
     /// Gateways of the fleet, including this one.
     uint32_t gatewayCount = 1;
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -71,10 +71,12 @@
     return this->context.deadline - steadyNow();
 }
 
-HttpRequest RequestSession::makeRunnerRequest(const RunnerPool::Runner &runner,
-                                              const AttemptHeaders &extra) const
+RequestSession::RunnerRequest RequestSession::makeRunnerRequest(const RunnerPool::Runner &runner,
+                                                                const AttemptHeaders &extra) const
 {
-    HttpRequest request = this->context.request;
+    const std::string &body = this->context.request.body();
+    RunnerRequest request(this->context.request.base(),
+                          boost::beast::span<const char>(body.data(), body.size()));
     AttemptHeaders attempt = extra;
     attempt.remainingTime = this->remainingTime();
     attempt.runnerId = runner.entry.id;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -4,6 +4,8 @@
 #include "gateway/gatewaystate.h"
 #include "gateway/responsewriter.h"
 
+#include <boost/beast/http/span_body.hpp>
+
 namespace eelgrasslift {
 
 /// A caller's request with everything that determines its handling. Fixed when the request arrives, so that a
@@ -58,9 +60,12 @@
     const RequestContext &requestContext() const { return this->context; }
 
 protected:
-    /// Copy of the caller's request with the header for an attempt at the runner. extra holds fields beyond
-    /// the remaining time, the runner and the account.
-    HttpRequest makeRunnerRequest(const RunnerPool::Runner &runner, const AttemptHeaders &extra) const;
+    /// A request whose body is that of the caller's request.
+    using RunnerRequest = boost::beast::http::request<boost::beast::http::span_body<const char>>;
+
+    /// The caller's request with the header for an attempt at the runner. extra holds fields beyond the
+    /// remaining time, the runner and the account. The session must outlive the result.
+    RunnerRequest makeRunnerRequest(const RunnerPool::Runner &runner, const AttemptHeaders &extra) const;
     /// Time until the deadline; negative after it.
     Duration remainingTime() const;
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -368,7 +368,7 @@
         attempt.lastEventId = *this->splitter.lastId();
     else if (this->context.metadata.lastEventId)
         attempt.lastEventId = *this->context.metadata.lastEventId;
-    HttpRequest request = this->makeRunnerRequest(runner, attempt);
+    RunnerRequest request = this->makeRunnerRequest(runner, attempt);
     boost::system::error_code error;
     // A handler that was queued before its timer is destroyed still runs.
     const auto isWaiting = std::make_shared<bool>(true);
--- a/tests/hostile/test_shutdown.cpp
+++ b/tests/hostile/test_shutdown.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture.h"
+#include "loopback.h"
 
 #include "gateway/coordinator.h"
 #include "gateway/exchange.h"
@@ -28,31 +29,6 @@
 
 namespace {
 
-/// Endpoints with different free ports, at a loopback address of this process: at a shared one, another
-/// process could take a port before the gateway listens.
-std::array<Endpoint, 3> freeEndpoints(asio::io_context &io)
-{
-    constexpr uint32_t FirstAddress = (127U << 24U) + (254U << 16U);
-    const asio::ip::address_v4 address(FirstAddress + (static_cast<uint32_t>(getpid()) & 0xffffU));
-    const tcp::acceptor first(io, tcp::endpoint(address, 0));
-    const tcp::acceptor second(io, tcp::endpoint(address, 0));
-    const tcp::acceptor third(io, tcp::endpoint(address, 0));
-    return {Endpoint{address.to_string(), first.local_endpoint().port()},
-            Endpoint{address.to_string(), second.local_endpoint().port()},
-            Endpoint{address.to_string(), third.local_endpoint().port()}};
-}
-
-/// Connects to the gateway; nothing if it does not accept connections.
-std::optional<tcp::socket> connectTo(asio::io_context &io, const Endpoint &endpoint)
-{
-    tcp::socket socket(io);
-    boost::system::error_code error;
-    socket.connect({asio::ip::make_address(endpoint.address), endpoint.port}, error);
-    if (error)
-        return std::nullopt;
-    return socket;
-}
-
 constexpr auto ConnectionInterval = 50ms;
 
 /// Opens connections and sends the bytes on each until the gateway does not accept any more. Returns the last
