gateway: leave a runner only when it has ended the run or is about to stop

Two runners may work on one request for 400 ms.

Cause: a gateway took a closed connection for the end of a run, and left the runner as soon as a copy or backup was complete. Not every runner ends a run with its connection.

The copy is made at the notice as before. If the runner states that it is leaving, it is then called to end the run, and the stream continues from the copy once the runner has closed it; a runner that ignores the call is not left. If the copy's runner refuses, the stream goes back to the source, which keeps the memory. - Each way in which a stream leaves a runner that may have begun the run (leaving, stall, timeout, lost connection, caller gone) calls the runner to end it, 80 ms after the connection was closed.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -26,6 +26,8 @@
 constexpr Duration RunnerCheckDelay = std::chrono::milliseconds{100};
 constexpr int MaxRunnerChecks = 3;
 
+constexpr Duration CopyReleaseTimeout = std::chrono::milliseconds{400};
+
 std::string fingerprintTexts(std::span<const Sha256> fingerprints)
 {
     std::string text;
@@ -252,6 +254,29 @@
                              {"suppressed", std::to_string(std::exchange(this->suppressedPauseLogs, 0))}});
 }
 
+asio::awaitable<std::optional<HttpResponse>> GatewayState::requestCopy(RunnerPool::RunnerPointer runner,
+                                                                       CopyRequest request, Duration timeout)
+{
+    OutgoingCall call = this->format.copyCall(request);
+    auto result = co_await this->connections.call(runner->entry.address, std::move(call), timeout,
+                                                  MaxRunnerStatementBytes);
+    auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr)
+        co_return std::nullopt;
+    const ResponseMetadata metadata = this->format.decodeResponse(response->base());
+    this->recordAnswer(runner->entry, response->result_int(), metadata, request.requestId);
+    this->recordPause(*runner, metadata, request.requestId);
+    co_return std::move(*response);
+}
+
+asio::awaitable<void> GatewayState::releaseCopy(std::string sourceAddress, std::string handle)
+{
+    // A copy that is not released is freed by its runners some seconds later.
+    OutgoingCall call = this->format.releaseCopyCall(handle);
+    co_await this->connections.call(std::move(sourceAddress), std::move(call), CopyReleaseTimeout,
+                                    MaxRunnerStatementBytes);
+}
+
 asio::awaitable<bool> GatewayState::waitForPausedRunner(TimePoint nextSend, TimePoint limit)
 {
     const TimePoint now = steadyNow();
@@ -270,7 +295,7 @@
         const RunnerPool::RunnerPointer runner = session->runner();
         if (!runner || !runner->entry.isExpectedToLeave())
             continue;
-        session->handleRunnerLeaving(runner->timeUntilStop(now));
+        session->handleRunnerLeaving(runner->stopForecast(now));
     }
 }
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -86,15 +86,18 @@
     , retryController(this->context.route->isIdempotent(), this->context.route->maxAttempts,
                       this->context.deadline)
     , stallDetector(stallTimeout(*this->context.route))
-    , migrationDone(state.io)
+    , copyingDone(state.io)
 {
-    this->migrationDone.expires_at(std::chrono::steady_clock::time_point::max());
+    this->copyingDone.expires_at(std::chrono::steady_clock::time_point::max());
     this->gateway.addStream(*this);
 }
 
 StreamSession::~StreamSession()
 {
     this->gateway.removeStream(*this);
+    if (this->copy)
+        spawnTask(this->gateway.io, "copy-release",
+                  this->gateway.releaseCopy(this->copy->sourceAddress, this->copy->handle));
 }
 
 double StreamSession::generatedTokens() const
@@ -229,8 +232,8 @@
         RelayResult result = co_await this->relay();
         const bool isHealthy = result.relayOutcome == RelayOutcome::Complete ||
                                result.relayOutcome == RelayOutcome::CallerDisconnected ||
-                               this->current.runner->entry.isExpectedToLeave() || this->completedMigration ||
-                               this->isMigrating;
+                               this->current.runner->entry.isExpectedToLeave() || this->copy.has_value() ||
+                               this->isCopying;
         // A runner that asks for a pause is sound.
         const bool isRefusedForPause = isCertainlyNotRun(result.outcome) &&
                                        this->gateway.runners.isPaused(*this->current.runner, steadyNow());
@@ -313,6 +316,8 @@
             this->eventBuffer.resize(0);
             boost::system::error_code ignored;
             stream->connection->stream.socket().close(ignored);
+            if (!this->isEndRequested)
+                this->endRun(this->current.runner, nullptr);
         }
     }
     this->activeConnection.reset();
@@ -344,7 +349,7 @@
     if (this->remainingTime() <= Duration::zero())
         co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-time-left",
                               std::nullopt};
-    if (this->gateway.runners.hasStatedLeaving(runner.entry))
+    if (this->gateway.runners.hasStatedLeaving(runner.entry) && !destination.isStoppedSource)
         co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "runner-leaving",
                               std::nullopt};
     if (stream.backup.runner() && this->gateway.runners.hasStatedLeaving(stream.backup.runner()->entry))
@@ -392,6 +397,8 @@
     if (failure) {
         boost::system::error_code ignored;
         stream.connection->stream.socket().close(ignored);
+        if (failure->outcome == SendOutcome::Unknown)
+            this->endRun(destination.runner, nullptr);
         co_return std::move(*failure);
     }
     co_return std::move(stream);
@@ -481,14 +488,16 @@
     this->backup = std::move(stream.backup);
     this->runFirstEventAt.reset();
     this->arePartsServed = false;
+    this->isEndRequested = false;
+    this->stoppedSource.reset();
     this->requestedSwitch.reset();
     this->activeConnection = stream.connection;
     this->forwardedConnection = stream.connection;
-    this->stallDetector.start(steadyNow());
+    this->isStallWatched = false;
     if (this->splitter.eventCount() > 0)
         this->splitter.beginContinuation();
     if (this->backup.runner() || this->context.route->isResumable)
-        spawnTask(this->gateway.io, "stall-watch", watchForStall(this->weak_from_this(), stream.connection));
+        this->startStallWatch();
 }
 
 asio::awaitable<std::optional<std::string>> StreamSession::readBody(RunnerConnection &connection,
@@ -644,7 +653,7 @@
     if (!this->runFirstEventAt)
         this->runFirstEventAt = now;
     if (this->load.runner() && this->load.runner()->entry.isExpectedToLeave())
-        this->handleRunnerLeaving(this->load.runner()->timeUntilStop(now));
+        this->handleRunnerLeaving(this->load.runner()->stopForecast(now));
     if (previousCount == 0) {
         this->firstEventAt = now;
         this->load.endPrefill();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -13,7 +13,8 @@
 /// Handles one request whose response is a stream of events. Before the first event the request may be
 /// retried as the route allows. After it, a failed attempt is continued on another runner: from a copy of the
 /// generation's KV cache, or after the last complete event if the stream is resumable. A stream whose runner
-/// is leaving or slow stays connected to it until another runner has accepted the continuation.
+/// is leaving or slow stays connected to it until another runner has accepted the continuation. A runner that
+/// the stream has left is asked to end its run, which may outlast the connection.
 class StreamSession : public RequestSession, public std::enable_shared_from_this<StreamSession>
 {
 public:
@@ -23,9 +24,9 @@
     /// Returns after the stream is complete, an error response was sent, or the stream was aborted.
     boost::asio::awaitable<void> run() override;
 
-    /// Starts a migration of the generation if its runner stops too soon for it to complete. Called by
-    /// GatewayState with the time until the runner stops.
-    void handleRunnerLeaving(Duration timeUntilStop);
+    /// Prepares or begins a migration of the generation if its runner stops too soon for it to complete.
+    /// Called by GatewayState.
+    void handleRunnerLeaving(const StopForecast &stop);
 
     /// Runner of the current attempt; nullptr between attempts.
     const RunnerPool::RunnerPointer &runner() const { return this->load.runner(); }
@@ -42,7 +43,7 @@
     };
 
     /// Why the stream should go on at another runner while its current one is still connected.
-    enum class SwitchReason { Backup, Copy, Stall };
+    enum class SwitchReason { Leaving, Stall };
     static std::string_view toString(SwitchReason reason);
 
     /// Runner of the next attempt and, if it continues from a copy of the KV cache, the reference to that
@@ -53,6 +54,20 @@
         std::string continueFrom;
         /// How the destination was found, for the log.
         std::string_view method;
+        /// The runner has ended the run for a copy elsewhere and keeps the KV cache, though it is leaving.
+        bool isStoppedSource = false;
+    };
+
+    /// A complete copy of the KV cache at another runner.
+    struct Copy
+    {
+        Destination destination;
+        /// ip:port of the runner that has made it, and the name of the copy there.
+        std::string sourceAddress;
+        std::string handle;
+        TimePoint madeAt{};
+        /// Memory that the copy occupies there.
+        RunnerLoadReservation load;
     };
 
     /// Result of one attempt.
@@ -115,19 +130,37 @@
     void moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
                     SwitchReason reason);
     /// Excludes a destination that has failed, unless it can still be used.
-    void recordFailedSwitch(const Destination &destination, const RelayResult &failure, SwitchReason reason);
+    void recordFailedSwitch(const Destination &destination, const RelayResult &failure);
     /// Decides where to continue after a failed attempt; nothing if the stream cannot be continued.
     boost::asio::awaitable<std::optional<Destination>> planContinuation(const RelayResult &failed,
                                                                         Destination previous);
-    /// Copies the KV cache to another runner and lets the stream switch to it.
-    boost::asio::awaitable<void> migrate();
+    /// Copies the KV cache to another runner.
+    boost::asio::awaitable<void> copyToAnotherRunner();
+    /// Whether the runner with the copy still runs, as far as is known.
+    bool hasCopy() const;
+    /// Whether the generation could continue from the copy now.
+    bool isCopyUsable() const;
+    /// Asks the runner, whose connection is closed, to end the run: not all runners do so by themselves.
+    /// nextRunner has taken the stream over; nullptr if none has.
+    void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner);
+    /// The calls for endRun(). Does nothing if the stream has gone on at the same runner meanwhile. Does not
+    /// free the copy with the name keptHandle, from which the stream continues.
+    static boost::asio::awaitable<void> requestRunEnd(GatewayState &gateway,
+                                                      std::weak_ptr<StreamSession> stream,
+                                                      RunnerPool::RunnerPointer runner, CopyRequest request,
+                                                      std::string keptHandle);
+    /// Asks the current runner, which is leaving, to end the run, so that the stream continues from the copy.
+    void endRunForCopy();
     /// Runner for a copy of the KV cache, with at most the given share of its memory in use; nullptr if there
     /// is none.
     RunnerPool::RunnerPointer chooseCopyDestination(const RunnerPool::Runner &source, std::string_view domain,
                                                     double memoryLimit) const;
-    /// Copies the generation's KV cache; returns the reference to the copy, or nothing if that failed.
+    /// Copies the generation's KV cache; returns the name of the copy at the source, or nothing if that
+    /// failed.
     boost::asio::awaitable<std::optional<std::string>> copyMemory(RunnerPool::RunnerPointer source,
                                                                   RunnerPool::RunnerPointer destination);
+    /// Starts watchForStall() for the connection whose events are forwarded, unless it runs.
+    void startStallWatch();
     /// Checks for a stall whenever one is due, as long as the events of the connection are forwarded.
     static boost::asio::awaitable<void> watchForStall(std::weak_ptr<StreamSession> stream,
                                                       RunnerConnectionPointer connection);
@@ -187,9 +220,10 @@
     RunnerConnectionPointer forwardedConnection;
     std::optional<SwitchReason> requestedSwitch;
     bool isSwitching = false;
+    bool isStallWatched = false;
     int failedSwitches = 0;
-    /// Earliest times of the next migration and of the next switch from a stalled runner; set when one
-    /// failed.
+    /// Earliest times of the next copy or switch away from a leaving runner, and of the next switch from a
+    /// stalled one; set when one failed.
     TimePoint nextMigrationAt{};
     TimePoint nextResumeAt{};
     /// Attempts to continue the stream.
@@ -200,11 +234,16 @@
     StallDetector stallDetector;
     /// Refusals of the current continuation.
     uint32_t refusedContinuations = 0;
-    bool isMigrating = false;
-    /// Destination of a successful copy, until the session continues there.
-    std::optional<Destination> completedMigration;
-    /// Cancelled when a migration ends.
-    boost::asio::steady_timer migrationDone;
+    bool isCopying = false;
+    /// The last successful copy, until the stream leaves the runner that it was made from.
+    std::optional<Copy> copy;
+    /// The current runner has been called to end the run.
+    bool isEndRequested = false;
+    /// The runner that has ended the run for the copy from which the stream continues, with the reference to
+    /// its KV cache, until that has succeeded.
+    std::optional<Destination> stoppedSource;
+    /// Cancelled when copyToAnotherRunner() ends.
+    boost::asio::steady_timer copyingDone;
 };
 
 } // namespace eelgrasslift
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -9,12 +9,14 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 // Backups, migrations and other continuations of a stream whose runner stops.
 
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
 namespace {
 
@@ -44,7 +46,16 @@
 constexpr Duration ResumeRetryDelay = std::chrono::milliseconds{500};
 
 // A copy whose source has stopped is complete after this time or never will be.
-constexpr Duration MigrationWait = std::chrono::milliseconds{150};
+constexpr Duration CopyingWait = std::chrono::milliseconds{150};
+
+// A runner that ends a run with its connection has done so after this time. Two runners may work on one
+// request for 400 ms, as specified by the users; this and MaxRunnerOverlap leave time for the call.
+constexpr Duration RunEndDelay = std::chrono::milliseconds{80};
+// A runner that copies the run for another call asks for one more try.
+constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
+constexpr int MaxRunEndCalls = 3;
+// A runner that stands still answers when it goes on.
+constexpr Duration RunEndTimeout = std::chrono::milliseconds{2500};
 
 constexpr Duration ContinuationRetryDelay = std::chrono::milliseconds{40};
 
@@ -54,6 +65,13 @@
 // Shortest wait of the stall watch for its next check.
 constexpr Duration MinStallCheckDelay = std::chrono::milliseconds{1};
 
+void logRunEnd(std::string_view requestId, std::string_view runnerId, unsigned status)
+{
+    logInfo("run-ended-by-call", {{"request", std::string(requestId)},
+                                  {"runner", std::string(runnerId)},
+                                  {"status", std::to_string(status)}});
+}
+
 } // namespace
 
 RunnerLoadReservation StreamSession::chooseBackup(const RunnerPool::Runner &primary) const
@@ -99,25 +117,30 @@
     boost::system::error_code ignored;
     if (this->isQuarantined() || (!isCertainlyNotRun(failed.outcome) && !this->mayRepeatAfterLoss()))
         co_return std::nullopt;
-    if (this->isMigrating) {
-        this->migrationDone.expires_after(MigrationWait);
-        co_await this->migrationDone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (this->isCopying && !this->hasCopy()) {
+        this->copyingDone.expires_after(CopyingWait);
+        co_await this->copyingDone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
         const FailedSwitch failedSwitch{failed.outcome, true, ++this->refusedContinuations, false};
         if (planFailedSwitch(failedSwitch) != SwitchStep::Retry)
-            co_return std::nullopt;
+            co_return std::exchange(this->stoppedSource, std::nullopt);
         asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return previous;
     }
     this->refusedContinuations = 0;
-    if (this->completedMigration) {
-        const std::optional<Destination> destination = std::move(this->completedMigration);
-        this->completedMigration.reset();
-        this->gateway.metrics.countContinuation("move", true);
+    if (this->stoppedSource && isCertainlyNotRun(failed.outcome))
+        co_return std::exchange(this->stoppedSource, std::nullopt);
+    if (this->hasCopy()) {
+        const Destination destination = this->copy->destination;
+        if (this->isEndRequested)
+            this->stoppedSource = Destination{this->current.runner, destination.continueFrom, "source", true};
+        this->copy.reset();
+        this->gateway.metrics.countContinuation(std::string(destination.method), true);
         co_return destination;
     }
+    this->copy.reset();
     // A runner that refused the request has produced nothing to continue from.
     const bool isResponseStarted = this->writer.isResponseStarted();
     if (!isResponseStarted && isCertainlyNotRun(failed.outcome)) {
@@ -146,44 +169,69 @@
     co_return Destination{runner, {}, "resume"};
 }
 
-void StreamSession::handleRunnerLeaving(Duration timeUntilStop)
+bool StreamSession::hasCopy() const
+{
+    if (!this->copy)
+        return false;
+    const RunnerPool::RunnerPointer &runner = this->copy->destination.runner;
+    // A runner that was restarted has lost the copy.
+    return this->gateway.runners.find(runner->entry.id) == runner;
+}
+
+bool StreamSession::isCopyUsable() const
+{
+    return this->hasCopy() && !this->copy->destination.runner->entry.isExpectedToLeave() &&
+           !this->gateway.runners.isPaused(*this->copy->destination.runner, steadyNow());
+}
+
+void StreamSession::handleRunnerLeaving(const StopForecast &stop)
 {
     const EngineTraits *engine = this->context.engine();
-    if (this->isMigrating || this->isSwitching || this->requestedSwitch || !this->load.runner() ||
+    if (this->isCopying || this->isSwitching || this->requestedSwitch || !this->load.runner() ||
         !this->forwardedConnection || engine == nullptr || this->failedSwitches >= MaxFailedSwitches ||
         steadyNow() < this->nextMigrationAt)
         return;
-    if (this->completedMigration) {
-        this->requestSwitch(SwitchReason::Copy);
-        return;
-    }
     const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave() &&
                            !this->gateway.runners.isPaused(*this->backup.runner(), steadyNow());
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
-    const LeavingGeneration generation{this->remainingTokens(),
-                                       this->generatedTokens(),
-                                       this->runFirstEventAt.has_value(),
-                                       age,
-                                       hasBackup,
-                                       engine->supportsMigration && !this->context.route->isResumable};
-    const MigrationAction action = planMigration(generation, timeUntilStop);
+    LeavingGeneration generation{this->remainingTokens(),
+                                 this->generatedTokens(),
+                                 this->runFirstEventAt.has_value(),
+                                 age,
+                                 hasBackup,
+                                 engine->supportsMigration && !this->context.route->isResumable,
+                                 std::nullopt,
+                                 this->load.runner()->entry.isLeaving,
+                                 this->isEndRequested ||
+                                         this->gateway.runners.isPaused(*this->load.runner(), steadyNow())};
+    if (this->isCopyUsable())
+        generation.copyAge = steadyNow() - this->copy->madeAt;
+    const MigrationAction action = planMigration(generation, stop);
     if (action == MigrationAction::Stay)
         return;
     logInfo("runner-leaving-during-generation",
             {{"request", this->context.metadata.id},
              {"runner", this->load.runner()->entry.id},
-             {"until_gone_ms", std::to_string(toMilliseconds(timeUntilStop))},
+             {"until_gone_ms", std::to_string(toMilliseconds(stop.earliest))},
+             {"until_gone_at_most_ms",
+              stop.latest ? std::to_string(toMilliseconds(*stop.latest)) : "unknown"},
              {"events", std::to_string(this->splitter.eventCount())},
-             {"backup", hasBackup ? this->backup.runner()->entry.id : "none"}});
-    if (action == MigrationAction::SwitchToBackup) {
-        this->requestSwitch(SwitchReason::Backup);
+             {"backup", hasBackup ? this->backup.runner()->entry.id : "none"},
+             {"copy", generation.copyAge ? this->copy->destination.runner->entry.id : "none"},
+             {"action", std::string(eelgrasslift::toString(action))}});
+    if (action == MigrationAction::Leave) {
+        this->requestSwitch(SwitchReason::Leaving);
         return;
     }
-    this->isMigrating = true;
-    spawnTask(this->gateway.io, "migration", this->migrate());
+    if (action == MigrationAction::EndRun) {
+        this->endRunForCopy();
+        return;
+    }
+    this->isCopying = true;
+    spawnTask(this->gateway.io, "migration", this->copyToAnotherRunner());
 }
 
-asio::awaitable<void> StreamSession::migrate()
+asio::awaitable<void> StreamSession::copyToAnotherRunner()
 {
     const auto self = this->shared_from_this();
     const RunnerPool::RunnerPointer source = this->load.runner();
@@ -195,38 +243,107 @@
     transferRequest.value = generationValue(
             {transferRequest.size.promptTokens, transferRequest.generatedTokens + this->remainingTokens()});
     transferRequest.excluded.assign(this->fullRunners.begin(), this->fullRunners.end());
+    std::ranges::copy(this->triedRunners, std::back_inserter(transferRequest.excluded));
     std::ranges::move(this->gateway.runners.pausedIds(this->context.service, steadyNow()),
                       std::back_inserter(transferRequest.excluded));
     const std::optional<TransferPermit> permit =
             co_await this->gateway.fleetScheduler->requestTransfer(std::move(transferRequest));
     RunnerPool::RunnerPointer destination =
             permit ? this->gateway.runners.find(permit->destinationId) : nullptr;
+    // A renewed copy goes where the earlier one is, which it completes.
+    if (this->isCopyUsable())
+        destination = this->copy->destination.runner;
     if (!destination || this->gateway.runners.hasStatedLeaving(destination->entry) ||
         this->gateway.runners.isPaused(*destination, steadyNow()))
         destination = this->chooseCopyDestination(*source, source->entry.domain, CopyMemoryLimit);
     // The source sends the copy on request; one that pauses wants none.
     if (this->gateway.runners.isPaused(*source, steadyNow()))
         destination.reset();
+    bool isCopied = false;
     const auto isStillOnSource = [&] {
         return this->load.runner() == source && this->forwardedConnection && !this->isAbandoned;
     };
     if (destination && isStillOnSource()) {
-        const RunnerLoadReservation reservation(destination, this->expectedLoad());
-        const std::optional<std::string> reference = co_await this->copyMemory(source, destination);
+        RunnerLoadReservation reservation(destination, this->expectedLoad());
+        const std::optional<std::string> handle = co_await this->copyMemory(source, destination);
+        isCopied = handle.has_value();
+        const std::string &address = source->entry.address;
         // Another runner may have taken the stream over meanwhile.
-        if (reference && this->current.runner == source)
-            this->completedMigration = Destination{destination, *reference, "move"};
-        // The destination generates again what the source has produced since the copy, from the caller's last
-        // event on.
-        if (reference && isStillOnSource())
-            this->requestSwitch(SwitchReason::Copy);
+        if (isCopied && this->current.runner == source)
+            this->copy = Copy{{destination, this->gateway.format.copyReference(address, *handle), "move"},
+                              address,
+                              *handle,
+                              steadyNow(),
+                              std::move(reservation)};
+        if (isCopied && isStillOnSource())
+            this->startStallWatch();
     }
     if (permit)
         this->gateway.fleetScheduler->finishTransfer(permit->ticket);
-    if (!this->completedMigration)
+    if (!isCopied)
         this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
-    this->isMigrating = false;
-    this->migrationDone.cancel();
+    this->isCopying = false;
+    this->copyingDone.cancel();
+}
+
+void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
+{
+    const EngineTraits *engine = this->context.engine();
+    if (engine == nullptr || !engine->supportsMigration)
+        return;
+    // The protocol ends a run only together with a copy of its KV cache, which is freed at once. The runner
+    // that continues the generation keeps most of it already.
+    const RunnerPool::RunnerPointer other =
+            nextRunner ? nullptr
+                       : this->chooseCopyDestination(*runner, runner->entry.domain, CopyMemoryLimit);
+    const RunnerPool::Runner &destination = nextRunner ? *nextRunner : other ? *other : *runner;
+    spawnTask(this->gateway.io, "run-end",
+              requestRunEnd(this->gateway, this->weak_from_this(), runner,
+                            {this->context.metadata.id, destination.entry.address, true},
+                            this->copy ? this->copy->handle : std::string{}));
+}
+
+void StreamSession::endRunForCopy()
+{
+    this->isEndRequested = true;
+    spawnTask(this->gateway.io, "run-end",
+              [&state = this->gateway, source = this->load.runner(),
+               request = CopyRequest{this->context.metadata.id, this->copy->destination.runner->entry.address,
+                                     true}]() -> asio::awaitable<void> {
+                  const std::optional<HttpResponse> response =
+                          co_await state.requestCopy(source, request, CopyTimeout);
+                  logRunEnd(request.requestId, source->entry.id, response ? response->result_int() : 0);
+              });
+}
+
+asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
+                                                   RunnerPool::RunnerPointer runner, CopyRequest request,
+                                                   std::string keptHandle)
+{
+    const auto hasReturned = [&] {
+        const auto session = stream.lock();
+        return session && session->activeConnection && session->lastRunnerId == runner->entry.id;
+    };
+    boost::system::error_code ignored;
+    asio::steady_timer delay(gateway.io);
+    Duration wait = RunEndDelay;
+    std::optional<HttpResponse> response;
+    for (int call = 0; call < MaxRunEndCalls; ++call) {
+        delay.expires_after(std::exchange(wait, RunEndRetryDelay));
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
+            co_return;
+        response = co_await gateway.requestCopy(runner, request, RunEndTimeout);
+        if (!response || response->result() != http::status::conflict)
+            break;
+    }
+    // Most runners have ended the run with its connection.
+    if (!response || response->result() == http::status::not_found)
+        co_return;
+    logRunEnd(request.requestId, runner->entry.id, response->result_int());
+    const auto copyResult = gateway.format.decodeCopyResult(response->body());
+    if (const auto *copied = std::get_if<CopyResult>(&copyResult); copied && copied->handle != keptHandle)
+        co_await gateway.releaseCopy(runner->entry.address, copied->handle);
 }
 
 void StreamSession::requestSwitch(SwitchReason reason)
@@ -242,9 +359,9 @@
 asio::awaitable<std::optional<StreamSession::Destination>>
 StreamSession::chooseSwitchDestination(SwitchReason reason)
 {
-    if (reason == SwitchReason::Copy)
-        co_return std::exchange(this->completedMigration, std::nullopt);
-    if (reason == SwitchReason::Backup || !this->context.route->isResumable)
+    if (this->isCopyUsable())
+        co_return this->copy->destination;
+    if (reason == SwitchReason::Leaving || !this->context.route->isResumable)
         co_return this->backupDestination();
     if (!this->retryController.allowsAnotherRunner())
         co_return std::nullopt;
@@ -295,7 +412,7 @@
                                     {"cause", std::string(failure.cause)},
                                     {"stays", isConnected() ? "yes" : "no"}});
     if (destination)
-        this->recordFailedSwitch(*destination, failure, reason);
+        this->recordFailedSwitch(*destination, failure);
     if (reason == SwitchReason::Stall)
         this->nextResumeAt = steadyNow() + ResumeRetryDelay;
     else
@@ -317,6 +434,9 @@
     boost::system::error_code ignored;
     stream.connection->stream.socket().close(ignored);
     const RunnerPool::RunnerPointer source = this->load.runner();
+    this->endRun(source, destination.runner.get());
+    // A call that ends the earlier run must not meet a new one.
+    this->triedRunners.insert(source->entry.id);
     this->lastSwitch.emplace(source->entry.id, reason);
     RunnerPool::recordSend(*source, reason == SwitchReason::Stall ? SendHealth::Failed : SendHealth::Good,
                            steadyNow() - stream.sentAt, steadyNow());
@@ -333,33 +453,40 @@
     this->splitter.discardPartialEvent();
     stream = std::move(next);
     this->current = destination;
-    this->completedMigration.reset();
+    this->copy.reset();
     this->adopt(stream);
     this->gateway.notifyCapacityFreed();
 }
 
-void StreamSession::recordFailedSwitch(const Destination &destination, const RelayResult &failure,
-                                       SwitchReason reason)
+void StreamSession::recordFailedSwitch(const Destination &destination, const RelayResult &failure)
 {
     ++this->failedSwitches;
     this->gateway.metrics.countContinuation(std::string(destination.method), false);
     if (failure.outcome != SendOutcome::RefusedByRunner && failure.relayOutcome != RelayOutcome::Withheld)
         RunnerPool::recordSend(*destination.runner, SendHealth::Failed, Duration::zero(), steadyNow());
     // What the runner has never seen is still there.
-    if (failure.outcome == SendOutcome::NotConnected) {
-        if (reason == SwitchReason::Copy)
-            this->completedMigration = destination;
+    if (failure.outcome == SendOutcome::NotConnected)
         return;
-    }
     if (destination.continueFrom.empty()) {
         this->triedRunners.insert(destination.runner->entry.id);
         return;
     }
     this->fullRunners.insert(destination.runner->entry.id);
-    if (this->backup.runner() == destination.runner)
+    if (this->copy && this->copy->destination.continueFrom == destination.continueFrom)
+        this->copy.reset();
+    else if (this->backup.runner() == destination.runner)
         this->backup.release();
 }
 
+void StreamSession::startStallWatch()
+{
+    if (std::exchange(this->isStallWatched, true))
+        return;
+    this->stallDetector.start(steadyNow());
+    spawnTask(this->gateway.io, "stall-watch",
+              watchForStall(this->weak_from_this(), this->forwardedConnection));
+}
+
 asio::awaitable<void> StreamSession::watchForStall(std::weak_ptr<StreamSession> stream,
                                                    RunnerConnectionPointer connection)
 {
@@ -382,10 +509,11 @@
     if (!this->stallDetector.check(steadyNow(), this->forwardedConnection->hasUnreadBytes()))
         return;
     this->stallDetector.postpone(steadyNow());
-    const bool canSwitch = this->context.route->isResumable
-                                   ? this->splitter.eventCount() > 0
-                                   : this->runFirstEventAt && this->isBackupReachable();
-    if (!canSwitch || this->isMigrating || this->isSwitching)
+    const bool canSwitch =
+            this->context.route->isResumable
+                    ? this->splitter.eventCount() > 0
+                    : this->runFirstEventAt && (this->isBackupReachable() || this->isCopyUsable());
+    if (!canSwitch || (this->isCopying && !this->isCopyUsable()) || this->isSwitching)
         return;
     logInfo("generation-stalled",
             {{"request", this->context.metadata.id},
@@ -398,10 +526,8 @@
 std::string_view StreamSession::toString(SwitchReason reason)
 {
     switch (reason) {
-    case SwitchReason::Backup:
-        return "backup";
-    case SwitchReason::Copy:
-        return "copy";
+    case SwitchReason::Leaving:
+        return "leaving";
     case SwitchReason::Stall:
         return "stall";
     }
@@ -413,6 +539,7 @@
                                                                double memoryLimit) const
 {
     std::set<std::string> excluded = this->fullRunners;
+    excluded.insert(this->triedRunners.begin(), this->triedRunners.end());
     excluded.insert(source.entry.id);
     RunnerCriteria criteria{
             this->context.service, domain, this->context.metadata.size, &excluded, memoryLimit,
@@ -427,19 +554,11 @@
 asio::awaitable<std::optional<std::string>> StreamSession::copyMemory(RunnerPool::RunnerPointer source,
                                                                       RunnerPool::RunnerPointer destination)
 {
-    const WireFormat &format = this->gateway.format;
-    const CopyRequest copyRequest{this->context.metadata.id, destination->entry.address};
     const TimePoint started = steadyNow();
-    OutgoingCall call = format.copyCall(copyRequest);
-    auto result = co_await this->gateway.connections.call(source->entry.address, std::move(call), CopyTimeout,
-                                                          MaxRunnerStatementBytes);
-    const auto *response = std::get_if<HttpResponse>(&result);
-    const unsigned status = response == nullptr ? 0 : response->result_int();
-    if (response != nullptr) {
-        const ResponseMetadata metadata = format.decodeResponse(response->base());
-        this->gateway.recordAnswer(source->entry, status, metadata, this->context.metadata.id);
-        this->gateway.recordPause(*source, metadata, this->context.metadata.id);
-    }
+    CopyRequest copyRequest{this->context.metadata.id, destination->entry.address};
+    const std::optional<HttpResponse> response =
+            co_await this->gateway.requestCopy(source, std::move(copyRequest), CopyTimeout);
+    const unsigned status = response ? response->result_int() : 0;
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
                                   {"to", destination->entry.id},
@@ -449,10 +568,10 @@
         this->fullRunners.insert(destination->entry.id);
     if (status != 200)
         co_return std::nullopt;
-    const auto copyResult = format.decodeCopyResult(response->body());
+    const auto copyResult = this->gateway.format.decodeCopyResult(response->body());
     if (std::holds_alternative<DecodeError>(copyResult))
         co_return std::nullopt;
-    co_return format.copyReference(source->entry.address, std::get<CopyResult>(copyResult).handle);
+    co_return std::get<CopyResult>(copyResult).handle;
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -116,6 +116,8 @@
     std::string requestId;
     /// ip:port of the runner that receives the copy.
     std::string destination;
+    /// The runner ends the run before it copies, also if the copy then fails.
+    bool endsRun = false;
 };
 
 /// Result of a CopyRequest.
--- a/src/libgateway/migrationplan.h
+++ b/src/libgateway/migrationplan.h
@@ -2,8 +2,20 @@
 
 #include "libcore/core.h"
 
+#include <optional>
+#include <string_view>
+
 namespace eelgrasslift {
 
+/// When a leaving runner stops, counted from now; negative after it.
+struct StopForecast
+{
+    /// The runner is expected to serve at least until then.
+    Duration earliest{};
+    /// The runner has announced that it will have stopped by then; absent if it has announced no time.
+    std::optional<Duration> latest;
+};
+
 /// A running generation on a runner that is leaving.
 struct LeavingGeneration
 {
@@ -19,19 +31,32 @@
     bool hasBackup = false;
     /// The engine can copy the KV cache to another runner, and the stream cannot be resumed without it.
     bool canMigrate = false;
+    /// Time since the KV cache was last copied to another runner that is not leaving.
+    std::optional<Duration> copyAge;
+    /// The runner, or the platform's list, states that it is leaving; health checks alone may be wrong.
+    bool isLeaveStated = false;
+    /// The runner has been called to end the run.
+    bool isEndRequested = false;
 };
 
 /// What happens to a generation on a leaving runner.
 enum class MigrationAction {
-    Stay, ///< No migration for now: the generation ends in time, or it cannot or need not be copied.
-    SwitchToBackup, ///< Continue from the backup at once.
-    Move            ///< Copy the KV cache to another runner and continue there.
+    Stay,   ///< Nothing for now.
+    Copy,   ///< Copy the KV cache to another runner, to continue there when this one stops.
+    EndRun, ///< Call the runner to end the run, and continue from the copy once it has.
+    Leave   ///< Continue from the copy or the backup at once.
 };
 
-/// Decides whether a generation migrates off a runner that stops after timeUntilStop. Called again with each
-/// event while the runner is leaving.
+std::string_view toString(MigrationAction action);
+
+/// Decides whether a generation migrates off a runner that will be stopped. Called again with each event
+/// while the runner is leaving.
+///
+/// A generation stays until its runner ends it, by itself or on a call, or is about to stop. A closed
+/// connection need not end the work on it, so a runner that is left earlier may go on with what another one
+/// has taken over.
 ///
 /// Load pattern: runners are stopped at two seconds' notice while their generations last ten seconds.
-MigrationAction planMigration(const LeavingGeneration &generation, Duration timeUntilStop);
+MigrationAction planMigration(const LeavingGeneration &generation, const StopForecast &stop);
 
 } // namespace eelgrasslift
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -42,14 +42,17 @@
 // Assumed time until the stop of a leaving runner that reports none.
 constexpr Duration DefaultNoticePeriod = std::chrono::milliseconds{1200};
 
-// Reports are some hundred milliseconds old when they arrive, so the time until the stop is shorter by that.
-constexpr Duration ReportAge = std::chrono::milliseconds{500};
+// Reports are up to this old when they arrive, so the time until the stop may be shorter by that.
+constexpr Duration MaxReportAge = std::chrono::milliseconds{500};
 
 } // namespace
 
-Duration RunnerPool::Runner::timeUntilStop(TimePoint now) const
+StopForecast RunnerPool::Runner::stopForecast(TimePoint now) const
 {
-    return this->stopsAt ? *this->stopsAt - now : DefaultNoticePeriod;
+    if (!this->stopsAt)
+        return {DefaultNoticePeriod, std::nullopt};
+    const Duration latest = *this->stopsAt - now;
+    return {latest - MaxReportAge, latest};
 }
 
 void RunnerPool::Runner::addPrefill(double tokens, TimePoint now)
@@ -71,8 +74,8 @@
     if (entry.warmUpRemaining > Duration::zero())
         runner->warmUpUntil = now + entry.warmUpRemaining;
     if (entry.report && entry.report->timeUntilStop)
-        runner->stopsAt = std::min(now + *entry.report->timeUntilStop - ReportAge,
-                                   runner->stopsAt.value_or(TimePoint::max()));
+        runner->stopsAt =
+                std::min(now + *entry.report->timeUntilStop, runner->stopsAt.value_or(TimePoint::max()));
     return runner;
 }
 
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -3,6 +3,7 @@
 #include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
 #include "libgateway/leavingrunners.h"
+#include "libgateway/migrationplan.h"
 #include "libgateway/outputlengthdistribution.h"
 #include "libgateway/runnerpauses.h"
 #include "libgateway/servingconfig.h"
@@ -78,7 +79,7 @@
         RunnerEntry entry;
         /// The runner is slow until then.
         TimePoint warmUpUntil{};
-        /// When a leaving runner stops, if it reports that.
+        /// When a leaving runner stops at the latest, if it reports that.
         std::optional<TimePoint> stopsAt;
         /// Load of this gateway; 0 at the coordinator.
         RunnerLoad ownLoad;
@@ -96,9 +97,9 @@
         std::optional<TimePoint> ejectedUntil;
         uint32_t consecutiveFailures = 0;
 
-        /// Returns the time until a leaving runner stops, negative after it; an assumed notice period if the
-        /// runner reports none.
-        Duration timeUntilStop(TimePoint now) const;
+        /// Returns when a leaving runner stops; at the earliest after an assumed notice period if it reports
+        /// no time.
+        StopForecast stopForecast(TimePoint now) const;
         /// Adds the prefill of a generation that was placed here; it runs after the earlier ones.
         void addPrefill(double tokens, TimePoint now);
     };
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -14,7 +14,7 @@
 {
 public:
     /// Sends the response to one request on the connection. requestCount counts all requests, from 1 on; head
-    /// is the request line and header.
+    /// is the request line and header, followed by the body.
     using Script = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket &connection,
                                                               int requestCount, std::string head)>;
 
@@ -86,8 +86,8 @@
     /// The session of the request that was started last; nullptr after its end.
     std::shared_ptr<RequestSession> lastSession() const { return this->session.lock(); }
 
-    /// Lets the gateway know that the runner with a request in flight stops after the given time. Fails the
-    /// test if there is none.
+    /// Lets the gateway know that the runner with a request in flight stops after the given time at the
+    /// latest. Fails the test if there is none.
     void announceStop(Duration timeUntilStop);
 
     /// Lets the gateway know that health checks say that the runner with a request in flight is leaving,
