soak: check that no runner works on beside another one

One runner in three goes on with a stream whose connection is closed, until it is called to end the run. The ledger reports a request that a runner works on for more than 400 ms after another one has begun to. Excused are disturbed runners, and gateways that stood still or were stopped.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -15,6 +15,8 @@
 constexpr Duration UnreadWindow = std::chrono::seconds{2};
 // A gateway may send on a pooled connection before it notices that the runner has closed it.
 constexpr Duration BreakWindow = std::chrono::seconds{2};
+// A request may be worked on by two runners for this long.
+constexpr Duration MaxOverlap = std::chrono::milliseconds{400};
 constexpr unsigned GatewayTimeout = 504;
 constexpr unsigned BadGateway = 502;
 
@@ -169,7 +171,7 @@
     this->notices.recordLeaving(runner, this->requests.at(id).gateway);
 }
 
-void Ledger::beginRun(const std::string &id, bool isContinuation)
+void Ledger::beginRun(const std::string &id, const std::string &runner, bool isContinuation)
 {
     const auto found = this->requests.find(id);
     if (found == this->requests.end()) {
@@ -180,6 +182,9 @@
     const std::string kind(toString(request.kind));
     if (request.isRefused)
         this->journal.recordBreach(id, kind + " request ran after it was refused");
+    for (auto &[worker, takenOverAt] : request.workers)
+        takenOverAt = takenOverAt.value_or(steadyNow());
+    request.workers[runner] = std::nullopt;
     if (isContinuation)
         return;
     ++request.runs;
@@ -189,6 +194,28 @@
         this->journal.recordBreach(id, kind + " request ran " + std::to_string(request.runs) + " times");
 }
 
+void Ledger::endRun(const std::string &id, const std::string &runner)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end())
+        return;
+    Request &request = found->second;
+    const auto worker = request.workers.find(runner);
+    if (worker == request.workers.end())
+        return;
+    const std::optional<TimePoint> takenOverAt = worker->second;
+    request.workers.erase(worker);
+    const TimePoint now = steadyNow();
+    // A gateway that stands still or ends calls no runner.
+    const ProcessLife &life = *request.gateway;
+    const bool isExcused = request.isDisturbed || life.killedAt || life.terminatedAt ||
+                           life.wasFrozenWithin(request.sentAt, now);
+    if (takenOverAt && now - *takenOverAt > MaxOverlap && !isExcused)
+        this->journal.recordBreach(id, runner + " worked on it for " +
+                                               std::to_string(toMilliseconds(now - *takenOverAt)) +
+                                               " ms beside another runner");
+}
+
 void Ledger::disturb(const std::string &id)
 {
     if (const auto found = this->requests.find(id); found != this->requests.end())
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -4,6 +4,7 @@
 #include "journal.h"
 #include "runnernotices.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -70,8 +71,10 @@
     void askForPause(const std::string &id, const std::string &runner, Duration duration);
     /// The caller has got an answer in which the runner states that it is leaving.
     void noteLeaving(const std::string &id, const std::string &runner);
-    /// A runner begins to run the request. A continuation from a valid copy counts as the same run.
-    void beginRun(const std::string &id, bool isContinuation);
+    /// The runner begins to run the request. A continuation from a valid copy counts as the same run.
+    void beginRun(const std::string &id, const std::string &runner, bool isContinuation);
+    /// The runner no longer works on the request.
+    void endRun(const std::string &id, const std::string &runner);
     /// The runner of the request broke off, fell silent or was slow.
     void disturb(const std::string &id);
     /// Connections of a runner were closed by it, perhaps with unread requests.
@@ -89,6 +92,8 @@
         TimePoint sentAt;
         TimePoint endedAt;
         uint32_t runs = 0;
+        /// Runners that work on the request, and since when another one does as well.
+        std::map<std::string, std::optional<TimePoint>> workers;
         bool isDisturbed = false;
         bool isRefused = false;
     };
--- a/soak/runner.cpp
+++ b/soak/runner.cpp
@@ -32,6 +32,8 @@
 constexpr Duration CopyTime = std::chrono::milliseconds{60};
 constexpr int SlowFactor = 6;
 constexpr uint64_t MemoryTokens = 40000;
+// One runner in this many goes on with a stream whose connection is closed, until it is called to end it.
+constexpr uint64_t PersistentRunnerShare = 3;
 // One copy in this many finds no room at its destination.
 constexpr uint64_t CopyRefusalShare = 8;
 
@@ -81,7 +83,11 @@
     {
         this->runner.runs.insert(&this->run);
     }
-    ~ActiveRun() { this->runner.runs.erase(&this->run); }
+    ~ActiveRun()
+    {
+        this->runner.runs.erase(&this->run);
+        this->runner.ledger.endRun(this->run.requestId, this->runner.spec.id);
+    }
     ActiveRun(const ActiveRun &) = delete;
     ActiveRun &operator=(const ActiveRun &) = delete;
 
@@ -237,7 +243,7 @@
     if (this->runs.size() >= this->spec.slots ||
         (!copyName.empty() && !this->copies.take(copyName, id, this->spec.endpoint.toString())))
         co_return co_await this->send(connection, this->refusal(503, id));
-    this->ledger.beginRun(id, !copyName.empty());
+    this->ledger.beginRun(id, this->spec.id, !copyName.empty());
     ActiveRun run(*this, id);
     if (!crashCauseOf(request).empty()) {
         co_await this->crash(connection, std::move(request));
@@ -302,10 +308,14 @@
     co_await http::async_write_header(connection, serializer,
                                       asio::redirect_error(asio::use_awaitable, error));
     run.events = first - 1;
-    for (uint64_t number = first; number <= last && !error; ++number) {
+    const bool isPersistent = hashOf(this->spec.id) % PersistentRunnerShare == 0;
+    for (uint64_t number = first; number <= last && (!error || isPersistent); ++number) {
+        if (run.isEndedByCall || this->hasEnded())
+            co_return false;
         const std::string event = eventOf(run.requestId, number);
-        co_await asio::async_write(connection, http::make_chunk(asio::buffer(event)),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            co_await asio::async_write(connection, http::make_chunk(asio::buffer(event)),
+                                       asio::redirect_error(asio::use_awaitable, error));
         run.events = number;
         co_await this->work(EventInterval, run.requestId);
     }
@@ -323,8 +333,14 @@
     const std::string id = call.at("id");
     const std::string destination = call.at("to");
     const auto isOfRequest = [&](const Run *run) { return run->requestId == id; };
-    if (std::ranges::none_of(this->runs, isOfRequest))
+    const auto active = std::ranges::find_if(this->runs, isOfRequest);
+    if (active == this->runs.end())
         co_return co_await this->send(connection, this->makeResponse(404, {}));
+    if (call.value("last", false)) {
+        (*active)->isEndedByCall = true;
+        const Json result{{"handle", this->copies.nextHandle()}, {"made", (*active)->events}};
+        co_return co_await this->send(connection, this->makeResponse(200, {}, result.dump()));
+    }
     co_await sleepFor(CopyTime);
     const auto run = std::ranges::find_if(this->runs, isOfRequest);
     if (run == this->runs.end() || hashOf(id + destination) % CopyRefusalShare == 0)
--- a/soak/runner.h
+++ b/soak/runner.h
@@ -77,6 +77,8 @@
     {
         std::string requestId;
         uint64_t events = 0;
+        /// A gateway has called the runner to end it.
+        bool isEndedByCall = false;
     };
     class ActiveRun;
     using Connection = boost::beast::tcp_stream;
