tests: a generation returns to its runner if its copy is refused

First run of this test: failed, since its refusal named no request on a connection that was in use again, which proves nothing about the request; with the id that runners send it passes.

--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -336,6 +336,61 @@
     CHECK(*run.workedUntil - from < (test.isContinued ? 400ms : 500ms));
 }
 
+// Guards against a generation that is lost because its runner has ended it for a copy that the other runner
+// does not accept.
+TEST_CASE("A generation goes back to its runner if the copy elsewhere is refused", "[hostile]")
+{
+    std::string source;
+    bool isEnded = false;
+    int refusedCount = 0;
+    int returnCount = 0;
+    GatewayFixture *gateway = nullptr;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
+        if (message.starts_with("POST /v1/kv-move")) {
+            isEnded = isEnded || message.find(R"("last":true)") != std::string::npos;
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
+                                           R"({"handle":"h","made":1})");
+            co_return;
+        }
+        const std::string name = "X-Expect-Instance: ";
+        const size_t at = message.find(name) + name.size();
+        const std::string id = message.substr(at, message.find('\r', at) - at);
+        if (source.empty()) {
+            source = id;
+            co_await sendBytes(connection, StreamHead);
+            for (int number = 1; !isEnded; ++number) {
+                co_await sendBytes(connection, chunk(eventText(number)));
+                if (number == 10)
+                    gateway->announceStop(2000ms);
+                asio::steady_timer pause(gateway->io, EventInterval);
+                co_await pause.async_wait(asio::use_awaitable);
+            }
+            connection.close();
+            co_return;
+        }
+        if (id != source) {
+            ++refusedCount;
+            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
+                                           "Content-Length: 0\r\n\r\n");
+            co_return;
+        }
+        ++returnCount;
+        CHECK(message.find("Kv-From: " + gateway->runner.address() + "/h\r\n") != std::string::npos);
+        const std::string lastEvent = "Last-Event-Id: ";
+        const int first = std::stoi(message.substr(message.find(lastEvent) + lastEvent.size())) + 1;
+        co_await sendBytes(connection, StreamHead);
+        for (int number = first; number <= EventCount; ++number)
+            co_await sendBytes(connection, chunk(eventText(number)));
+        co_await sendBytes(connection, "0\r\n\r\n");
+    });
+    gateway = &fixture;
+    const CallerView view = fixture.call("/generation/a", "id-1");
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    CHECK(refusedCount > 0);
+    CHECK(returnCount == 1);
+}
+
 // Guards against the memory that a copy occupies at its destination for seconds after the generation has
 // ended at its own runner.
 TEST_CASE("A copy that a generation did not need is freed", "[hostile]")
