soak: a runner that has ended a run takes the generation back

Trace: its runner i-7 stated that it leaves, copied it to i-4 and ended the run on the call; i-4 had no slot free and refused four times; the gateway went back to i-7, whose stand-in knows copies at their destination only.

--- a/soak/runner.cpp
+++ b/soak/runner.cpp
@@ -60,19 +60,27 @@
 
 void CopyStore::add(const std::string &name, const std::string &requestId, const std::string &destination)
 {
-    this->copies.insert_or_assign(name, Copy{requestId, destination});
+    this->copies.insert_or_assign(name, Copy{requestId, destination, {}});
 }
 
 bool CopyStore::take(const std::string &name, const std::string &requestId, const std::string &runnerAddress)
 {
     const auto found = this->copies.find(name);
     if (found == this->copies.end() || found->second.requestId != requestId ||
-        found->second.destination != runnerAddress)
+        (found->second.destination != runnerAddress && found->second.stoppedSource != runnerAddress))
         return false;
     this->copies.erase(found);
     return true;
 }
 
+void CopyStore::stopSource(const std::string &requestId, const std::string &runnerAddress)
+{
+    for (auto &[name, copy] : this->copies) {
+        if (copy.requestId == requestId && name.starts_with(runnerAddress + "/"))
+            copy.stoppedSource = runnerAddress;
+    }
+}
+
 /// Lists a run as active for as long as the object exists.
 class Runner::ActiveRun
 {
@@ -338,6 +346,7 @@
         co_return co_await this->send(connection, this->makeResponse(404, {}));
     if (call.value("last", false)) {
         (*active)->isEndedByCall = true;
+        this->copies.stopSource(id, this->spec.endpoint.toString());
         const Json result{{"handle", this->copies.nextHandle()}, {"made", (*active)->events}};
         co_return co_await this->send(connection, this->makeResponse(200, {}, result.dump()));
     }
--- a/soak/runner.h
+++ b/soak/runner.h
@@ -24,6 +24,8 @@
     void add(const std::string &name, const std::string &requestId, const std::string &destination);
     /// Removes the copy and returns true if it is one of this request at this runner.
     bool take(const std::string &name, const std::string &requestId, const std::string &runnerAddress);
+    /// The runner that has made the copies of this request has ended the run and keeps its memory as well.
+    void stopSource(const std::string &requestId, const std::string &runnerAddress);
     void erase(const std::string &name) { this->copies.erase(name); }
     std::string nextHandle() { return "h" + std::to_string(++this->handles); }
 
@@ -32,6 +34,8 @@
     {
         std::string requestId;
         std::string destination;
+        /// Address of the runner that has made the copy, once it has ended the run and keeps its memory.
+        std::string stoppedSource;
     };
     std::map<std::string, Copy> copies;
     uint64_t handles = 0;
