coordinator: evacuate failure domains

RunnerPool leaves the domain's runners out of every choice, of copies, backups and continuations too; runs that have begun there go on. A gateway never goes back to an older state.

--- a/src/gateway/coordinator.cpp
+++ b/src/gateway/coordinator.cpp
@@ -122,6 +122,7 @@
 void Coordinator::start()
 {
     this->configStore.onChange([this] { this->applyConfig(); });
+    this->configStore.onEvacuation([this] { this->applyEvacuations(); });
     if (this->fleetReader)
         this->fleetReader->onUpdate([this] { this->handleFleetUpdate(); });
     this->replica->onChange([this] {
@@ -194,11 +195,13 @@
         co_return co_await this->writeConfig(std::move(request.body()));
     if (this->format.isConfigRead(request))
         co_return co_await this->readConfig();
+    if (auto change = this->format.decodeEvacuation(request))
+        co_return co_await this->changeEvacuation(std::move(*change), std::string(request.target()));
     co_return makeResponse(404, R"({"error":"no such call"})");
 }
 
 HttpResponse Coordinator::leadershipErrorResponse(const ProposalError &error, std::string_view call,
-                                                  uint64_t version) const
+                                                  uint64_t version, std::string_view path) const
 {
     const std::string leader = this->replica->leaderAddress();
     const RaftStatus status = this->replica->status();
@@ -210,7 +213,7 @@
     if (error.kind == raft::RequestErrorKind::NotLeader && !leader.empty() && this->settings.operatorListen) {
         HttpResponse response = makeResponse(307, R"({"error":"another member leads"})");
         const std::string address = replacePort(leader, this->settings.operatorListen->port);
-        response.set(http::field::location, "http://" + address + this->format.configPath());
+        response.set(http::field::location, "http://" + address + std::string(path));
         return response;
     }
     return makeResponse(503, R"({"error":"no lead at this member"})");
@@ -235,7 +238,7 @@
     };
     auto result = co_await awaitIndex(this->io, start);
     if (const auto *error = std::get_if<ProposalError>(&result))
-        co_return this->leadershipErrorResponse(*error, "write", version);
+        co_return this->leadershipErrorResponse(*error, "write", version, this->format.configPath());
     logInfo("configuration-acknowledged", {{"version", std::to_string(version)},
                                            {"in_force", std::to_string(this->configStore.version())},
                                            {"index", std::to_string(std::get<LogIndex>(result))}});
@@ -249,7 +252,8 @@
     };
     auto result = co_await awaitIndex(this->io, start);
     if (const auto *error = std::get_if<ProposalError>(&result))
-        co_return this->leadershipErrorResponse(*error, "read", this->configStore.version());
+        co_return this->leadershipErrorResponse(*error, "read", this->configStore.version(),
+                                                this->format.configPath());
     // Checks the lease again right before the response, since this process may have been suspended meanwhile.
     if (!this->replica->status().hasLease)
         co_return makeResponse(503, R"({"error":"the lead may have ended"})");
@@ -258,6 +262,34 @@
     co_return makeResponse(200, this->configStore.body());
 }
 
+asio::awaitable<HttpResponse> Coordinator::changeEvacuation(EvacuationChange change, std::string target)
+{
+    const std::vector<std::string> &domains = this->settings.knownDomains;
+    const bool isKnown = domains.empty() || std::ranges::find(domains, change.domain) != domains.end();
+    // The end of an evacuation is accepted for any domain, so that one can be withdrawn whose name is gone.
+    if (change.isEvacuated && !isKnown) {
+        logWarning("evacuation-refused", {{"domain", change.domain}, {"cause", "unknown-domain"}});
+        co_return makeResponse(404, R"({"error":"unknown failure domain"})");
+    }
+    const auto start = [this, &change](Replicator::IndexCallback callback) {
+        // Also if it is in force already: another change may be on its way to the log.
+        this->replica->propose(ConfigStore::encode(change), std::move(callback));
+    };
+    auto result = co_await awaitIndex(this->io, start);
+    if (const auto *error = std::get_if<ProposalError>(&result))
+        co_return this->leadershipErrorResponse(*error, "evacuation", this->configStore.version(), target);
+    logInfo("evacuation-acknowledged", {{"domain", change.domain},
+                                        {"evacuated", change.isEvacuated ? "yes" : "no"},
+                                        {"index", std::to_string(std::get<LogIndex>(result))}});
+    co_return makeResponse(200, "{}");
+}
+
+void Coordinator::applyEvacuations()
+{
+    this->scheduler.setEvacuations(this->configStore.evacuations());
+    this->exchange.wakeAll();
+}
+
 std::string Coordinator::leaderExchangeAddress() const
 {
     const std::string leader = this->replica->leaderAddress();
@@ -348,6 +380,7 @@
     status.leaderAddress = this->leaderExchangeAddress();
     status.domain = this->settings.domain;
     status.configVersion = this->configStore.version();
+    status.evacuations = this->configStore.evacuations();
     this->exchange.fillStatus(status, gateway, isFleetKnown());
     const uint64_t knownVersion = gateway.crashSource == status.fleetSource ? gateway.crashVersion : 0;
     status.refusals = this->crashRecords.refusalsSince(knownVersion, steadyNow());
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -47,9 +47,13 @@
 
     boost::asio::awaitable<HttpResponse> writeConfig(std::string body);
     boost::asio::awaitable<HttpResponse> readConfig();
+    /// Replicates the change and acknowledges it. target is the path of the request.
+    boost::asio::awaitable<HttpResponse> changeEvacuation(EvacuationChange change, std::string target);
+    /// Excludes the runners of evacuated failure domains from placements and tells all gateways.
+    void applyEvacuations();
     /// Response to an operator's request that failed for lack of leadership.
-    HttpResponse leadershipErrorResponse(const ProposalError &error, std::string_view call,
-                                         uint64_t version) const;
+    HttpResponse leadershipErrorResponse(const ProposalError &error, std::string_view call, uint64_t version,
+                                         std::string_view path) const;
     boost::asio::awaitable<HttpResponse> handleStatus(std::string body);
     /// Merges a gateway's reports. Tells all gateways at once if that changes which requests are refused.
     void mergeCrashReports(const GatewayStatus &gateway);
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -281,6 +281,9 @@
         this->fleetSource = status.fleetSource;
         this->gateway.runners.applyChanges(*status.fleet, now);
     }
+    if (this->gateway.runners.setEvacuations(status.evacuations))
+        logInfo("evacuation-changed", {{"domains", status.evacuations.describe()},
+                                       {"sequence", std::to_string(status.evacuations.sequence)}});
     this->gateway.runners.setOtherLoad(status.otherLoads);
     this->gateway.runners.setMemoryUtilization(status.memoryUtilization);
     this->gateway.handleFleetUpdate();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -362,6 +362,8 @@
               {"crashes", toJson(status.refusals.reports)}};
     if (status.fleet)
         json["fleet"] = toJson(*status.fleet);
+    if (status.evacuations.sequence > 0)
+        json["evacuations"] = {status.evacuations.sequence, status.evacuations.domains};
     return encode(json);
 }
 
@@ -383,6 +385,11 @@
             status.fleet = changesFrom(*fleet);
         if (const auto crashes = json.find("crashes"); crashes != json.end())
             status.refusals = {json.at("crash_version"), crashReportsFrom(*crashes)};
+        if (const auto evacuations = json.find("evacuations"); evacuations != json.end()) {
+            status.evacuations.sequence = evacuations->at(0);
+            for (const Json &domain : evacuations->at(1))
+                status.evacuations.domains.insert(domain.get<std::string>());
+        }
         return status;
     });
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -77,6 +77,8 @@
     std::map<std::string, double, std::less<>> memoryUtilization;
     /// Changes of the requests that are refused by all gateways, since the gateway's version.
     CrashChanges refusals;
+    /// Evacuated failure domains. Older coordinators do not send them; older gateways ignore them.
+    Evacuations evacuations;
 };
 
 /// Response of a coordinator to a gateway that waits for a configuration.
--- a/src/gateway/generationscheduler.h
+++ b/src/gateway/generationscheduler.h
@@ -22,6 +22,8 @@
     using Engines = std::map<std::string, EngineTraits, std::less<>>;
     void setEngines(Engines engines) { this->engineTraits = std::move(engines); }
     void setFleet(std::span<const RunnerEntry> entries);
+    /// Places nothing at runners of the evacuated failure domains.
+    void setEvacuations(const Evacuations &evacuations) { this->runners.setEvacuations(evacuations); }
     /// Records a gateway's own load, and places generations that wait for memory.
     void updateGateway(std::string_view gateway, RunnerLoads loads);
     /// Stops the timer.
--- a/src/gateway/nodesettings.h
+++ b/src/gateway/nodesettings.h
@@ -18,6 +18,8 @@
     std::string name;
     /// Failure domain of the VM.
     std::string domain;
+    /// Failure domains of the whole system; empty if they are not known.
+    std::vector<std::string> knownDomains;
     /// Address of the VM, at which the other processes reach this one.
     std::string ip;
     /// Where a gateway accepts requests of callers.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -172,7 +172,7 @@
         }
         RunnerPool::RunnerPointer runner =
                 placement ? this->gateway.runners.find(placement->runnerId) : nullptr;
-        if (runner && !runner->entry.isExpectedToLeave() &&
+        if (runner && this->gateway.runners.acceptsMoves(*runner, steadyNow()) &&
             !this->gateway.runners.nextSend(*runner, steadyNow()))
             co_return runner;
         bool isFull = placement && placement->runnerId.empty();
@@ -642,13 +642,6 @@
            steadyNow() - *this->lastEventAt > TrickleTimeout;
 }
 
-RunStage StreamSession::runStage() const
-{
-    const bool isRunning = this->runFirstEventAt && this->lastEventAt &&
-                           *this->lastEventAt - *this->runFirstEventAt >= BeginningTime;
-    return isRunning ? RunStage::Running : RunStage::Beginning;
-}
-
 void StreamSession::recordEvents(uint64_t previousCount)
 {
     const TimePoint now = steadyNow();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -177,7 +177,12 @@
     /// memory; empty otherwise.
     RunnerLoadReservation chooseBackup(const RunnerPool::Runner &primary) const;
     /// Stage of the run whose events are forwarded.
-    RunStage runStage() const;
+    RunStage runStage() const
+    {
+        const bool isRunning = this->runFirstEventAt && this->lastEventAt &&
+                               *this->lastEventAt - *this->runFirstEventAt >= BeginningTime;
+        return isRunning ? RunStage::Running : RunStage::Beginning;
+    }
     /// Updates times and loads after complete events arrived; previousCount is the number of events before
     /// them.
     void recordEvents(uint64_t previousCount);
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -94,8 +94,8 @@
 bool StreamSession::isBackupReachable() const
 {
     const RunnerPool::RunnerPointer &backupRunner = this->backup.runner();
-    return backupRunner && !backupRunner->entry.isExpectedToLeave() && !backupRunner->entry.isUnresponsive &&
-           !this->gateway.runners.isPaused(*backupRunner, steadyNow());
+    return backupRunner && !backupRunner->entry.isUnresponsive &&
+           this->gateway.runners.acceptsMoves(*backupRunner, steadyNow());
 }
 
 std::optional<StreamSession::Destination> StreamSession::backupDestination() const
@@ -104,7 +104,7 @@
     if (!runner)
         return std::nullopt;
     // The runner may have restarted under the same id and lost the backup.
-    if (this->gateway.runners.find(runner->entry.id) != runner)
+    if (this->gateway.runners.find(runner->entry.id) != runner || this->gateway.runners.isEvacuated(*runner))
         return std::nullopt;
     return Destination{runner,
                        this->gateway.format.copyReference(runner->entry.address, this->context.metadata.id),
@@ -180,8 +180,8 @@
 
 bool StreamSession::isCopyUsable() const
 {
-    return this->hasCopy() && !this->copy->destination.runner->entry.isExpectedToLeave() &&
-           !this->gateway.runners.isPaused(*this->copy->destination.runner, steadyNow());
+    return this->hasCopy() &&
+           this->gateway.runners.acceptsMoves(*this->copy->destination.runner, steadyNow());
 }
 
 void StreamSession::handleRunnerLeaving(const StopForecast &stop)
@@ -191,8 +191,8 @@
         !this->forwardedConnection || engine == nullptr || this->failedSwitches >= MaxFailedSwitches ||
         steadyNow() < this->nextMigrationAt)
         return;
-    const bool hasBackup = this->backup.runner() && !this->backup.runner()->entry.isExpectedToLeave() &&
-                           !this->gateway.runners.isPaused(*this->backup.runner(), steadyNow());
+    const bool hasBackup =
+            this->backup.runner() && this->gateway.runners.acceptsMoves(*this->backup.runner(), steadyNow());
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
     LeavingGeneration generation{this->remainingTokens(),
                                  this->generatedTokens(),
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -195,6 +195,8 @@
     virtual bool isConfigRead(const RequestHeader &header) const = 0;
     /// Whether the header is that of an operator's request to replace the configuration.
     virtual bool isConfigWrite(const RequestHeader &header) const = 0;
+    /// The change of an evacuation that an operator's request asks for; nothing if it is another request.
+    virtual std::optional<EvacuationChange> decodeEvacuation(const RequestHeader &header) const = 0;
     /// Path of the requests that read and replace the configuration.
     virtual std::string configPath() const = 0;
 };
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -6,6 +6,7 @@
 #include "libgateway/coordinatordirectory.h"
 #include "libgateway/crashblame.h"
 #include "libgateway/crashrecords.h"
+#include "libgateway/evacuations.h"
 #include "libgateway/eventsplitter.h"
 #include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
--- a/src/libgateway/runnerpool.cpp
+++ b/src/libgateway/runnerpool.cpp
@@ -140,7 +140,7 @@
     for (const auto &[id, runner] : this->runnersById) {
         if (runner->entry.service != service)
             continue;
-        if (!runner->entry.isLeaving)
+        if (!runner->entry.isLeaving && !this->isEvacuated(*runner))
             return false;
         isAnyKnown = true;
     }
@@ -202,9 +202,10 @@
     return this->pauses.removeReplaced(isReplaced, now);
 }
 
-bool RunnerPool::isUsable(const Runner &runner, const RunnerCriteria &criteria)
+bool RunnerPool::isUsable(const Runner &runner, const RunnerCriteria &criteria) const
 {
     return runner.entry.service == criteria.service && !runner.entry.isExpectedToLeave() &&
+           !this->isEvacuated(runner) &&
            (criteria.excluded == nullptr || !criteria.excluded->contains(runner.entry.id));
 }
 
@@ -216,7 +217,7 @@
     double capacity = 0;
     for (const auto &[id, runner] : this->runnersById) {
         if (runner->entry.service != service || runner->entry.isExpectedToLeave() ||
-            runner->entry.isUnresponsive)
+            runner->entry.isUnresponsive || this->isEvacuated(*runner))
             continue;
         RunnerLoad load = runner->ownLoad;
         load += runner->otherLoad;
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libgateway/evacuations.h"
 #include "libgateway/fleetchangelog.h"
 #include "libgateway/fleetload.h"
 #include "libgateway/leavingrunners.h"
@@ -132,9 +133,15 @@
     bool hasStatedLeaving(const RunnerEntry &entry) const { return this->statedLeaving.contains(entry); }
     /// The runners in the list that have stated in an answer that they are leaving.
     std::vector<RunnerIncarnation> listedLeaving() const;
-    /// Whether runners of the service are known and all of them are leaving.
+    /// Whether runners of the service are known and all of them are leaving or evacuated.
     bool areAllLeaving(std::string_view service) const;
 
+    /// Excludes the runners of evacuated failure domains from now on, unless the state is older than the
+    /// known one. Runs that have begun there go on. Returns whether anything changed.
+    bool setEvacuations(const Evacuations &state) { return this->evacuations.update(state); }
+    /// Whether the runner's failure domain is evacuated, so that it gets no new requests.
+    bool isEvacuated(const Runner &runner) const { return this->evacuations.contains(runner.entry.domain); }
+
     /// Records that a runner has asked for a pause in its answer to one of gatewayCount gateways.
     RunnerPauses::Change recordPause(const Runner &runner, Duration pause, uint32_t gatewayCount,
                                      TimePoint now, Random &random);
@@ -143,6 +150,12 @@
     {
         return this->pauses.isPaused(runner.entry, now);
     }
+    /// Whether a run may be moved to the runner: it neither leaves nor pauses, and is not evacuated.
+    bool acceptsMoves(const Runner &runner, TimePoint now) const
+    {
+        return !runner.entry.isExpectedToLeave() && !this->isEvacuated(runner) &&
+               !this->isPaused(runner, now);
+    }
     /// Returns when the next request may be sent to a runner that pauses, or that has paused and gets its
     /// requests back one by one; nothing if at once.
     std::optional<TimePoint> nextSend(const Runner &runner, TimePoint now) const;
@@ -191,8 +204,8 @@
     static double costOf(const Runner &runner, const RunnerCriteria &criteria,
                          const MemoryForecast &requiredMemory, const EngineTraits *engine, TimePoint now);
 
-    /// Whether the runner belongs to the service, is not excluded and does not leave.
-    static bool isUsable(const Runner &runner, const RunnerCriteria &criteria);
+    /// Whether the runner belongs to the service, is not excluded and neither leaves nor is evacuated.
+    bool isUsable(const Runner &runner, const RunnerCriteria &criteria) const;
 
     /// Returns the runner's object, which keeps its state unless the runner was restarted.
     RunnerPointer updatedRunner(const RunnerEntry &entry, TimePoint now) const;
@@ -200,6 +213,7 @@
     std::map<std::string, RunnerPointer, std::less<>> runnersById;
     std::map<std::string, double, std::less<>> knownUtilization;
     LeavingRunners statedLeaving;
+    Evacuations evacuations;
     RunnerPauses pauses;
 };
 
