--- a/src/libgateway/crashrecords.cpp
+++ b/src/libgateway/crashrecords.cpp
@@ -255,10 +255,11 @@
         for (const auto &[runner, requests] : suspect.requestsByRunner) {
             const auto found = record.crashes.find(runner);
             // A part of the same request is no other explanation.
-            const bool explains = found != record.crashes.end() && !found->second.isAnswered &&
-                                  std::ranges::none_of(found->second.requests, [&](uint64_t request) {
-                                      return requests.contains(request);
-                                  });
+            const bool explains =
+                    found != record.crashes.end() && !found->second.isAnswered &&
+                    std::ranges::none_of(found->second.requests, [&known = requests](uint64_t request) {
+                        return known.contains(request);
+                    });
             if (!explains && ++unexplained > MaxCrashDifference)
                 return false;
         }
