--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -677,6 +677,7 @@
     };
     const GenerationSize size = this->size();
     return {{"events", std::to_string(this->splitter.eventCount())},
+            {"framing", this->isUnframed ? "none" : "length-or-chunks"},
             {"prompt_tokens", std::to_string(std::lround(size.promptTokens))},
             {"estimated_tokens", std::to_string(std::lround(size.outputTokens))},
             {"max_tokens", std::to_string(std::lround(size.maxOutputTokens))},
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -65,11 +65,14 @@
 // Shortest wait of the stall watch for its next check.
 constexpr Duration MinStallCheckDelay = std::chrono::milliseconds{1};
 
-void logRunEnd(std::string_view requestId, std::string_view runnerId, unsigned status)
+void logRunEnd(std::string_view requestId, std::string_view runnerId, unsigned status,
+               std::string_view purpose, TimePoint calledAt)
 {
     logInfo("run-ended-by-call", {{"request", std::string(requestId)},
                                   {"runner", std::string(runnerId)},
-                                  {"status", std::to_string(status)}});
+                                  {"status", std::to_string(status)},
+                                  {"purpose", std::string(purpose)},
+                                  {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
 }
 
 } // namespace
@@ -310,9 +313,11 @@
               [&state = this->gateway, source = this->load.runner(),
                request = CopyRequest{this->context.metadata.id, this->copy->destination.runner->entry.address,
                                      true}]() -> asio::awaitable<void> {
+                  const TimePoint calledAt = steadyNow();
                   const std::optional<HttpResponse> response =
                           co_await state.requestCopy(source, request, CopyTimeout);
-                  logRunEnd(request.requestId, source->entry.id, response ? response->result_int() : 0);
+                  logRunEnd(request.requestId, source->entry.id, response ? response->result_int() : 0,
+                            "copy", calledAt);
               });
 }
 
@@ -327,12 +332,14 @@
     boost::system::error_code ignored;
     asio::steady_timer delay(gateway.io);
     Duration wait = RunEndDelay;
+    TimePoint calledAt{};
     std::optional<HttpResponse> response;
     for (int call = 0; call < MaxRunEndCalls; ++call) {
         delay.expires_after(std::exchange(wait, RunEndRetryDelay));
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
             co_return;
+        calledAt = steadyNow();
         response = co_await gateway.requestCopy(runner, request, RunEndTimeout);
         if (!response || response->result() != http::status::conflict)
             break;
@@ -340,7 +347,7 @@
     // Most runners have ended the run with its connection.
     if (!response || response->result() == http::status::not_found)
         co_return;
-    logRunEnd(request.requestId, runner->entry.id, response->result_int());
+    logRunEnd(request.requestId, runner->entry.id, response->result_int(), "stream-left", calledAt);
     const auto copyResult = gateway.format.decodeCopyResult(response->body());
     if (const auto *copied = std::get_if<CopyResult>(&copyResult); copied && copied->handle != keptHandle)
         co_await gateway.releaseCopy(runner->entry.address, copied->handle);
