gateway: judge the end of an unframed stream by the calls that stop its run

Cause: forwardEvents() derived the end of the run from the bytes alone; that the gateway had ordered the end itself was known and not asked. Class: an effect of our own action is read as a statement of the peer.

Change: RunStopCalls keeps the calls that stop runs of a request and judges the end of a response by them and their replies: no such run means complete, stopped or no reply mean that the generation continues from its copy, its backup or the runner itself, by the handle that the reply names. While no reply has come, 50 ms are waited. If nobody continues it, a late reply that the run had ended still completes the response. A leaving runner that closes such a stream without a call is asked. A call for an earlier run that may meet a later one at the same runner counts as well.

Why it works: a stop that was ordered and not confirmed can no longer pass for a completion.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -86,6 +86,7 @@
     , retryController(this->context.route->isIdempotent(), this->context.route->maxAttempts,
                       this->context.deadline)
     , stallDetector(stallTimeout(*this->context.route))
+    , stopReplied(state.io)
     , copyingDone(state.io)
 {
     this->copyingDone.expires_at(std::chrono::steady_clock::time_point::max());
@@ -232,6 +233,7 @@
         RelayResult result = co_await this->relay();
         const bool isHealthy = result.relayOutcome == RelayOutcome::Complete ||
                                result.relayOutcome == RelayOutcome::CallerDisconnected ||
+                               result.relayOutcome == RelayOutcome::Stopped ||
                                this->current.runner->entry.isExpectedToLeave() || this->copy.has_value() ||
                                this->isCopying;
         // A runner that asks for a pause is sound.
@@ -271,6 +273,11 @@
             continue;
         }
         if (this->writer.isResponseStarted()) {
+            const bool isComplete = co_await this->isDoubtfulEndComplete();
+            if (isComplete && co_await this->completeResponse() == RelayOutcome::Complete) {
+                this->recordEnd(200, "complete");
+                co_return;
+            }
             this->recordEnd(0, this->failureCause(result.cause));
             this->writer.abort();
             co_return;
@@ -490,6 +497,7 @@
     this->runFirstEventAt.reset();
     this->arePartsServed = false;
     this->isEndRequested = false;
+    this->runSentAt = stream.sentAt;
     this->stoppedSource.reset();
     this->requestedSwitch.reset();
     this->activeConnection = stream.connection;
@@ -617,23 +625,18 @@
         if (this->isTrickling())
             this->requestSwitch(SwitchReason::Stall);
     }
-    // Without a length or chunks only the events tell whether the runner has closed the connection too early.
-    this->isUnframed = stream.parser->need_eof();
-    const bool isCutShort = this->splitter.hasPartialEvent() || (this->isUnframed && !this->runFirstEventAt);
-    if (this->isUnframed)
-        this->recordLostRun(this->load.runner()->entry, this->runStage(),
-                            isCutShort ? RunLoss::BrokenOff : RunLoss::EndedUnframed);
-    if (isCutShort)
+    this->forwardedConnection.reset();
+    const RunEnd end = co_await this->judgeRunEnd(stream);
+    if (end == RunEnd::CutShort)
         co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "event-cut-short", std::nullopt};
-    if (!this->isUnframed)
-        this->recordServedParts();
-    const bool isEnded = co_await this->writer.endStream();
+    if (end != RunEnd::Complete)
+        co_return RelayResult{RelayOutcome::Stopped, SendOutcome::Unknown, "run-stopped", std::nullopt};
+    const RelayOutcome outcome = co_await this->completeResponse();
     ResponseMetadata metadata = stream.metadata;
-    metadata.isClosing = metadata.isClosing || stream.parser->need_eof() || !stream.parser->keep_alive();
-    if (isEnded)
+    metadata.isClosing = metadata.isClosing || this->isUnframed || !stream.parser->keep_alive();
+    if (outcome == RelayOutcome::Complete)
         this->gateway.connections.release(stream.connection, metadata);
-    co_return RelayResult{isEnded ? RelayOutcome::Complete : RelayOutcome::CallerDisconnected,
-                          SendOutcome::Answered, "complete", std::nullopt};
+    co_return RelayResult{outcome, SendOutcome::Answered, "complete", std::nullopt};
 }
 
 bool StreamSession::isTrickling() const
@@ -645,6 +648,7 @@
 void StreamSession::recordEvents(uint64_t previousCount)
 {
     const TimePoint now = steadyNow();
+    this->doubtfulEnd.reset();
     if (!this->runFirstEventAt)
         this->runFirstEventAt = now;
     if (this->load.runner() && this->load.runner()->entry.isExpectedToLeave())
@@ -664,12 +668,6 @@
     this->load.setMemory(this->expectedMemory());
 }
 
-void StreamSession::recordServedParts()
-{
-    if (!std::exchange(this->arePartsServed, true))
-        this->gateway.recordServedParts(this->promptParts(), this->context.metadata.id);
-}
-
 std::vector<LogField> StreamSession::endLogFields() const
 {
     const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -39,6 +39,7 @@
         Stalled,
         Refused,
         Withheld, ///< Nothing was sent, for a reason that says nothing about the runner's health.
+        Stopped,  ///< The runner has stopped the run on a call, or closed the stream as it does then.
         CallerDisconnected
     };
 
@@ -81,6 +82,10 @@
         std::optional<HttpResponse> response;
     };
 
+    /// Share of a runner's memory up to which it takes copies. Generations from leaving runners may use a
+    /// little more than others, since they are lost otherwise.
+    static constexpr double CopyMemoryLimit = 0.97;
+
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     /// The response of a runner that has accepted the request; its body follows.
@@ -140,17 +145,37 @@
     bool hasCopy() const;
     /// Whether the generation could continue from the copy now.
     bool isCopyUsable() const;
+    /// The runner that has stopped the run on a call, to continue there after others have refused. Waits for
+    /// its reply, which names what it keeps. Nothing if there is none, or if the run was complete.
+    boost::asio::awaitable<std::optional<Destination>> takeStoppedSource();
     /// Asks the runner, whose connection is closed, to end the run: not all runners do so by themselves.
     /// nextRunner has taken the stream over; nullptr if none has.
     void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner);
+    /// Calls the runner to end the run and returns its reply.
+    static boost::asio::awaitable<RunStopReply> callRunStop(GatewayState &gateway,
+                                                            RunnerPool::RunnerPointer runner,
+                                                            CopyRequest request, std::string_view purpose);
     /// The calls for endRun(). Does nothing if the stream has gone on at the same runner meanwhile. Does not
     /// free the copy with the name keptHandle, from which the stream continues.
     static boost::asio::awaitable<void> requestRunEnd(GatewayState &gateway,
                                                       std::weak_ptr<StreamSession> stream,
                                                       RunnerPool::RunnerPointer runner, CopyRequest request,
                                                       std::string keptHandle);
-    /// Asks the current runner, which is leaving, to end the run, so that the stream continues from the copy.
-    void endRunForCopy();
+    /// Asks the current runner, which is leaving, to end the run. purpose is for the log.
+    void stopRun(std::string_view purpose);
+    /// Takes note of the reply to a call of stopCalls.
+    void recordStopReply(size_t call, RunStopReply reply);
+    /// Decides whether the run has ended with its response. Waits a moment for a reply that tells.
+    boost::asio::awaitable<RunEnd> judgeRunEnd(const RunnerStream &stream);
+    /// Whether the runner is leaving and can tell whether a run of its own has ended.
+    bool canCheckRunEnd(const RunnerPool::Runner &runner) const;
+    /// Whether the last run was complete, after all, though the stream was to continue; waits for the reply
+    /// that tells.
+    boost::asio::awaitable<bool> isDoubtfulEndComplete();
+    /// Waits for a reply to a call that ends a run, but not for long.
+    boost::asio::awaitable<void> waitForStopReply();
+    /// Ends the response to the caller.
+    boost::asio::awaitable<RelayOutcome> completeResponse();
     /// Runner for a copy of the KV cache, with at most the given share of its memory in use; nullptr if there
     /// is none.
     RunnerPool::RunnerPointer chooseCopyDestination(const RunnerPool::Runner &source, std::string_view domain,
@@ -246,8 +271,15 @@
     std::optional<Copy> copy;
     /// The current runner has been called to end the run.
     bool isEndRequested = false;
-    /// The runner that has ended the run for the copy from which the stream continues, with the reference to
-    /// its KV cache, until that has succeeded.
+    RunStopCalls stopCalls;
+    /// When the request was sent to the current runner.
+    TimePoint runSentAt{};
+    /// The end of the last run, if it may have been complete; until another run continues the stream.
+    std::optional<ReceivedEnd> doubtfulEnd;
+    /// Cancelled when there is a reply to a call of stopCalls.
+    boost::asio::steady_timer stopReplied;
+    /// The runner that has ended the run on a call, with the reference to its KV cache if that is known,
+    /// until the stream goes on.
     std::optional<Destination> stoppedSource;
     /// Cancelled when copyToAnotherRunner() ends.
     boost::asio::steady_timer copyingDone;
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-// Generations from leaving runners may use a little more, since they are lost otherwise.
-constexpr double CopyMemoryLimit = 0.97;
 // Backups are made only while all runners together, and the one that keeps the backup, have plenty of free
 // memory.
 constexpr double BackupFleetMemoryLimit = 0.4;
@@ -48,15 +46,6 @@
 // A copy whose source has stopped is complete after this time or never will be.
 constexpr Duration CopyingWait = std::chrono::milliseconds{150};
 
-// A runner that ends a run with its connection has done so after this time. Two runners may work on one
-// request for 400 ms, as specified by the users; this and MaxRunnerOverlap leave time for the call.
-constexpr Duration RunEndDelay = std::chrono::milliseconds{80};
-// A runner that copies the run for another call asks for one more try.
-constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
-constexpr int MaxRunEndCalls = 3;
-// A runner that stands still answers when it goes on.
-constexpr Duration RunEndTimeout = std::chrono::milliseconds{2500};
-
 constexpr Duration ContinuationRetryDelay = std::chrono::milliseconds{40};
 
 // Bounds the switches of a stream that fail, each of which holds up its events for a moment.
@@ -65,16 +54,6 @@
 // Shortest wait of the stall watch for its next check.
 constexpr Duration MinStallCheckDelay = std::chrono::milliseconds{1};
 
-void logRunEnd(std::string_view requestId, std::string_view runnerId, unsigned status,
-               std::string_view purpose, TimePoint calledAt)
-{
-    logInfo("run-ended-by-call", {{"request", std::string(requestId)},
-                                  {"runner", std::string(runnerId)},
-                                  {"status", std::to_string(status)},
-                                  {"purpose", std::string(purpose)},
-                                  {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
-}
-
 } // namespace
 
 RunnerLoadReservation StreamSession::chooseBackup(const RunnerPool::Runner &primary) const
@@ -127,18 +106,20 @@
     if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
         const FailedSwitch failedSwitch{failed.outcome, true, ++this->refusedContinuations, false};
         if (planFailedSwitch(failedSwitch) != SwitchStep::Retry)
-            co_return std::exchange(this->stoppedSource, std::nullopt);
+            co_return co_await this->takeStoppedSource();
         asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return previous;
     }
     this->refusedContinuations = 0;
     if (this->stoppedSource && isCertainlyNotRun(failed.outcome))
-        co_return std::exchange(this->stoppedSource, std::nullopt);
+        co_return co_await this->takeStoppedSource();
+    if (std::exchange(this->isEndRequested, false)) {
+        std::string reference = this->copy ? this->copy->destination.continueFrom : std::string{};
+        this->stoppedSource = Destination{this->current.runner, std::move(reference), "source", true};
+    }
     if (this->hasCopy()) {
         const Destination destination = this->copy->destination;
-        if (this->isEndRequested)
-            this->stoppedSource = Destination{this->current.runner, destination.continueFrom, "source", true};
         this->copy.reset();
         this->gateway.metrics.countContinuation(std::string(destination.method), true);
         co_return destination;
@@ -154,6 +135,8 @@
         auto destination = this->backupDestination();
         this->backup.release();
         this->gateway.metrics.countContinuation("backup", destination.has_value());
+        if (!destination)
+            co_return co_await this->takeStoppedSource();
         co_return destination;
     }
     if (!isResponseStarted) {
@@ -227,7 +210,7 @@
         return;
     }
     if (action == MigrationAction::EndRun) {
-        this->endRunForCopy();
+        this->stopRun("copy");
         return;
     }
     this->isCopying = true;
@@ -289,70 +272,6 @@
     this->copyingDone.cancel();
 }
 
-void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
-{
-    const EngineTraits *engine = this->context.engine();
-    if (engine == nullptr || !engine->supportsMigration)
-        return;
-    // The protocol ends a run only together with a copy of its KV cache, which is freed at once. The runner
-    // that continues the generation keeps most of it already.
-    const RunnerPool::RunnerPointer other =
-            nextRunner ? nullptr
-                       : this->chooseCopyDestination(*runner, runner->entry.domain, CopyMemoryLimit);
-    const RunnerPool::Runner &destination = nextRunner ? *nextRunner : other ? *other : *runner;
-    spawnTask(this->gateway.io, "run-end",
-              requestRunEnd(this->gateway, this->weak_from_this(), runner,
-                            {this->context.metadata.id, destination.entry.address, true},
-                            this->copy ? this->copy->handle : std::string{}));
-}
-
-void StreamSession::endRunForCopy()
-{
-    this->isEndRequested = true;
-    spawnTask(this->gateway.io, "run-end",
-              [&state = this->gateway, source = this->load.runner(),
-               request = CopyRequest{this->context.metadata.id, this->copy->destination.runner->entry.address,
-                                     true}]() -> asio::awaitable<void> {
-                  const TimePoint calledAt = steadyNow();
-                  const std::optional<HttpResponse> response =
-                          co_await state.requestCopy(source, request, CopyTimeout);
-                  logRunEnd(request.requestId, source->entry.id, response ? response->result_int() : 0,
-                            "copy", calledAt);
-              });
-}
-
-asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
-                                                   RunnerPool::RunnerPointer runner, CopyRequest request,
-                                                   std::string keptHandle)
-{
-    const auto hasReturned = [&] {
-        const auto session = stream.lock();
-        return session && session->activeConnection && session->lastRunnerId == runner->entry.id;
-    };
-    boost::system::error_code ignored;
-    asio::steady_timer delay(gateway.io);
-    Duration wait = RunEndDelay;
-    TimePoint calledAt{};
-    std::optional<HttpResponse> response;
-    for (int call = 0; call < MaxRunEndCalls; ++call) {
-        delay.expires_after(std::exchange(wait, RunEndRetryDelay));
-        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
-            co_return;
-        calledAt = steadyNow();
-        response = co_await gateway.requestCopy(runner, request, RunEndTimeout);
-        if (!response || response->result() != http::status::conflict)
-            break;
-    }
-    // Most runners have ended the run with its connection.
-    if (!response || response->result() == http::status::not_found)
-        co_return;
-    logRunEnd(request.requestId, runner->entry.id, response->result_int(), "stream-left", calledAt);
-    const auto copyResult = gateway.format.decodeCopyResult(response->body());
-    if (const auto *copied = std::get_if<CopyResult>(&copyResult); copied && copied->handle != keptHandle)
-        co_await gateway.releaseCopy(runner->entry.address, copied->handle);
-}
-
 void StreamSession::requestSwitch(SwitchReason reason)
 {
     const TimePoint earliest = reason == SwitchReason::Stall ? this->nextResumeAt : this->nextMigrationAt;
--- /dev/null
+++ b/src/gateway/streamsession_runend.cpp
@@ -0,0 +1,216 @@
+#include "gateway/streamsession.h"
+
+#include "eelgrasslift/logging.h"
+#include "gateway/clock.h"
+#include "gateway/task.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+// How the runs of a stream end: calls that end them, and what their responses and the replies tell.
+
+namespace eelgrasslift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A runner that ends a run with its connection has done so after this time. Two runners may work on one
+// request for 400 ms, as specified by the users; this and MaxRunnerOverlap leave time for the call.
+constexpr Duration RunEndDelay = std::chrono::milliseconds{80};
+// A runner that copies the run for another call asks for one more try.
+constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
+constexpr int MaxRunEndCalls = 3;
+// A runner that stands still answers when it goes on.
+constexpr Duration RunEndTimeout = std::chrono::milliseconds{2500};
+
+// A runner replies within a round trip that it has no such run. One that has stopped the run replies after
+// the copy; most of the pause limit is left then to continue elsewhere.
+constexpr Duration StopReplyWait = std::chrono::milliseconds{50};
+
+} // namespace
+
+void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
+{
+    const EngineTraits *engine = this->context.engine();
+    if (engine == nullptr || !engine->supportsMigration)
+        return;
+    // The protocol ends a run only together with a copy of its KV cache, which is freed at once. The runner
+    // that continues the generation keeps most of it already.
+    const RunnerPool::RunnerPointer other =
+            nextRunner ? nullptr
+                       : this->chooseCopyDestination(*runner, runner->entry.domain, CopyMemoryLimit);
+    const RunnerPool::Runner &destination = nextRunner ? *nextRunner : other ? *other : *runner;
+    spawnTask(this->gateway.io, "run-end",
+              requestRunEnd(this->gateway, this->weak_from_this(), runner,
+                            {this->context.metadata.id, destination.entry.address, true},
+                            this->copy ? this->copy->handle : std::string{}));
+}
+
+void StreamSession::stopRun(std::string_view purpose)
+{
+    const RunnerPool::RunnerPointer source = this->current.runner;
+    this->isEndRequested = true;
+    const std::string &address =
+            this->copy ? this->copy->destination.runner->entry.address : source->entry.address;
+    const size_t call = this->stopCalls.begin(source->entry.id, steadyNow());
+    spawnTask(this->gateway.io, "run-end",
+              [&state = this->gateway, stream = this->weak_from_this(), source, call, purpose,
+               request = CopyRequest{this->context.metadata.id, address, true}]() -> asio::awaitable<void> {
+                  RunStopReply reply = co_await callRunStop(state, source, request, purpose);
+                  if (const auto session = stream.lock())
+                      session->recordStopReply(call, std::move(reply));
+              });
+}
+
+void StreamSession::recordStopReply(size_t call, RunStopReply reply)
+{
+    this->stopCalls.finish(call, std::move(reply), steadyNow());
+    this->stopReplied.cancel();
+}
+
+asio::awaitable<RunStopReply> StreamSession::callRunStop(GatewayState &gateway,
+                                                         RunnerPool::RunnerPointer runner,
+                                                         CopyRequest request, std::string_view purpose)
+{
+    const TimePoint calledAt = steadyNow();
+    const std::optional<HttpResponse> response = co_await gateway.requestCopy(runner, request, RunEndTimeout);
+    RunStopReply reply = NoRunStatement{};
+    if (response)
+        reply = gateway.format.decodeRunStopReply(response->result_int(), response->body());
+    logInfo("run-ended-by-call", {{"request", request.requestId},
+                                  {"runner", runner->entry.id},
+                                  {"status", std::to_string(response ? response->result_int() : 0)},
+                                  {"reply", std::string(eelgrasslift::toString(reply))},
+                                  {"purpose", std::string(purpose)},
+                                  {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
+    co_return reply;
+}
+
+asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
+                                                   RunnerPool::RunnerPointer runner, CopyRequest request,
+                                                   std::string keptHandle)
+{
+    const auto hasReturned = [&] {
+        const auto session = stream.lock();
+        return session && session->activeConnection && session->lastRunnerId == runner->entry.id;
+    };
+    boost::system::error_code ignored;
+    asio::steady_timer delay(gateway.io);
+    Duration wait = RunEndDelay;
+    RunStopReply reply;
+    for (int calls = 0; calls < MaxRunEndCalls; ++calls) {
+        delay.expires_after(std::exchange(wait, RunEndRetryDelay));
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
+            co_return;
+        auto session = stream.lock();
+        const size_t call = session ? session->stopCalls.begin(runner->entry.id, steadyNow()) : 0;
+        session.reset();
+        reply = co_await callRunStop(gateway, runner, request, "stream-left");
+        session = stream.lock();
+        if (session)
+            session->recordStopReply(call, reply);
+        if (!std::holds_alternative<CopyInProgress>(reply))
+            break;
+    }
+    const auto *stopped = std::get_if<RunStopped>(&reply);
+    if (stopped != nullptr && !stopped->handle.empty() && stopped->handle != keptHandle)
+        co_await gateway.releaseCopy(runner->entry.address, stopped->handle);
+}
+
+asio::awaitable<RunEnd> StreamSession::judgeRunEnd(const RunnerStream &stream)
+{
+    const RunnerPool::RunnerPointer runner = this->load.runner();
+    const ReceivedEnd end{runner->entry.id,
+                          this->runSentAt,
+                          steadyNow(),
+                          stream.parser->need_eof(),
+                          this->runFirstEventAt.has_value(),
+                          this->splitter.hasPartialEvent()};
+    this->isUnframed = end.isUnframed;
+    RunEnd result = this->stopCalls.judge(end);
+    // A runner that is leaving also closes its streams when it stops; its reply to a call tells.
+    if (end.isUnframed && result == RunEnd::Complete && !this->isEndRequested &&
+        this->canCheckRunEnd(*runner)) {
+        this->stopRun("check");
+        result = RunEnd::Pending;
+    }
+    if (result == RunEnd::Pending) {
+        co_await this->waitForStopReply();
+        result = this->stopCalls.judge(end);
+    }
+    if (this->isUnframed && this->isEndRequested)
+        logInfo("run-end-judged", {{"request", this->context.metadata.id},
+                                   {"runner", runner->entry.id},
+                                   {"events", std::to_string(this->splitter.eventCount())},
+                                   {"end", std::string(eelgrasslift::toString(result))}});
+    if (this->isUnframed && result == RunEnd::CutShort)
+        this->recordLostRun(runner->entry, this->runStage(), RunLoss::BrokenOff);
+    else if (this->isUnframed && result != RunEnd::Stopped)
+        this->recordLostRun(runner->entry, this->runStage(), RunLoss::EndedUnframed);
+    else if (result == RunEnd::Complete)
+        this->recordServedParts();
+    if (result != RunEnd::Complete && result != RunEnd::CutShort)
+        this->doubtfulEnd = end;
+    co_return result;
+}
+
+bool StreamSession::canCheckRunEnd(const RunnerPool::Runner &runner) const
+{
+    const EngineTraits *engine = this->context.engine();
+    return engine != nullptr && engine->supportsMigration && runner.entry.isExpectedToLeave() &&
+           !this->gateway.runners.isPaused(runner, steadyNow());
+}
+
+asio::awaitable<bool> StreamSession::isDoubtfulEndComplete()
+{
+    if (!this->doubtfulEnd)
+        co_return false;
+    while (this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Pending && !this->isAbandoned &&
+           this->remainingTime() > Duration::zero())
+        co_await this->waitForStopReply();
+    const RunEnd end = this->stopCalls.judge(*this->doubtfulEnd);
+    co_return end == RunEnd::Complete || end == RunEnd::Unconfirmed;
+}
+
+asio::awaitable<std::optional<StreamSession::Destination>> StreamSession::takeStoppedSource()
+{
+    std::optional<Destination> source = std::exchange(this->stoppedSource, std::nullopt);
+    if (!source)
+        co_return std::nullopt;
+    const std::string &runnerId = source->runner->entry.id;
+    while (this->stopCalls.isPending(runnerId, this->runSentAt) && !this->isAbandoned &&
+           this->remainingTime() > Duration::zero())
+        co_await this->waitForStopReply();
+    if (this->doubtfulEnd && this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Complete)
+        co_return std::nullopt;
+    if (const auto kept = this->stopCalls.keptCopy(runnerId, this->runSentAt))
+        source->continueFrom = this->gateway.format.copyReference(source->runner->entry.address, *kept);
+    if (source->continueFrom.empty())
+        co_return std::nullopt;
+    co_return source;
+}
+
+void StreamSession::recordServedParts()
+{
+    if (!std::exchange(this->arePartsServed, true))
+        this->gateway.recordServedParts(this->promptParts(), this->context.metadata.id);
+}
+
+asio::awaitable<void> StreamSession::waitForStopReply()
+{
+    boost::system::error_code ignored;
+    this->stopReplied.expires_after(StopReplyWait);
+    co_await this->stopReplied.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<StreamSession::RelayOutcome> StreamSession::completeResponse()
+{
+    const bool isEnded = co_await this->writer.endStream();
+    co_return isEnded ? RelayOutcome::Complete : RelayOutcome::CallerDisconnected;
+}
+
+} // namespace eelgrasslift
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -24,6 +24,7 @@
 #include "libgateway/routetable.h"
 #include "libgateway/runnerpauses.h"
 #include "libgateway/runnerpool.h"
+#include "libgateway/runstopcalls.h"
 #include "libgateway/schedulercontact.h"
 #include "libgateway/servingconfig.h"
 #include "libgateway/sharedretrybudget.h"
--- /dev/null
+++ b/src/libgateway/runstopcalls.cpp
@@ -0,0 +1,112 @@
+#include "libgateway/runstopcalls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrasslift {
+
+namespace {
+
+/// Combines what earlier calls tell about the end of a run with the reply to one more call.
+struct EndJudgement
+{
+    RunEnd earlier;
+    /// The call was sent before the response ended, which may have been its effect.
+    bool precedesEnd;
+
+    RunEnd operator()(const RunStopped &) const { return RunEnd::Stopped; }
+    // A runner also replies this if an earlier call has stopped the run.
+    RunEnd operator()(const NoSuchRun &) const { return this->earlier; }
+    // A runner may stop the run before it finds that it is copied already.
+    RunEnd operator()(const CopyInProgress &) const { return (*this)(NoRunStatement{}); }
+    RunEnd operator()(const NoRunStatement &) const
+    {
+        if (this->precedesEnd)
+            return RunEnd::Unknown;
+        return this->earlier == RunEnd::Complete ? RunEnd::Unconfirmed : this->earlier;
+    }
+};
+
+struct ReplyName
+{
+    std::string_view operator()(const RunStopped &) const { return "stopped"; }
+    std::string_view operator()(const NoSuchRun &) const { return "no-such-run"; }
+    std::string_view operator()(const CopyInProgress &) const { return "copy-in-progress"; }
+    std::string_view operator()(const NoRunStatement &) const { return "none"; }
+};
+
+} // namespace
+
+std::string_view toString(const RunStopReply &reply)
+{
+    return std::visit(ReplyName{}, reply);
+}
+
+std::string_view toString(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Complete:
+        return "complete";
+    case RunEnd::CutShort:
+        return "cut-short";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Pending:
+        return "pending";
+    case RunEnd::Unconfirmed:
+        return "unconfirmed";
+    case RunEnd::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+size_t RunStopCalls::begin(std::string_view runnerId, TimePoint calledAt)
+{
+    this->calls.push_back({std::string(runnerId), calledAt});
+    return this->calls.size() - 1;
+}
+
+void RunStopCalls::finish(size_t call, RunStopReply reply, TimePoint repliedAt)
+{
+    this->calls[call].reply = std::move(reply);
+    this->calls[call].repliedAt = repliedAt;
+}
+
+RunEnd RunStopCalls::judge(const ReceivedEnd &end) const
+{
+    if (end.hasPartialEvent || (end.isUnframed && !end.hasEvent))
+        return RunEnd::CutShort;
+    RunEnd result = RunEnd::Complete;
+    if (!end.isUnframed)
+        return result;
+    for (const Call &call : this->calls) {
+        if (!call.concerns(end.runnerId, end.sentAt))
+            continue;
+        if (call.reply)
+            result = std::visit(EndJudgement{result, call.calledAt <= end.endedAt}, *call.reply);
+        else if (result != RunEnd::Unknown)
+            result = RunEnd::Pending;
+        if (result == RunEnd::Stopped)
+            break;
+    }
+    return result;
+}
+
+bool RunStopCalls::isPending(std::string_view runnerId, TimePoint sentAt) const
+{
+    return std::ranges::any_of(
+            this->calls, [&](const Call &call) { return !call.reply && call.concerns(runnerId, sentAt); });
+}
+
+std::optional<std::string> RunStopCalls::keptCopy(std::string_view runnerId, TimePoint sentAt) const
+{
+    for (const Call &call : this->calls) {
+        const auto *stopped = call.reply ? std::get_if<RunStopped>(&*call.reply) : nullptr;
+        if (stopped != nullptr && !stopped->handle.empty() && call.concerns(runnerId, sentAt))
+            return stopped->handle;
+    }
+    return std::nullopt;
+}
+
+} // namespace eelgrasslift
--- /dev/null
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -0,0 +1,112 @@
+#include "libgateway/gateway.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace eelgrasslift;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Times are in milliseconds after the request of the run was sent; its response ends at 100.
+struct StopCall
+{
+    const char *runner;
+    int calledAt;
+    std::optional<RunStopReply> reply;
+    int repliedAt = 0;
+};
+
+struct EndCase
+{
+    const char *name;
+    std::vector<StopCall> calls;
+    RunEnd expected;
+};
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint{1h} + std::chrono::milliseconds{milliseconds};
+}
+
+RunStopCalls recorded(const std::vector<StopCall> &calls)
+{
+    RunStopCalls result;
+    for (const StopCall &call : calls) {
+        const size_t number = result.begin(call.runner, at(call.calledAt));
+        if (call.reply)
+            result.finish(number, *call.reply, at(call.repliedAt));
+    }
+    return result;
+}
+
+ReceivedEnd unframedEnd()
+{
+    return {"r1", at(0), at(100), true, true, false};
+}
+
+} // namespace
+
+// Guards against an end that the gateway's own call has caused and that is taken for that of the run, and
+// against a complete run that is taken for a stopped one.
+TEST_CASE("The end of a response without framing is judged by the calls that stop its run", "[gateway]")
+{
+    const RunStopped stopped{"h"};
+    const auto test = GENERATE_COPY(values<EndCase>({
+            {"no call", {}, RunEnd::Complete},
+            {"stopped", {{"r1", 90, stopped, 95}}, RunEnd::Stopped},
+            {"stopped, replied later", {{"r1", 90, stopped, 400}}, RunEnd::Stopped},
+            {"ended before the call", {{"r1", 90, NoSuchRun{}, 95}}, RunEnd::Complete},
+            {"no reply yet", {{"r1", 90, std::nullopt}}, RunEnd::Pending},
+            {"no reply", {{"r1", 90, NoRunStatement{}, 2500}}, RunEnd::Unknown},
+            {"copied for another call", {{"r1", 90, CopyInProgress{}, 95}}, RunEnd::Unknown},
+            {"called again, the first reply was lost",
+             {{"r1", 80, NoRunStatement{}, 90}, {"r1", 92, NoSuchRun{}, 95}},
+             RunEnd::Unknown},
+            {"called again, stopped",
+             {{"r1", 80, NoRunStatement{}, 90}, {"r1", 92, stopped, 95}},
+             RunEnd::Stopped},
+            {"called again, no reply yet",
+             {{"r1", 80, NoRunStatement{}, 90}, {"r1", 92, std::nullopt}},
+             RunEnd::Unknown},
+            {"called again, no such run before",
+             {{"r1", 80, NoSuchRun{}, 90}, {"r1", 92, std::nullopt}},
+             RunEnd::Pending},
+            {"call to another runner", {{"r2", 90, stopped, 95}}, RunEnd::Complete},
+            {"call for an earlier run, replied before", {{"r1", -50, stopped, -10}}, RunEnd::Complete},
+            {"call for an earlier run, no reply yet", {{"r1", -50, std::nullopt}}, RunEnd::Pending},
+            {"call for an earlier run meets this one", {{"r1", -50, stopped, 98}}, RunEnd::Stopped},
+            {"call after the end, no reply yet", {{"r1", 101, std::nullopt}}, RunEnd::Pending},
+            {"call after the end, stopped", {{"r1", 101, stopped, 110}}, RunEnd::Stopped},
+            {"call after the end, had ended", {{"r1", 101, NoSuchRun{}, 110}}, RunEnd::Complete},
+            {"call after the end, no reply", {{"r1", 101, NoRunStatement{}, 110}}, RunEnd::Unconfirmed},
+    }));
+    INFO(test.name);
+    const RunStopCalls calls = recorded(test.calls);
+    CHECK(toString(calls.judge(unframedEnd())) == toString(test.expected));
+    // What a length or chunks delimit needs no reply.
+    ReceivedEnd framed = unframedEnd();
+    framed.isUnframed = false;
+    CHECK(toString(calls.judge(framed)) == toString(RunEnd::Complete));
+    ReceivedEnd partial = unframedEnd();
+    partial.hasPartialEvent = true;
+    CHECK(toString(calls.judge(partial)) == toString(RunEnd::CutShort));
+    ReceivedEnd empty = unframedEnd();
+    empty.hasEvent = false;
+    CHECK(toString(calls.judge(empty)) == toString(RunEnd::CutShort));
+}
+
+// Guards against a generation that is given up although the runner that has stopped it keeps it.
+TEST_CASE("The copy that a stopped runner keeps is known by its reply", "[gateway]")
+{
+    const RunStopCalls calls = recorded({{"r1", 80, NoSuchRun{}, 85},
+                                         {"r2", 90, RunStopped{"other"}, 95},
+                                         {"r1", 90, RunStopped{""}, 95},
+                                         {"r1", 96, RunStopped{"h"}, 98}});
+    CHECK(calls.keptCopy("r1", at(0)) == "h");
+    CHECK(calls.keptCopy("r1", at(99)) == std::nullopt);
+    CHECK(calls.keptCopy("r3", at(0)) == std::nullopt);
+    CHECK_FALSE(calls.isPending("r1", at(0)));
+    CHECK(recorded({{"r1", 90, std::nullopt}}).isPending("r1", at(0)));
+}
