gateway: reject responses with an invalid status at once

On other systems a runner in trouble sent an answer with the status 000 and a caller got it as an answer. Checked here, on with the new tests: 000, 001, 099 and 101 passed for interim responses, so that the caller got 504 only at its deadline (3 s); 600 and 999 were passed on to callers with their body, or refused as not run if they said so. Cause: a response counted as interim if its status was below 200, and as final otherwise. Change: statusClass(); a status outside 100 to 599, and an unasked switch of protocols, is handled like a lost connection: 502, or another runner if the request may be repeated. The product's own calls of plain services passed such codes on as well and treat them as interrupted now (not shown by a test of that path yet).

--- a/src/eelgrasslift/servicecallrunner.cpp
+++ b/src/eelgrasslift/servicecallrunner.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasslift/asyncbridge.h"
 #include "eelgrasslift/httpclient.h"
 #include "eelgrasslift/logging.h"
+#include "eelgrasslift/responsestatus.h"
 #include "eelgrasslift/targetprobe.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -184,6 +185,8 @@
     if (error)
         co_return SendInterrupted{attempt.number, {}};
     const HttpResponse response = parser.release();
+    if (statusClass(response.result_int()) == StatusClass::Invalid)
+        co_return SendInterrupted{attempt.number, {}};
     const bool isLeaving = response.find("X-Leaving") != response.end();
     if (isLeaving)
         this->context.control.post([&state = this->context.state, target = attempt.placed.target] {
--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -188,6 +188,8 @@
                                            asio::redirect_error(asio::use_awaitable, error));
             if (parser.is_header_done() && !isHeaderDecoded) {
                 isHeaderDecoded = true;
+                if (this->hasInvalidStatus(parser.get(), runner.entry))
+                    co_return SendResult{SendOutcome::Unknown, std::nullopt, "invalid-status"};
                 responseMetadata = this->gateway.format.decodeResponse(parser.get());
                 this->gateway.recordAnswer(runner.entry, parser.get().result_int(), responseMetadata,
                                            this->context.metadata.id);
--- a/src/gateway/requestcontext.cpp
+++ b/src/gateway/requestcontext.cpp
@@ -182,6 +182,18 @@
         this->recordLostRun(runner, stage, isSilent ? RunLoss::Silent : RunLoss::BrokenOff);
 }
 
+bool RequestSession::hasInvalidStatus(const ResponseHeader &header, const RunnerEntry &runner)
+{
+    const unsigned status = header.result_int();
+    if (statusClass(status) != StatusClass::Invalid)
+        return false;
+    logWarning("invalid-status", {{"request", this->context.metadata.id},
+                                  {"runner", runner.id},
+                                  {"status", std::to_string(status)}});
+    this->recordLostRun(runner, RunStage::Beginning);
+    return true;
+}
+
 std::string_view RequestSession::failureCause(std::string_view cause) const
 {
     return this->isExpired ? "grace-period-over" : cause;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -108,6 +108,9 @@
     /// or the response is malformed.
     void recordFailedReceive(const RunnerEntry &runner, const boost::system::error_code &error,
                              RunStage stage);
+    /// Whether the status of a runner's response is invalid, so that none of it may be used. Logs it if so,
+    /// and tells the gateway that the runner may have ended.
+    bool hasInvalidStatus(const ResponseHeader &header, const RunnerEntry &runner);
     /// Whether too many runners have ended under equal requests, or under a part of the prompt, so that this
     /// one must not be sent. Logs it once if so.
     bool isQuarantined();
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -455,6 +455,8 @@
         if (error)
             co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "runner-broke-off",
                                   std::nullopt};
+        if (this->hasInvalidStatus(stream.parser->get(), stream.load.runner()->entry))
+            co_return RelayResult{RelayOutcome::Broken, SendOutcome::Unknown, "invalid-status", std::nullopt};
         stream.metadata = this->gateway.format.decodeResponse(stream.parser->get());
         this->gateway.recordAnswer(stream.load.runner()->entry, stream.parser->get().result_int(),
                                    stream.metadata, this->context.metadata.id);
@@ -668,23 +670,4 @@
     this->load.setMemory(this->expectedMemory());
 }
 
-std::vector<LogField> StreamSession::endLogFields() const
-{
-    const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
-        return at ? std::to_string(toMilliseconds(*at - this->context.arrived)) : std::string("none");
-    };
-    const GenerationSize size = this->size();
-    return {{"events", std::to_string(this->splitter.eventCount())},
-            {"framing", this->isUnframed ? "none" : "length-or-chunks"},
-            {"prompt_tokens", std::to_string(std::lround(size.promptTokens))},
-            {"estimated_tokens", std::to_string(std::lround(size.outputTokens))},
-            {"max_tokens", std::to_string(std::lround(size.maxOutputTokens))},
-            {"sent_ms", sinceArrival(this->firstSentAt)},
-            {"first_event_ms", sinceArrival(this->firstEventAt)},
-            {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))},
-            {"disconnected_from", this->lastSwitch ? this->lastSwitch->first : "none"},
-            {"disconnected_for",
-             std::string(this->lastSwitch ? toString(this->lastSwitch->second) : "none")}};
-}
-
 } // namespace eelgrasslift
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cmath>
 #include <utility>
 
 // How the runs of a stream end: calls that end them, and what their responses and the replies tell.
@@ -213,4 +214,23 @@
     co_return isEnded ? RelayOutcome::Complete : RelayOutcome::CallerDisconnected;
 }
 
+std::vector<LogField> StreamSession::endLogFields() const
+{
+    const auto sinceArrival = [this](const std::optional<TimePoint> &at) {
+        return at ? std::to_string(toMilliseconds(*at - this->context.arrived)) : std::string("none");
+    };
+    const GenerationSize size = this->size();
+    return {{"events", std::to_string(this->splitter.eventCount())},
+            {"framing", this->isUnframed ? "none" : "length-or-chunks"},
+            {"prompt_tokens", std::to_string(std::lround(size.promptTokens))},
+            {"estimated_tokens", std::to_string(std::lround(size.outputTokens))},
+            {"max_tokens", std::to_string(std::lround(size.maxOutputTokens))},
+            {"sent_ms", sinceArrival(this->firstSentAt)},
+            {"first_event_ms", sinceArrival(this->firstEventAt)},
+            {"longest_pause_ms", std::to_string(toMilliseconds(this->longestPause))},
+            {"disconnected_from", this->lastSwitch ? this->lastSwitch->first : "none"},
+            {"disconnected_for",
+             std::string(this->lastSwitch ? toString(this->lastSwitch->second) : "none")}};
+}
+
 } // namespace eelgrasslift
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eelgrasslift/responsestatus.h"
 #include "libgateway/gateway.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -40,7 +41,7 @@
 /// Whether the response only precedes the final one; it has no body.
 inline bool isInterim(const ResponseHeader &header)
 {
-    return header.result_int() < 200;
+    return statusClass(header.result_int()) == StatusClass::Interim;
 }
 
 /// Interim responses that are skipped before the final one; a runner that sends more is in trouble.
