gateway: trust only a runner's own reply about the end of a run

Cause: any response was taken for the reply, and calls without one were not told apart. Change: such calls use a new connection, skip interim and stray responses; replies are told apart by whether the call may have had, or may still have, an effect; without a statement, a close counts as complete unless the runner was due to stop.

Conclusion: what a reply says counts only if it is certain whose it is and what it is about.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -105,15 +105,21 @@
         this->idleConnections.erase(found);
 }
 
-asio::awaitable<Result<HttpResponse, HttpFailure>>
-ConnectionPool::call(std::string address, OutgoingCall call, Duration timeout, size_t maxResponseBytes)
+asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::call(std::string address,
+                                                                        OutgoingCall call, Duration timeout,
+                                                                        size_t maxResponseBytes,
+                                                                        CallConnection use)
 {
     const TimePoint deadline = steadyNow() + timeout;
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
         co_return HttpFailure::NotConnected;
     for (;;) {
-        RunnerConnectionPointer connection = co_await this->acquire(address, deadline - steadyNow());
+        RunnerConnectionPointer connection;
+        if (use.isNew)
+            connection = co_await this->connect(address, deadline - steadyNow());
+        else
+            connection = co_await this->acquire(address, deadline - steadyNow());
         if (!connection)
             co_return HttpFailure::NotConnected;
         HttpRequest request = makeRequest(call.method, *endpoint, call.target, call.body);
@@ -121,22 +127,39 @@
         connection->stream.expires_after(std::max(deadline - steadyNow(), Duration{1}));
         co_await http::async_write(connection->stream, request,
                                    asio::redirect_error(asio::use_awaitable, error));
+        Result<HttpResponse, HttpFailure> result = HttpFailure::Broken;
+        if (!error)
+            result = co_await this->receive(connection, maxResponseBytes, use);
+        const auto *failure = std::get_if<HttpFailure>(&result);
+        const bool isRepeated = failure != nullptr && *failure == HttpFailure::Broken &&
+                                connection->isReused && call.method == "GET" && steadyNow() < deadline;
+        if (!isRepeated)
+            co_return result;
+    }
+}
+
+asio::awaitable<Result<HttpResponse, HttpFailure>> ConnectionPool::receive(RunnerConnectionPointer connection,
+                                                                           size_t maxResponseBytes,
+                                                                           const CallConnection &use)
+{
+    for (int skipped = 0; skipped <= MaxInterimResponses + MaxStrayResponses; ++skipped) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxResponseBytes);
-        if (!error)
-            co_await http::async_read(connection->stream, connection->buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+        boost::system::error_code error;
+        co_await http::async_read(connection->stream, connection->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
         if (error == beast::error::timeout)
             co_return HttpFailure::TimedOut;
-        if (error && connection->isReused && call.method == "GET" && steadyNow() < deadline)
-            continue;
-        if (error)
+        if (error || statusClass(parser.get().result_int()) == StatusClass::Invalid)
             co_return HttpFailure::Broken;
+        if (isInterim(parser.get()) || (use.isStray && use.isStray(parser.get())))
+            continue;
         ResponseMetadata metadata;
         metadata.isClosing = !parser.keep_alive();
         this->release(connection, metadata);
         co_return parser.release();
     }
+    co_return HttpFailure::Broken;
 }
 
 } // namespace eelgrasslift
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -44,6 +45,15 @@
 /// may receive those of hundreds of runners at the same time.
 constexpr size_t MaxRunnerStatementBytes = size_t{64} << 10;
 
+/// Which connection a call uses, and which responses on it belong to other requests.
+struct CallConnection
+{
+    /// A late response to an earlier call on a reused connection may look like that to this one.
+    bool isNew = false;
+    /// Whether to skip a final response; none is skipped if empty.
+    std::function<bool(const ResponseHeader &)> isStray;
+};
+
 /// Pool of persistent connections. An idle connection is reused only while it is open and has no unread
 /// bytes: bytes after a complete response belong to no request. It is also discarded before the peer's idle
 /// timeout, since a request that arrives after the peer has closed the connection is lost.
@@ -69,16 +79,19 @@
 
     /// Sends a request and receives the whole response over a pooled connection. A GET is sent again on
     /// another connection if a reused one breaks; other methods are not repeated. A response with a larger
-    /// body than maxResponseBytes counts as Broken.
+    /// body than maxResponseBytes, or an invalid status, counts as Broken. Interim responses are skipped.
     boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
     call(std::string address, OutgoingCall call, Duration timeout,
-         size_t maxResponseBytes = MaxCallResponseBytes);
+         size_t maxResponseBytes = MaxCallResponseBytes, CallConnection use = {});
 
     /// Whether the connection is open and has no unread bytes.
     static bool isReusable(RunnerConnection &connection);
 
 private:
     RunnerConnectionPointer takeIdle(std::string_view address);
+    /// Receives the response to a call that was sent on the connection.
+    boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
+    receive(RunnerConnectionPointer connection, size_t maxResponseBytes, const CallConnection &use);
 
     boost::asio::any_io_executor executor;
     std::map<std::string, std::deque<RunnerConnectionPointer>, std::less<>> idleConnections;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -269,19 +269,26 @@
                              {"suppressed", std::to_string(std::exchange(this->suppressedPauseLogs, 0))}});
 }
 
-asio::awaitable<std::optional<HttpResponse>> GatewayState::requestCopy(RunnerPool::RunnerPointer runner,
-                                                                       CopyRequest request, Duration timeout)
+asio::awaitable<Result<HttpResponse, HttpFailure>>
+GatewayState::requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout)
 {
     OutgoingCall call = this->format.copyCall(request);
+    CallConnection use;
+    // The reply to such a call decides whether a response was complete.
+    use.isNew = request.endsRun;
+    use.isStray = [this, id = request.requestId, runner](const ResponseHeader &header) {
+        const ResponseMetadata metadata = this->format.decodeResponse(header);
+        return (!metadata.requestId.empty() && metadata.requestId != id) ||
+               (!metadata.runnerId.empty() && metadata.runnerId != runner->entry.id);
+    };
     auto result = co_await this->connections.call(runner->entry.address, std::move(call), timeout,
-                                                  MaxRunnerStatementBytes);
-    auto *response = std::get_if<HttpResponse>(&result);
-    if (response == nullptr)
-        co_return std::nullopt;
-    const ResponseMetadata metadata = this->format.decodeResponse(response->base());
-    this->recordAnswer(runner->entry, response->result_int(), metadata, request.requestId);
-    this->recordPause(*runner, metadata, request.requestId);
-    co_return std::move(*response);
+                                                  MaxRunnerStatementBytes, std::move(use));
+    if (const auto *response = std::get_if<HttpResponse>(&result)) {
+        const ResponseMetadata metadata = this->format.decodeResponse(response->base());
+        this->recordAnswer(runner->entry, response->result_int(), metadata, request.requestId);
+        this->recordPause(*runner, metadata, request.requestId);
+    }
+    co_return result;
 }
 
 asio::awaitable<void> GatewayState::releaseCopy(std::string sourceAddress, std::string handle)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -81,9 +81,9 @@
     /// or their load have changed.
     void handleFleetUpdate();
 
-    /// Asks the runner to copy a KV cache; returns its response, or nothing if there is none in time.
-    boost::asio::awaitable<std::optional<HttpResponse>> requestCopy(RunnerPool::RunnerPointer runner,
-                                                                    CopyRequest request, Duration timeout);
+    /// Asks the runner to copy a KV cache; returns its response.
+    boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
+    requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout);
     /// Lets the runners free a copy of a KV cache that was made by the runner at the address.
     boost::asio::awaitable<void> releaseCopy(std::string sourceAddress, std::string handle);
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -314,6 +314,7 @@
     } else {
         this->adopt(*stream);
         result = co_await this->forwardEvents(*stream);
+        const RunnerPool::RunnerPointer lastRunner = this->load.runner();
         this->forwardedConnection.reset();
         this->load.release();
         // Without a first event the backup is empty.
@@ -324,8 +325,7 @@
             this->eventBuffer.resize(0);
             boost::system::error_code ignored;
             stream->connection->stream.socket().close(ignored);
-            if (!this->isEndRequested)
-                this->endRun(this->current.runner, nullptr);
+            this->endRun(lastRunner, nullptr);
         }
     }
     this->activeConnection.reset();
@@ -498,7 +498,7 @@
     this->backup = std::move(stream.backup);
     this->runFirstEventAt.reset();
     this->arePartsServed = false;
-    this->isEndRequested = false;
+    this->calledRunner.reset();
     this->runSentAt = stream.sentAt;
     this->stoppedSource.reset();
     this->requestedSwitch.reset();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -47,6 +47,14 @@
     enum class SwitchReason { Leaving, Stall };
     static std::string_view toString(SwitchReason reason);
 
+    /// Why a runner is called to end a run.
+    enum class StopPurpose {
+        Copy,      ///< It is leaving, and the stream continues from a copy.
+        Check,     ///< It has closed the stream; its reply tells whether the run was complete.
+        StreamLeft ///< The stream has left it.
+    };
+    static std::string_view toString(StopPurpose purpose);
+
     /// Runner of the next attempt and, if it continues from a copy of the KV cache, the reference to that
     /// copy.
     struct Destination
@@ -154,15 +162,16 @@
     /// Calls the runner to end the run and returns its reply.
     static boost::asio::awaitable<RunStopReply> callRunStop(GatewayState &gateway,
                                                             RunnerPool::RunnerPointer runner,
-                                                            CopyRequest request, std::string_view purpose);
-    /// The calls for endRun(). Does nothing if the stream has gone on at the same runner meanwhile. Does not
-    /// free the copy with the name keptHandle, from which the stream continues.
+                                                            CopyRequest request, StopPurpose purpose);
+    /// The calls for endRun() of the run that was sent to the runner at the time. Does nothing if the stream
+    /// has gone on at the same runner meanwhile, or an earlier call has ended the run. Does not free the copy
+    /// with the name keptHandle, from which the stream continues.
     static boost::asio::awaitable<void> requestRunEnd(GatewayState &gateway,
                                                       std::weak_ptr<StreamSession> stream,
-                                                      RunnerPool::RunnerPointer runner, CopyRequest request,
-                                                      std::string keptHandle);
-    /// Asks the current runner, which is leaving, to end the run. purpose is for the log.
-    void stopRun(std::string_view purpose);
+                                                      RunnerPool::RunnerPointer runner, TimePoint sentAt,
+                                                      CopyRequest request, std::string keptHandle);
+    /// Asks the current runner, which is leaving, to end the run.
+    void stopRun(StopPurpose purpose);
     /// Takes note of the reply to a call of stopCalls.
     void recordStopReply(size_t call, RunStopReply reply);
     /// Decides whether the run has ended with its response. Waits a moment for a reply that tells.
@@ -172,8 +181,8 @@
     /// Whether the last run was complete, after all, though the stream was to continue; waits for the reply
     /// that tells.
     boost::asio::awaitable<bool> isDoubtfulEndComplete();
-    /// Waits for a reply to a call that ends a run, but not for long.
-    boost::asio::awaitable<void> waitForStopReply();
+    /// Waits for replies to calls that end runs as long as the condition holds, at most until the limit.
+    boost::asio::awaitable<void> waitForStopReplies(std::function<bool()> isWaiting, TimePoint limit);
     /// Ends the response to the caller.
     boost::asio::awaitable<RelayOutcome> completeResponse();
     /// Runner for a copy of the KV cache, with at most the given share of its memory in use; nullptr if there
@@ -269,8 +278,9 @@
     bool isCopying = false;
     /// The last successful copy, until the stream leaves the runner that it was made from.
     std::optional<Copy> copy;
-    /// The current runner has been called to end the run.
-    bool isEndRequested = false;
+    /// The runner that has been called to end the run whose events are forwarded, or were last; nullptr if
+    /// none has.
+    RunnerPool::RunnerPointer calledRunner;
     RunStopCalls stopCalls;
     /// When the request was sent to the current runner.
     TimePoint runSentAt{};
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -105,8 +105,11 @@
     }
     if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
         const FailedSwitch failedSwitch{failed.outcome, true, ++this->refusedContinuations, false};
-        if (planFailedSwitch(failedSwitch) != SwitchStep::Retry)
+        if (planFailedSwitch(failedSwitch) != SwitchStep::Retry) {
+            // If the stream returns to its own runner, it is not copied to this one again.
+            this->fullRunners.insert(previous.runner->entry.id);
             co_return co_await this->takeStoppedSource();
+        }
         asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return previous;
@@ -114,9 +117,9 @@
     this->refusedContinuations = 0;
     if (this->stoppedSource && isCertainlyNotRun(failed.outcome))
         co_return co_await this->takeStoppedSource();
-    if (std::exchange(this->isEndRequested, false)) {
+    if (RunnerPool::RunnerPointer called = std::exchange(this->calledRunner, nullptr)) {
         std::string reference = this->copy ? this->copy->destination.continueFrom : std::string{};
-        this->stoppedSource = Destination{this->current.runner, std::move(reference), "source", true};
+        this->stoppedSource = Destination{std::move(called), std::move(reference), "source", true};
     }
     if (this->hasCopy()) {
         const Destination destination = this->copy->destination;
@@ -188,7 +191,7 @@
                                  engine->supportsMigration && !this->context.route->isResumable,
                                  std::nullopt,
                                  this->load.runner()->entry.isLeaving,
-                                 this->isEndRequested ||
+                                 this->calledRunner ||
                                          this->gateway.runners.isPaused(*this->load.runner(), steadyNow())};
     if (this->isCopyUsable())
         generation.copyAge = steadyNow() - this->copy->madeAt;
@@ -210,7 +213,7 @@
         return;
     }
     if (action == MigrationAction::EndRun) {
-        this->stopRun("copy");
+        this->stopRun(StopPurpose::Copy);
         return;
     }
     this->isCopying = true;
@@ -482,8 +485,8 @@
 {
     const TimePoint started = steadyNow();
     CopyRequest copyRequest{this->context.metadata.id, destination->entry.address};
-    const std::optional<HttpResponse> response =
-            co_await this->gateway.requestCopy(source, std::move(copyRequest), CopyTimeout);
+    const auto result = co_await this->gateway.requestCopy(source, std::move(copyRequest), CopyTimeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
     const unsigned status = response ? response->result_int() : 0;
     logInfo("generation-copied", {{"request", this->context.metadata.id},
                                   {"from", source->entry.id},
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -31,6 +32,15 @@
 // the copy; most of the pause limit is left then to continue elsewhere.
 constexpr Duration StopReplyWait = std::chrono::milliseconds{50};
 
+// The end of a response that seems complete waits for the reply to a check at most for this time: longer than
+// a copy takes on a busy link, and shorter than the time after which callers disconnect, which is two
+// seconds.
+constexpr Duration CheckTimeout = std::chrono::milliseconds{1000};
+
+// How long a generation that is refused elsewhere waits for the name under which its runner keeps it, if a
+// name is known from the first copy: longer than a copy takes on a busy link.
+constexpr Duration KeptCopyWait = std::chrono::milliseconds{500};
+
 } // namespace
 
 void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
@@ -45,15 +55,15 @@
                        : this->chooseCopyDestination(*runner, runner->entry.domain, CopyMemoryLimit);
     const RunnerPool::Runner &destination = nextRunner ? *nextRunner : other ? *other : *runner;
     spawnTask(this->gateway.io, "run-end",
-              requestRunEnd(this->gateway, this->weak_from_this(), runner,
+              requestRunEnd(this->gateway, this->weak_from_this(), runner, this->runSentAt,
                             {this->context.metadata.id, destination.entry.address, true},
                             this->copy ? this->copy->handle : std::string{}));
 }
 
-void StreamSession::stopRun(std::string_view purpose)
+void StreamSession::stopRun(StopPurpose purpose)
 {
-    const RunnerPool::RunnerPointer source = this->current.runner;
-    this->isEndRequested = true;
+    const RunnerPool::RunnerPointer source = this->load.runner();
+    this->calledRunner = source;
     const std::string &address =
             this->copy ? this->copy->destination.runner->entry.address : source->entry.address;
     const size_t call = this->stopCalls.begin(source->entry.id, steadyNow());
@@ -74,25 +84,31 @@
 
 asio::awaitable<RunStopReply> StreamSession::callRunStop(GatewayState &gateway,
                                                          RunnerPool::RunnerPointer runner,
-                                                         CopyRequest request, std::string_view purpose)
+                                                         CopyRequest request, StopPurpose purpose)
 {
     const TimePoint calledAt = steadyNow();
-    const std::optional<HttpResponse> response = co_await gateway.requestCopy(runner, request, RunEndTimeout);
-    RunStopReply reply = NoRunStatement{};
-    if (response)
-        reply = gateway.format.decodeRunStopReply(response->result_int(), response->body());
+    const Duration timeout = purpose == StopPurpose::Check ? CheckTimeout : RunEndTimeout;
+    const auto result = co_await gateway.requestCopy(runner, request, timeout);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    RunStopReply reply;
+    if (response != nullptr)
+        reply = gateway.format.decodeRunStopReply(*response, response->body());
+    else if (std::get<HttpFailure>(result) == HttpFailure::NotConnected)
+        reply = CallNotExecuted{};
+    else
+        reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
     logInfo("run-ended-by-call", {{"request", request.requestId},
                                   {"runner", runner->entry.id},
                                   {"status", std::to_string(response ? response->result_int() : 0)},
                                   {"reply", std::string(eelgrasslift::toString(reply))},
-                                  {"purpose", std::string(purpose)},
+                                  {"purpose", std::string(toString(purpose))},
                                   {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
     co_return reply;
 }
 
 asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
-                                                   RunnerPool::RunnerPointer runner, CopyRequest request,
-                                                   std::string keptHandle)
+                                                   RunnerPool::RunnerPointer runner, TimePoint sentAt,
+                                                   CopyRequest request, std::string keptHandle)
 {
     const auto hasReturned = [&] {
         const auto session = stream.lock();
@@ -102,18 +118,25 @@
     asio::steady_timer delay(gateway.io);
     Duration wait = RunEndDelay;
     RunStopReply reply;
-    for (int calls = 0; calls < MaxRunEndCalls; ++calls) {
+    for (int calls = 0; calls < MaxRunEndCalls;) {
         delay.expires_after(std::exchange(wait, RunEndRetryDelay));
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
             co_return;
         auto session = stream.lock();
+        if (session && session->stopCalls.isPending(runner->entry.id, sentAt))
+            continue;
+        if (session && !session->stopCalls.needsCall(runner->entry.id, sentAt))
+            co_return;
         const size_t call = session ? session->stopCalls.begin(runner->entry.id, steadyNow()) : 0;
+        ++calls;
         session.reset();
-        reply = co_await callRunStop(gateway, runner, request, "stream-left");
+        reply = co_await callRunStop(gateway, runner, request, StopPurpose::StreamLeft);
         session = stream.lock();
+        // The copy is freed below.
+        const bool isStopped = std::holds_alternative<RunStopped>(reply);
         if (session)
-            session->recordStopReply(call, reply);
+            session->recordStopReply(call, isStopped ? RunStopReply(RunStopped{}) : reply);
         if (!std::holds_alternative<CopyInProgress>(reply))
             break;
     }
@@ -125,25 +148,29 @@
 asio::awaitable<RunEnd> StreamSession::judgeRunEnd(const RunnerStream &stream)
 {
     const RunnerPool::RunnerPointer runner = this->load.runner();
+    const StopForecast stop = runner->stopForecast(steadyNow());
     const ReceivedEnd end{runner->entry.id,
                           this->runSentAt,
                           steadyNow(),
                           stream.parser->need_eof(),
                           this->runFirstEventAt.has_value(),
-                          this->splitter.hasPartialEvent()};
+                          this->splitter.hasPartialEvent(),
+                          this->lastEventAt.value_or(this->runSentAt),
+                          stop.latest && stop.earliest <= Duration::zero()};
     this->isUnframed = end.isUnframed;
+    const auto isPending = [&] { return this->stopCalls.judge(end) == RunEnd::Pending; };
     RunEnd result = this->stopCalls.judge(end);
+    Duration wait = StopReplyWait;
     // A runner that is leaving also closes its streams when it stops; its reply to a call tells.
-    if (end.isUnframed && result == RunEnd::Complete && !this->isEndRequested &&
+    if (end.isUnframed && result == RunEnd::Complete && !this->calledRunner &&
         this->canCheckRunEnd(*runner)) {
-        this->stopRun("check");
-        result = RunEnd::Pending;
-    }
-    if (result == RunEnd::Pending) {
-        co_await this->waitForStopReply();
-        result = this->stopCalls.judge(end);
+        this->stopRun(StopPurpose::Check);
+        if (!this->hasCopy() && !this->backup.runner())
+            wait = CheckTimeout;
     }
-    if (this->isUnframed && this->isEndRequested)
+    co_await this->waitForStopReplies(isPending, steadyNow() + wait);
+    result = this->stopCalls.judge(end);
+    if (this->isUnframed && this->calledRunner)
         logInfo("run-end-judged", {{"request", this->context.metadata.id},
                                    {"runner", runner->entry.id},
                                    {"events", std::to_string(this->splitter.eventCount())},
@@ -170,9 +197,8 @@
 {
     if (!this->doubtfulEnd)
         co_return false;
-    while (this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Pending && !this->isAbandoned &&
-           this->remainingTime() > Duration::zero())
-        co_await this->waitForStopReply();
+    const auto isPending = [this] { return this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Pending; };
+    co_await this->waitForStopReplies(isPending, this->context.deadline);
     const RunEnd end = this->stopCalls.judge(*this->doubtfulEnd);
     co_return end == RunEnd::Complete || end == RunEnd::Unconfirmed;
 }
@@ -183,9 +209,10 @@
     if (!source)
         co_return std::nullopt;
     const std::string &runnerId = source->runner->entry.id;
-    while (this->stopCalls.isPending(runnerId, this->runSentAt) && !this->isAbandoned &&
-           this->remainingTime() > Duration::zero())
-        co_await this->waitForStopReply();
+    const TimePoint limit =
+            source->continueFrom.empty() ? this->context.deadline : steadyNow() + KeptCopyWait;
+    const auto isPending = [&] { return this->stopCalls.isPending(runnerId, this->runSentAt); };
+    co_await this->waitForStopReplies(isPending, limit);
     if (this->doubtfulEnd && this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Complete)
         co_return std::nullopt;
     if (const auto kept = this->stopCalls.keptCopy(runnerId, this->runSentAt))
@@ -201,11 +228,29 @@
         this->gateway.recordServedParts(this->promptParts(), this->context.metadata.id);
 }
 
-asio::awaitable<void> StreamSession::waitForStopReply()
+asio::awaitable<void> StreamSession::waitForStopReplies(std::function<bool()> isWaiting, TimePoint limit)
 {
     boost::system::error_code ignored;
-    this->stopReplied.expires_after(StopReplyWait);
-    co_await this->stopReplied.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    for (TimePoint now = steadyNow();
+         now < std::min(limit, this->context.deadline) && !this->isAbandoned && isWaiting();
+         now = steadyNow()) {
+        // Short, since the session may be abandoned meanwhile.
+        this->stopReplied.expires_after(std::min<Duration>(limit - now, StopReplyWait));
+        co_await this->stopReplied.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+std::string_view StreamSession::toString(StopPurpose purpose)
+{
+    switch (purpose) {
+    case StopPurpose::Copy:
+        return "copy";
+    case StopPurpose::Check:
+        return "check";
+    case StopPurpose::StreamLeft:
+        return "stream-left";
+    }
+    return "unknown";
 }
 
 asio::awaitable<StreamSession::RelayOutcome> StreamSession::completeResponse()
--- a/src/gateway/wireformat.h
+++ b/src/gateway/wireformat.h
@@ -185,7 +185,7 @@
     /// Decodes the response to copyCall().
     virtual Result<CopyResult, DecodeError> decodeCopyResult(std::string_view body) const = 0;
     /// Decodes the response to copyCall() for a request that ends the run.
-    virtual RunStopReply decodeRunStopReply(unsigned status, std::string_view body) const = 0;
+    virtual RunStopReply decodeRunStopReply(const ResponseHeader &header, std::string_view body) const = 0;
     /// Request to a runner to free the copy with the given handle.
     virtual OutgoingCall releaseCopyCall(std::string_view handle) const = 0;
     /// Value of AttemptHeaders::continueFrom for a copy. address is the ip:port of the runner that holds the
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -7,23 +7,44 @@
 
 namespace {
 
+// Events that are on their way when a runner stops a run arrive within this time. Later ones show that the
+// run goes on.
+constexpr Duration MaxEventDelay = std::chrono::milliseconds{250};
+
 /// Combines what earlier calls tell about the end of a run with the reply to one more call.
 struct EndJudgement
 {
     RunEnd earlier;
+    const ReceivedEnd &end;
     /// The call was sent before the response ended, which may have been its effect.
     bool precedesEnd;
+    TimePoint repliedAt;
 
     RunEnd operator()(const RunStopped &) const { return RunEnd::Stopped; }
     // A runner also replies this if an earlier call has stopped the run.
     RunEnd operator()(const NoSuchRun &) const { return this->earlier; }
     // A runner may stop the run before it finds that it is copied already.
-    RunEnd operator()(const CopyInProgress &) const { return (*this)(NoRunStatement{}); }
+    RunEnd operator()(const CopyInProgress &) const
+    {
+        if (!this->precedesEnd)
+            return this->withoutStatement();
+        return this->end.lastEventAt > this->repliedAt + MaxEventDelay ? this->earlier : RunEnd::Unknown;
+    }
+    RunEnd operator()(const CallNotExecuted &) const
+    {
+        return this->precedesEnd ? this->earlier : this->withoutStatement();
+    }
     RunEnd operator()(const NoRunStatement &) const
     {
-        if (this->precedesEnd)
-            return RunEnd::Unknown;
-        return this->earlier == RunEnd::Complete ? RunEnd::Unconfirmed : this->earlier;
+        return this->precedesEnd ? RunEnd::Unknown : this->withoutStatement();
+    }
+
+    /// The runner has closed the stream by itself and does not tell why.
+    RunEnd withoutStatement() const
+    {
+        if (this->earlier != RunEnd::Complete)
+            return this->earlier;
+        return this->end.isStopDue ? RunEnd::Unknown : RunEnd::Unconfirmed;
     }
 };
 
@@ -32,6 +53,7 @@
     std::string_view operator()(const RunStopped &) const { return "stopped"; }
     std::string_view operator()(const NoSuchRun &) const { return "no-such-run"; }
     std::string_view operator()(const CopyInProgress &) const { return "copy-in-progress"; }
+    std::string_view operator()(const CallNotExecuted &) const { return "not-executed"; }
     std::string_view operator()(const NoRunStatement &) const { return "none"; }
 };
 
@@ -84,7 +106,8 @@
         if (!call.concerns(end.runnerId, end.sentAt))
             continue;
         if (call.reply)
-            result = std::visit(EndJudgement{result, call.calledAt <= end.endedAt}, *call.reply);
+            result = std::visit(EndJudgement{result, end, call.calledAt <= end.endedAt, call.repliedAt},
+                                *call.reply);
         else if (result != RunEnd::Unknown)
             result = RunEnd::Pending;
         if (result == RunEnd::Stopped)
@@ -99,6 +122,15 @@
             this->calls, [&](const Call &call) { return !call.reply && call.concerns(runnerId, sentAt); });
 }
 
+bool RunStopCalls::needsCall(std::string_view runnerId, TimePoint sentAt) const
+{
+    return std::ranges::none_of(this->calls, [&](const Call &call) {
+        const bool tells = !call.reply || std::holds_alternative<RunStopped>(*call.reply) ||
+                           std::holds_alternative<NoSuchRun>(*call.reply);
+        return tells && call.concerns(runnerId, sentAt);
+    });
+}
+
 std::optional<std::string> RunStopCalls::keptCopy(std::string_view runnerId, TimePoint sentAt) const
 {
     for (const Call &call : this->calls) {
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -25,12 +25,19 @@
 struct CopyInProgress
 {};
 
+/// The runner could not be reached, or states that it has not executed the call.
+struct CallNotExecuted
+{};
+
 /// There was no reply, or one that tells nothing about the run.
 struct NoRunStatement
-{};
+{
+    /// The runner may not have read the call yet.
+    bool mayTakeEffect = false;
+};
 
 /// Reply of a runner to a call that stops a run.
-using RunStopReply = std::variant<RunStopped, NoSuchRun, CopyInProgress, NoRunStatement>;
+using RunStopReply = std::variant<NoRunStatement, RunStopped, NoSuchRun, CopyInProgress, CallNotExecuted>;
 
 std::string_view toString(const RunStopReply &reply);
 
@@ -46,6 +53,9 @@
     bool hasEvent = false;
     /// The beginning of another event has arrived.
     bool hasPartialEvent = false;
+    TimePoint lastEventAt{};
+    /// The runner had announced that it would stop by then.
+    bool isStopDue = false;
 };
 
 /// How a run ended whose response has ended.
@@ -55,7 +65,7 @@
     Stopped,     ///< On a call of the gateway.
     Pending,     ///< Complete or stopped; a reply to a call will tell.
     Unknown,     ///< Complete or stopped; no further reply will tell.
-    Unconfirmed, ///< The runner has closed the stream by itself and does not tell why.
+    Unconfirmed, ///< Complete, unless the runner has stopped it of its own accord, which it does not tell.
 };
 
 std::string_view toString(RunEnd end);
@@ -63,9 +73,8 @@
 /// The calls of a gateway that stop runs of one request, and what they tell about the end of a response: a
 /// runner closes the stream of a run that it stops, which without framing looks like the end of the run.
 ///
-/// Load pattern: runners leave at two seconds' notice while half of the responses have neither length nor
-/// chunks. Runners stop their runs on a call; they close the streams, then copy the KV caches over a busy
-/// link, and only then reply.
+/// Load pattern: runners leave while responses have neither length nor chunks. Runners stop their runs on a
+/// call; they close the streams, then copy the KV caches over a busy link, and only then reply.
 class RunStopCalls
 {
 public:
@@ -79,6 +88,9 @@
     /// Whether the runner has not replied yet to a call that may concern the run.
     bool isPending(std::string_view runnerId, TimePoint sentAt) const;
 
+    /// Whether the runner may still work on the run after all calls so far.
+    bool needsCall(std::string_view runnerId, TimePoint sentAt) const;
+
     /// Name of the copy that the runner keeps of the run that it has stopped; nothing if it has named none.
     std::optional<std::string> keptCopy(std::string_view runnerId, TimePoint sentAt) const;
 
@@ -93,7 +105,9 @@
         /// Whether the call may concern a run that was sent to the runner at the time.
         bool concerns(std::string_view runner, TimePoint sentAt) const
         {
-            return this->runnerId == runner && (!this->reply || this->repliedAt >= sentAt);
+            const auto *unknown = this->reply ? std::get_if<NoRunStatement>(&*this->reply) : nullptr;
+            const bool isOver = this->reply && !(unknown != nullptr && unknown->mayTakeEffect);
+            return this->runnerId == runner && (!isOver || this->repliedAt >= sentAt);
         }
     };
 
--- a/tests/gateway/test_runstopcalls.cpp
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -43,7 +43,7 @@
 
 ReceivedEnd unframedEnd()
 {
-    return {"r1", at(0), at(100), true, true, false};
+    return {"r1", at(0), at(100), true, true, false, at(99)};
 }
 
 } // namespace
@@ -60,6 +60,7 @@
             {"ended before the call", {{"r1", 90, NoSuchRun{}, 95}}, RunEnd::Complete},
             {"no reply yet", {{"r1", 90, std::nullopt}}, RunEnd::Pending},
             {"no reply", {{"r1", 90, NoRunStatement{}, 2500}}, RunEnd::Unknown},
+            {"not executed", {{"r1", 90, CallNotExecuted{}, 95}}, RunEnd::Complete},
             {"copied for another call", {{"r1", 90, CopyInProgress{}, 95}}, RunEnd::Unknown},
             {"called again, the first reply was lost",
              {{"r1", 80, NoRunStatement{}, 90}, {"r1", 92, NoSuchRun{}, 95}},
@@ -76,11 +77,21 @@
             {"call to another runner", {{"r2", 90, stopped, 95}}, RunEnd::Complete},
             {"call for an earlier run, replied before", {{"r1", -50, stopped, -10}}, RunEnd::Complete},
             {"call for an earlier run, no reply yet", {{"r1", -50, std::nullopt}}, RunEnd::Pending},
+            {"call for an earlier run that broke before the request",
+             {{"r1", -50, NoRunStatement{}, -10}},
+             RunEnd::Complete},
+            {"call for an earlier run that timed out before the request",
+             {{"r1", -50, NoRunStatement{true}, -10}},
+             RunEnd::Unknown},
             {"call for an earlier run meets this one", {{"r1", -50, stopped, 98}}, RunEnd::Stopped},
             {"call after the end, no reply yet", {{"r1", 101, std::nullopt}}, RunEnd::Pending},
             {"call after the end, stopped", {{"r1", 101, stopped, 110}}, RunEnd::Stopped},
             {"call after the end, had ended", {{"r1", 101, NoSuchRun{}, 110}}, RunEnd::Complete},
             {"call after the end, no reply", {{"r1", 101, NoRunStatement{}, 110}}, RunEnd::Unconfirmed},
+            {"call after the end, not executed", {{"r1", 101, CallNotExecuted{}, 110}}, RunEnd::Unconfirmed},
+            {"call after the end, copied for another call",
+             {{"r1", 101, CopyInProgress{}, 110}},
+             RunEnd::Unconfirmed},
     }));
     INFO(test.name);
     const RunStopCalls calls = recorded(test.calls);
@@ -97,6 +108,44 @@
     CHECK(toString(calls.judge(empty)) == toString(RunEnd::CutShort));
 }
 
+// Guards against a complete run that is taken for a stopped one although it went on after the reply.
+TEST_CASE("A run with events long after the reply to a call was not stopped by it", "[gateway]")
+{
+    const auto [lastEventAt, expected] =
+            GENERATE(table<int, RunEnd>({{500, RunEnd::Complete}, {300, RunEnd::Unknown}}));
+    const RunStopCalls calls = recorded({{"r1", 90, CopyInProgress{}, 95}});
+    ReceivedEnd end = unframedEnd();
+    end.lastEventAt = at(lastEventAt);
+    end.endedAt = at(510);
+    CHECK(toString(calls.judge(end)) == toString(expected));
+}
+
+// Guards against a part that is delivered as complete because a runner that has stopped does not reply.
+TEST_CASE("A stream that is closed when its runner is due to stop needs a confirmation", "[gateway]")
+{
+    const RunStopReply reply = GENERATE(values<RunStopReply>({NoRunStatement{}, CallNotExecuted{}}));
+    const RunStopCalls calls = recorded({{"r1", 101, reply, 110}});
+    ReceivedEnd end = unframedEnd();
+    end.isStopDue = true;
+    CHECK(toString(calls.judge(end)) == toString(RunEnd::Unknown));
+}
+
+// Guards against a runner that works on although nothing has stopped it, and against calls that only disturb.
+TEST_CASE("A run that a stream has left needs a call unless one has ended it or is under way", "[gateway]")
+{
+    const auto test = GENERATE(table<std::optional<RunStopReply>, bool>({
+            {std::nullopt, false},
+            {RunStopped{"h"}, false},
+            {NoSuchRun{}, false},
+            {CopyInProgress{}, true},
+            {CallNotExecuted{}, true},
+            {NoRunStatement{}, true},
+    }));
+    const auto &[reply, isNeeded] = test;
+    CHECK(recorded({{"r1", 90, reply, 95}}).needsCall("r1", at(0)) == isNeeded);
+    CHECK(recorded({}).needsCall("r1", at(0)));
+}
+
 // Guards against a generation that is given up although the runner that has stopped it keeps it.
 TEST_CASE("The copy that a stopped runner keeps is known by its reply", "[gateway]")
 {
--- a/tests/hostile/test_stoppedrun.cpp
+++ b/tests/hostile/test_stoppedrun.cpp
@@ -20,6 +20,14 @@
 
 enum class Framing { Chunks, None };
 
+// Late responses to other requests, and one that only precedes the reply.
+const std::string StrayNoRun = "HTTP/1.1 404 None\r\nX-Attempt-Id: id-0\r\nContent-Length: 2\r\n\r\n{}";
+const std::string StrayCopy = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-0\r\nContent-Length: 23\r\n\r\n"
+                              R"({"handle":"x","made":1})";
+const std::string OtherRunner = "HTTP/1.1 404 None\r\nX-Instance-Id: i-0\r\nContent-Length: 2\r\n\r\n{}";
+const std::string Interim = "HTTP/1.1 102 Processing\r\n\r\n";
+const std::string NotExecuted = "X-Not-Executed: 1\r\n";
+
 /// What a runner does to the stream of a run that it is called to end.
 enum class StreamEnd {
     BetweenEvents,
@@ -48,8 +56,12 @@
     Continuation source;
     /// The caller gets the whole stream.
     bool isWhole;
-    /// A continuation must not be tried, since the generation is complete.
+    /// Whether a continuation is tried.
     bool isContinued = true;
+    /// Sent before the reply to the call, on the same connection.
+    std::string beforeReply{};
+    /// Further fields of the reply.
+    std::string replyFields{};
 };
 
 std::string eventText(int id)
@@ -87,7 +99,9 @@
 
     GatewayFixture fixture;
     int continuationCount = 0;
+    /// Calls that met the run, and later ones.
     int stopCallCount = 0;
+    int furtherCallCount = 0;
 
 private:
     asio::awaitable<void> wait(Duration duration)
@@ -114,12 +128,15 @@
     asio::awaitable<void> stopRun(tcp::socket &connection)
     {
         // A run that continues here has ended by the time of a further call.
-        if (++this->stopCallCount > 1) {
+        if (this->stopCallCount > 0) {
+            ++this->furtherCallCount;
             co_await reply(connection, 404, {});
             co_return;
         }
+        ++this->stopCallCount;
+        co_await sendBytes(connection, this->test.beforeReply);
         if (this->test.replyTime == ReplyTime::Before)
-            co_await reply(connection, this->test.status, this->test.handle);
+            co_await reply(connection, this->test.status, this->test.handle, this->test.replyFields);
         this->isStopped = true;
         if (this->test.replyTime == ReplyTime::Before)
             co_return;
@@ -130,14 +147,16 @@
         if (this->test.replyTime == ReplyTime::Never)
             connection.close();
         else
-            co_await reply(connection, this->test.status, this->test.handle);
+            co_await reply(connection, this->test.status, this->test.handle, this->test.replyFields);
     }
 
-    static asio::awaitable<void> reply(tcp::socket &connection, unsigned status, std::string handle)
+    static asio::awaitable<void> reply(tcp::socket &connection, unsigned status, std::string handle,
+                                       std::string fields = {})
     {
         const std::string body = handle.empty() ? "{}" : R"({"handle":")" + handle + R"(","made":1})";
-        co_await sendBytes(connection, "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Length: " +
-                                               std::to_string(body.size()) + "\r\n\r\n" + body);
+        co_await sendBytes(connection, "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields +
+                                               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                                               body);
     }
 
     asio::awaitable<void> sendHead(tcp::socket &connection) const
@@ -240,11 +259,21 @@
             {"nobody accepts, no reply", Framing::None, BetweenEvents, Never, 0, "", Refuses, Closes, false},
             {"inside an event", Framing::None, InsideEvent, After, 200, "h", Accepts, Closes, true},
             {"reset", Framing::None, Reset, After, 200, "h", Accepts, Closes, true},
+            {"late reply to another call", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes,
+             true, true, StrayNoRun},
+            {"late reply to another call, nobody accepts", Framing::None, BetweenEvents, After, 200, "h",
+             Refuses, Refuses, false, true, StrayNoRun},
+            {"reply of another runner", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes, true,
+             true, OtherRunner},
+            {"interim response", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes, true, true,
+             Interim},
+            {"no room and no name, nobody accepts", Framing::None, BetweenEvents, After, 503, "", Refuses,
+             Refuses, false},
     }));
     INFO(test.name);
     StoppedRun run(test);
     const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(run.stopCallCount > 0);
+    CHECK(run.stopCallCount == 1);
     CHECK(view.status == 200);
     CHECK(view.isComplete == test.isWhole);
     CHECK((view.body == allEvents()) == test.isWhole);
@@ -265,12 +294,244 @@
             {"reply after the end", Framing::None, Complete, After, 404, "", Refuses, Closes, true, false},
             {"late reply, nobody continues", Framing::None, Complete, Late, 404, "", Refuses, Closes, true},
             {"late reply, copy used", Framing::None, Complete, Late, 404, "", Accepts, Closes, true},
+            {"call refused", Framing::None, Complete, Before, 429, "", Refuses, Closes, true, false},
+            {"call not executed",
+             Framing::None,
+             Complete,
+             Before,
+             503,
+             "",
+             Refuses,
+             Closes,
+             true,
+             false,
+             {},
+             NotExecuted},
+            {"interim response", Framing::None, Complete, After, 404, "", Refuses, Closes, true, false,
+             Interim},
+            {"late reply to another call", Framing::None, Complete, After, 404, "", Refuses, Closes, true,
+             false, StrayCopy},
     }));
     INFO(test.name);
     StoppedRun run(test);
     const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(run.stopCallCount > 0);
+    CHECK(run.stopCallCount == 1);
     CHECK(view.isComplete == test.isWhole);
     CHECK(view.body == allEvents());
-    CHECK((run.continuationCount > 0) <= test.isContinued);
+    CHECK((run.continuationCount > 0) == test.isContinued);
+}
+
+// Guards against a runner that works on because the call that should stop the run was lost, as the stream
+// goes on elsewhere.
+TEST_CASE("A run is called to end again if the first call was lost and its stream is reset", "[hostile]")
+{
+    const Framing framing = GENERATE(Framing::Chunks, Framing::None);
+    StoppedRun run({"lost call", framing, StreamEnd::Reset, ReplyTime::Never, 0, "", Continuation::Accepts,
+                    Continuation::Closes, true});
+    const CallerView view = run.fixture.call("/generation/a", "id-1");
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    run.fixture.runUntil([&] { return run.furtherCallCount > 0; });
+}
+
+// Guards against a stream that is cut because it moves between its leaving runner, which takes it back each
+// time, and one that refuses each copy.
+TEST_CASE("A generation that returned to its runner is not copied to the one that refused it", "[hostile]")
+{
+    GatewayFixture *gateway = nullptr;
+    std::string source;
+    bool isRunning = false;
+    bool isStopped = false;
+    int copyCount = 0;
+    int returnCount = 0;
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
+        const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
+                                   R"({"handle":"h","made":1})";
+        if (message.starts_with("POST /v1/kv-move")) {
+            const bool isStop = message.find(R"("last":true)") != std::string::npos;
+            isStopped = isStopped || isStop;
+            copyCount += isStop ? 0 : 1;
+            std::string answer = "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}";
+            if (isRunning)
+                answer = copied;
+            co_await sendBytes(connection, std::move(answer));
+            co_return;
+        }
+        const std::string runnerId = valueOf(message, "X-Expect-Instance");
+        if (!source.empty() && runnerId != source) {
+            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
+                                           "Content-Length: 0\r\n\r\n");
+            co_return;
+        }
+        const bool isFirst = source.empty();
+        source = runnerId;
+        returnCount += isFirst ? 0 : 1;
+        isStopped = false;
+        isRunning = true;
+        co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
+        int id = isFirst ? 1 : std::stoi(valueOf(message, "Last-Event-Id")) + 1;
+        for (; !isStopped && id <= EventCount; ++id) {
+            co_await sendBytes(connection, eventText(id));
+            if (isFirst && id == 5)
+                gateway->announceStop(Notice);
+            asio::steady_timer pause(gateway->io, EventInterval);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        isRunning = false;
+        connection.close();
+    });
+    gateway = &fixture;
+    const CallerView view = fixture.call("/generation/a", "id-1");
+    CHECK(view.isComplete);
+    CHECK(view.body == allEvents());
+    CHECK(copyCount == 1);
+    CHECK(returnCount == 1);
+}
+
+namespace {
+
+/// A runner that closes a stream without framing by itself, as it is leaving or speaks HTTP/1.0, and replies
+/// to calls about the run after a delay.
+class ClosingRunner
+{
+public:
+    ClosingRunner(std::string httpVersion, Duration delay)
+        : fixture([this](tcp::socket &connection, int, std::string message) {
+            return this->respond(connection, std::move(message));
+        })
+        , version(std::move(httpVersion))
+        , replyDelay(delay)
+    {}
+
+    GatewayFixture fixture;
+    int streamCount = 0;
+    /// Whether the runner has announced its stop, and refuses connections after it.
+    bool isStopDue = false;
+    bool refusesConnections = false;
+    std::chrono::steady_clock::time_point closedAt{};
+
+private:
+    static constexpr int ShortStream = 12;
+
+    asio::awaitable<void> wait(Duration duration)
+    {
+        asio::steady_timer timer(this->fixture.io, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<void> respond(tcp::socket &connection, std::string message)
+    {
+        if (message.starts_with("POST /v1/kv-move")) {
+            const bool isStop = message.find(R"("last":true)") != std::string::npos;
+            if (isStop)
+                co_await this->wait(this->replyDelay);
+            const std::string status = isStop && !this->isStopDue ? "404 None" : "503 Full";
+            co_await sendBytes(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
+            co_return;
+        }
+        const bool isFirst = ++this->streamCount == 1;
+        co_await sendBytes(connection, "HTTP/" + this->version + " 200 OK\r\nX-Server-Seal: s\r\n\r\n");
+        for (int id = 1; isFirst && id <= ShortStream; ++id) {
+            co_await sendBytes(connection, eventText(id));
+            if (id == ShortStream / 2 && this->isStopDue)
+                this->fixture.announceStop(150ms);
+            else if (id == ShortStream / 2)
+                this->fixture.suspectStop();
+            co_await this->wait(EventInterval);
+        }
+        if (this->refusesConnections)
+            this->fixture.runner.end();
+        this->closedAt = std::chrono::steady_clock::now();
+        connection.close();
+    }
+
+    std::string version;
+    Duration replyDelay;
+};
+
+} // namespace
+
+// Guards against a complete stream whose end is held up, or that is generated again, because a leaving runner
+// is slow to confirm it.
+TEST_CASE("A runner that confirms the end of a stream late does not hold it up", "[hostile]")
+{
+    const std::string path = GENERATE("/generation/a", "/resumable/a");
+    const auto delay = GENERATE(5ms, 200ms, 10000ms);
+    INFO(path << ", " << delay.count());
+    ClosingRunner runner("1.1", delay);
+    const CallerView view = runner.fixture.call(path, "id-1");
+    CHECK(view.isComplete);
+    // A resumable stream is settled by another runner if its own does not reply.
+    const bool mayResume = path == "/resumable/a" && delay > 1s;
+    CHECK(runner.streamCount == (mayResume ? 2 : 1));
+    // Callers disconnect after two seconds or more.
+    CHECK(std::chrono::steady_clock::now() - runner.closedAt < 2s);
+}
+
+// Guards against a part of a stream that is delivered as complete because its runner has stopped at the
+// announced time and cannot tell.
+TEST_CASE("A stream that ends as its runner stops is not taken for complete", "[hostile]")
+{
+    const bool refusesConnections = GENERATE(false, true);
+    ClosingRunner runner("1.1", 0ms);
+    runner.isStopDue = true;
+    runner.refusesConnections = refusesConnections;
+    const CallerView view = runner.fixture.call("/generation/a", "id-1");
+    CHECK(view.status == 200);
+    CHECK_FALSE(view.isComplete);
+}
+
+// Guards against chunks under a version that has none: a caller would take the chunk sizes for content, and a
+// stream that is cut for complete.
+TEST_CASE("Callers get HTTP/1.1 whatever version the runner speaks", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/generation/a", "/stream/a");
+    INFO(path);
+    ClosingRunner runner("1.0", 0ms);
+    const CallerView view = runner.fixture.call(path, "id-1");
+    CHECK(view.status == 200);
+    CHECK(view.version == 11);
+    CHECK(view.isComplete);
+}
+
+// Guards against a runner that works on because another one was called in its place.
+TEST_CASE("The runner that a stream has left is called to end the run, not the one that has failed",
+          "[hostile]")
+{
+    GatewayFixture *gateway = nullptr;
+    int sourceCallCount = 0;
+    const auto wait = [&](Duration duration) -> asio::awaitable<void> {
+        asio::steady_timer timer(gateway->io, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+    // Either runner may be the first.
+    std::string source;
+    const auto respondAt = [&](std::string address, tcp::socket &connection,
+                               std::string message) -> asio::awaitable<void> {
+        if (message.starts_with("POST /v1/kv-move")) {
+            sourceCallCount += address == source ? 1 : 0;
+            co_await sendBytes(connection, "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}");
+        } else if (source.empty()) {
+            source = address;
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n" + eventText(1));
+            co_await wait(4s);
+        } else {
+            co_await wait(350ms);
+            connection.close();
+        }
+    };
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) {
+        return respondAt("first", connection, std::move(message));
+    });
+    ScriptedRunner second(fixture.io, [&](tcp::socket &connection, int, std::string message) {
+        return respondAt("second", connection, std::move(message));
+    });
+    gateway = &fixture;
+    for (RunnerEntry &entry : fixture.runners) {
+        if (entry.id.ends_with("2"))
+            entry.address = second.address();
+    }
+    fixture.gateway.applyFleet(fixture.runners);
+    CHECK_FALSE(fixture.call("/resumable/a", "id-1").isComplete);
+    fixture.runUntil([&] { return sourceCallCount > 0; });
 }
