entry: reject a service's response with an invalid status before its body

Cause: async_read() reads header and body in one. Change: the header is read and judged first.

The stand-in of a service has the faults "status" (any status) and "status-open" (the same, and the body never ends).

--- a/src/eelgrasslift/servicecallrunner.cpp
+++ b/src/eelgrasslift/servicecallrunner.cpp
@@ -180,13 +180,17 @@
     beast::flat_buffer buffer{MaxParseBufferBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxResponseBytes);
+    if (!error)
+        co_await http::async_read_header(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    // The body of an invalid response may never end.
+    if (!error && statusClass(parser.get().result_int()) == StatusClass::Invalid)
+        co_return SendInterrupted{attempt.number, {}};
     if (!error)
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return SendInterrupted{attempt.number, {}};
     const HttpResponse response = parser.release();
-    if (statusClass(response.result_int()) == StatusClass::Invalid)
-        co_return SendInterrupted{attempt.number, {}};
     const bool isLeaving = response.find("X-Leaving") != response.end();
     if (isLeaving)
         this->context.control.post([&state = this->context.state, target = attempt.placed.target] {
--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -142,7 +142,8 @@
     auto stream = std::make_shared<EngineStream>(generation, from, this->nextStreamSerial++, this->faults,
                                                  &currentTime);
     this->streams.push_back(session);
-    session->stream({{"Content-Type", "text/event-stream"},
+    session->stream(200,
+                    {{"Content-Type", "text/event-stream"},
                      {"Cache-Control", "no-store"},
                      {"X-Generation-Id", generation->id}},
                     [stream] { return stream->nextChunk(); });
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -121,7 +121,7 @@
     });
 }
 
-void HttpSession::stream(const HttpHeaders &headers, StreamSource source)
+void HttpSession::stream(unsigned status, const HttpHeaders &headers, StreamSource source)
 {
     if (!this->socket.is_open())
         return;
@@ -129,7 +129,7 @@
     this->isWriting = true;
     auto response = std::make_shared<http::response<http::empty_body>>();
     response->version(this->currentRequest.version());
-    response->result(http::status::ok);
+    response->result(status);
     for (const auto &[name, value] : headers)
         response->set(name, value);
     response->keep_alive(this->currentRequest.keep_alive());
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -73,9 +73,9 @@
     /// Sends the reply after the delay, or at once if the delay is not positive.
     void respondAfter(std::chrono::milliseconds delay, HttpReply reply);
 
-    /// Starts a chunked response with status 200. The source is called for the next chunk as soon as the
-    /// previous one is written; after it has returned Pending, wake() calls it again.
-    void stream(const HttpHeaders &headers, StreamSource source);
+    /// Starts a chunked response. The source is called for the next chunk as soon as the previous one is
+    /// written; after it has returned Pending, wake() calls it again.
+    void stream(unsigned status, const HttpHeaders &headers, StreamSource source);
 
     /// Continues a streamed response whose source returned Pending.
     void wake();
--- a/standins/serviceserver.cpp
+++ b/standins/serviceserver.cpp
@@ -63,11 +63,20 @@
     const bool closes = this->consumeFault("run-then-close");
     const bool fails = this->consumeFault("fail");
     const bool delays = this->consumeFault("delay");
+    const bool changesStatus = this->consumeFault("status");
+    const bool staysOpen = this->consumeFault("status-open");
     HttpReply reply = this->run(session->request(), target);
     if (closes)
         return session->abort();
     if (fails)
         reply = jsonReply(500, {{"error", "failed after running"}});
+    if (staysOpen)
+        return session->stream(this->faultStatus, reply.headers, [] { return StreamChunk{}; });
+    if (changesStatus) {
+        reply.status = this->faultStatus;
+        if (reply.status / 100 == 1) // has no body
+            reply.body.clear();
+    }
     this->respondLater(session, delays ? this->faultDelay : this->settings.workTime, std::move(reply));
 }
 
@@ -118,6 +127,7 @@
     this->faultName = body->value("fault", std::string{});
     this->faultCount = this->faultName == "none" ? 0 : body->value("count", uint64_t{1});
     this->faultDelay = milliseconds{body->value("ms", int64_t{0})};
+    this->faultStatus = body->value("status", 0U);
     session->respond(jsonReply(200, {{"done", true}}));
 }
 
--- a/standins/serviceserver.h
+++ b/standins/serviceserver.h
@@ -25,6 +25,8 @@
 /// refuse          responds 503 with X-Not-Run: 1 without running the request
 /// delay           runs the request at once and responds after "ms" milliseconds
 /// fail            runs the request and responds 500
+/// status          runs the request and responds with "status", which may be invalid
+/// status-open     like status, but the body never ends
 /// none            clears the fault
 class ServiceServer
 {
@@ -56,6 +58,7 @@
     std::string faultName;
     uint64_t faultCount = 0;
     std::chrono::milliseconds faultDelay{0};
+    unsigned faultStatus = 0;
     std::map<std::string, uint64_t> runsPerRequestId;
     std::map<std::string, uint64_t> runsPerBody;
     std::map<std::string, uint64_t> runsPerKey;
