soak: send half of the streams without framing and vary how runners end runs

Change: half of the streams have neither length nor chunks. A runner that is called to end a run closes the stream between two events or inside one, and replies before, 100 to 400 ms after that or never, with 200 or with 503 and a handle; 404 after the last event. It keeps the run and continues it once. Excused, as runners that broke off are: a run that only such a runner keeps, while that runner ends, resets its connections, falls silent or refuses everything. A connection that was accepted just before the end of a runner is no longer served. The promise about streams covers the fault and is unchanged.

Fault of the stand-in, mended: each start and reload of a process truncated its settings file, which waits for a busy disk (openat() in submit_bio_wait, 23 of 23 samples), and the runners stood still with the soak for up to 5 s. Settings files are not truncated any more.

Open, in the gateway.

--- a/soak/nodes.cpp
+++ b/soak/nodes.cpp
@@ -62,7 +62,10 @@
 
 void Nodes::writeSettings(const Node &node, bool isFirstStart) const
 {
-    std::ofstream file(this->settingsPath(node));
+    // Truncation may wait for a busy disk, and with it all runners. The settings of later starts are not
+    // shorter.
+    const std::filesystem::path path = this->settingsPath(node);
+    std::ofstream file(path, std::filesystem::exists(path) ? std::ios::in : std::ios::out);
     const bool isGateway = node.id.role == Role::Gateway;
     file << "node_name=" << node.name << "\nip=" << node.ip << "\nzone=zone-a\nregion=region-a\n"
          << "internal_ports=" << FirstInternalPort << "," << LastInternalPort << "\n";
--- a/soak/runner.cpp
+++ b/soak/runner.cpp
@@ -36,6 +36,21 @@
 constexpr uint64_t PersistentRunnerShare = 3;
 // One copy in this many finds no room at its destination.
 constexpr uint64_t CopyRefusalShare = 8;
+// One stream in this many has neither length nor chunks.
+constexpr uint64_t UnframedShare = 2;
+// One run in this many that is ended by a call ends inside an event.
+constexpr uint64_t EndInsideEventShare = 5;
+// One last copy in this many finds no room at its destination.
+constexpr uint64_t LastCopyRefusalShare = 4;
+constexpr uint64_t MinLateReplyMs = 100;
+constexpr uint64_t LateReplySpreadMs = 300;
+constexpr Duration RunEndPollInterval = std::chrono::milliseconds{5};
+constexpr unsigned NotFound = 404;
+constexpr unsigned Conflict = 409;
+
+/// When a runner that is called to end a run replies.
+enum class EndReply { First, Late, Never };
+constexpr EndReply EndReplies[] = {EndReply::First, EndReply::Late, EndReply::Late, EndReply::Never};
 
 uint64_t numberIn(std::string_view text)
 {
@@ -44,6 +59,14 @@
     return number;
 }
 
+/// Takes the remainder of the number, and the quotient for the next choice.
+uint64_t takeChoice(uint64_t &number, uint64_t count)
+{
+    const uint64_t choice = number % count;
+    number /= count;
+    return choice;
+}
+
 /// What ends the runner of the request: its content, or a part of its prompt; empty if nothing does.
 std::string crashCauseOf(const Request &request)
 {
@@ -69,16 +92,38 @@
     if (found == this->copies.end() || found->second.requestId != requestId ||
         (found->second.destination != runnerAddress && found->second.stoppedSource != runnerAddress))
         return false;
-    this->copies.erase(found);
+    // The runner that has ended the run continues it once.
+    if (found->second.stoppedSource == runnerAddress)
+        std::erase_if(this->copies, [&](const auto &entry) {
+            return entry.second.requestId == requestId && entry.second.stoppedSource == runnerAddress;
+        });
+    else
+        this->copies.erase(found);
     return true;
 }
 
-void CopyStore::stopSource(const std::string &requestId, const std::string &runnerAddress)
+void CopyStore::stopSource(const std::string &requestId, const std::string &runnerAddress,
+                           const std::string &lastName, const std::string &destination)
 {
+    if (!lastName.empty())
+        this->add(lastName, requestId, destination);
     for (auto &[name, copy] : this->copies) {
-        if (copy.requestId == requestId && name.starts_with(runnerAddress + "/"))
-            copy.stoppedSource = runnerAddress;
+        if (copy.requestId != requestId || !name.starts_with(runnerAddress + "/"))
+            continue;
+        copy.stoppedSource = runnerAddress;
+        if (destination.empty())
+            copy.destination.clear();
+    }
+}
+
+std::vector<std::string> CopyStore::keptOnlyAt(const std::string &runnerAddress) const
+{
+    std::vector<std::string> requestIds;
+    for (const auto &[name, copy] : this->copies) {
+        if (copy.stoppedSource == runnerAddress && copy.destination.empty())
+            requestIds.push_back(copy.requestId);
     }
+    return requestIds;
 }
 
 /// Lists a run as active for as long as the object exists.
@@ -144,6 +189,12 @@
     this->resetConnections();
 }
 
+void Runner::overload(Duration duration)
+{
+    this->overloadedUntil = after(duration);
+    this->disturbKeptRuns();
+}
+
 void Runner::fallSilent(Duration duration)
 {
     this->silentUntil = after(duration);
@@ -154,6 +205,13 @@
 {
     for (const Run *run : this->runs)
         this->ledger.disturb(run->requestId);
+    this->disturbKeptRuns();
+}
+
+void Runner::disturbKeptRuns()
+{
+    for (const std::string &requestId : this->copies.keptOnlyAt(this->spec.endpoint.toString()))
+        this->ledger.disturb(requestId);
 }
 
 void Runner::resetConnections()
@@ -189,7 +247,8 @@
         boost::system::error_code error;
         tcp::socket socket =
                 co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error)
+        // A connection may have been accepted just before the runner ended.
+        if (error || this->hasEnded())
             continue;
         std::erase_if(this->connections, [](const auto &connection) { return connection.expired(); });
         auto connection = std::make_shared<Connection>(std::move(socket));
@@ -271,7 +330,7 @@
     const bool isComplete = co_await this->sendStream(connection, *run, first, last);
     if (isComplete && !backup.empty())
         this->copies.erase(backup + "/" + id);
-    co_return isComplete && !this->isLeaveAnnounced();
+    co_return isComplete && (*run).isChunked && !this->isLeaveAnnounced();
 }
 
 asio::awaitable<void> Runner::crash(Connection &connection, Request request)
@@ -312,26 +371,39 @@
     head.erase(http::field::content_length);
     head.set(http::field::content_type, "text/event-stream");
     head.set("X-Server-Seal", sealOf(run.requestId));
-    head.chunked(true);
+    // Without an event, a response that ends with its connection is no statement.
+    const uint64_t choice = hashOf(run.requestId + " " + this->spec.id) >> 32U;
+    run.isChunked = first > last || choice % UnframedShare != 0;
+    head.chunked(run.isChunked);
     http::response_serializer<http::empty_body> serializer(head);
     co_await http::async_write_header(connection, serializer,
                                       asio::redirect_error(asio::use_awaitable, error));
     run.events = first - 1;
+    run.lastEvent = last;
+    const auto send = [&](std::string bytes) -> asio::awaitable<void> {
+        if (run.isChunked)
+            co_await asio::async_write(connection, http::make_chunk(asio::buffer(bytes)),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        else
+            co_await asio::async_write(connection, asio::buffer(bytes),
+                                       asio::redirect_error(asio::use_awaitable, error));
+    };
     const bool isPersistent = hashOf(this->spec.id) % PersistentRunnerShare == 0;
     for (uint64_t number = first; number <= last && (!error || isPersistent); ++number) {
+        const std::string event = eventOf(run.requestId, number);
+        if (run.isEndedByCall && run.endsInsideEvent && !error)
+            co_await send(event.substr(0, event.size() / 2));
         if (run.isEndedByCall || this->hasEnded())
             co_return false;
-        const std::string event = eventOf(run.requestId, number);
-        if (!error)
-            co_await asio::async_write(connection, http::make_chunk(asio::buffer(event)),
-                                       asio::redirect_error(asio::use_awaitable, error));
         run.events = number;
+        if (!error)
+            co_await send(event);
         co_await this->work(EventInterval, run.requestId);
     }
-    if (!error)
+    if (!error && run.isChunked)
         co_await asio::async_write(connection, http::make_chunk_last(),
                                    asio::redirect_error(asio::use_awaitable, error));
-    co_return !error;
+    co_return !error && connection.socket().is_open();
 }
 
 asio::awaitable<bool> Runner::copy(Connection &connection, const std::string &body)
@@ -344,24 +416,55 @@
     const auto isOfRequest = [&](const Run *run) { return run->requestId == id; };
     const auto active = std::ranges::find_if(this->runs, isOfRequest);
     if (active == this->runs.end())
-        co_return co_await this->send(connection, this->makeResponse(404, {}));
-    if (call.value("last", false)) {
-        (*active)->isEndedByCall = true;
-        this->copies.stopSource(id, this->spec.endpoint.toString());
-        const Json result{{"handle", this->copies.nextHandle()}, {"made", (*active)->events}};
-        co_return co_await this->send(connection, this->makeResponse(200, {}, result.dump()));
-    }
+        co_return co_await this->send(connection, this->makeResponse(NotFound, {}));
+    if (call.value("last", false))
+        co_return co_await this->endRunByCall(connection, **active, destination);
     co_await sleepFor(CopyTime);
     const auto run = std::ranges::find_if(this->runs, isOfRequest);
     if (run == this->runs.end() || hashOf(id + destination) % CopyRefusalShare == 0)
         co_return co_await this->send(connection,
-                                      this->makeResponse(run == this->runs.end() ? 404 : 503, {}));
+                                      this->makeResponse(run == this->runs.end() ? NotFound : 503, {}));
     const std::string handle = this->copies.nextHandle();
     this->copies.add(this->spec.endpoint.toString() + "/" + handle, id, destination);
     const Json result{{"handle", handle}, {"made", (*run)->events}};
     co_return co_await this->send(connection, this->makeResponse(200, {}, result.dump()));
 }
 
+asio::awaitable<bool> Runner::endRunByCall(Connection &connection, Run &run, std::string destination)
+{
+    if (run.isEndedByCall)
+        co_return co_await this->send(connection, this->makeResponse(Conflict, {}));
+    // After its last event the run ends by itself.
+    if (run.lastEvent != 0 && run.events == run.lastEvent)
+        co_return co_await this->send(connection, this->makeResponse(NotFound, {}));
+    const std::string id = run.requestId;
+    const std::string address = this->spec.endpoint.toString();
+    uint64_t choices = hashOf("end " + id + " " + this->spec.id) >> 32U;
+    const EndReply reply = EndReplies[takeChoice(choices, std::size(EndReplies))];
+    run.isEndedByCall = true;
+    run.endsInsideEvent = takeChoice(choices, EndInsideEventShare) == 0;
+    // Without a reply or while the runner refuses requests, only the destination may have the memory.
+    const bool isRefused = takeChoice(choices, LastCopyRefusalShare) == 0 && reply != EndReply::Never &&
+                           steadyNow() >= this->overloadedUntil;
+    if (isRefused)
+        destination.clear();
+    const std::string handle = reply == EndReply::Never ? std::string{} : this->copies.nextHandle();
+    const Json result{{"handle", handle}, {"made", run.events}};
+    this->copies.stopSource(id, address, handle.empty() ? handle : address + "/" + handle, destination);
+    const auto isEnding = [&] {
+        return std::ranges::any_of(this->runs, [&](const Run *active) {
+            return active->requestId == id && active->isEndedByCall;
+        });
+    };
+    while (reply != EndReply::First && isEnding())
+        co_await sleepFor(RunEndPollInterval);
+    if (reply == EndReply::Never)
+        co_return false;
+    if (reply == EndReply::Late)
+        co_await sleepFor(std::chrono::milliseconds{MinLateReplyMs + choices % LateReplySpreadMs});
+    co_return co_await this->send(connection, this->makeResponse(isRefused ? 503 : 200, {}, result.dump()));
+}
+
 asio::awaitable<void> Runner::work(Duration duration, const std::string &requestId)
 {
     if (steadyNow() < this->slowUntil) {
--- a/soak/runner.h
+++ b/soak/runner.h
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace eelgrasslift::soak {
 
@@ -24,8 +26,12 @@
     void add(const std::string &name, const std::string &requestId, const std::string &destination);
     /// Removes the copy and returns true if it is one of this request at this runner.
     bool take(const std::string &name, const std::string &requestId, const std::string &runnerAddress);
-    /// The runner that has made the copies of this request has ended the run and keeps its memory as well.
-    void stopSource(const std::string &requestId, const std::string &runnerAddress);
+    /// The runner has ended the run of this request and keeps its memory under the name of its last copy, if
+    /// it has told one, and under those of earlier copies. Without a destination it alone has the memory.
+    void stopSource(const std::string &requestId, const std::string &runnerAddress,
+                    const std::string &lastName, const std::string &destination);
+    /// Requests whose memory only this runner has.
+    std::vector<std::string> keptOnlyAt(const std::string &runnerAddress) const;
     void erase(const std::string &name) { this->copies.erase(name); }
     std::string nextHandle() { return "h" + std::to_string(++this->handles); }
 
@@ -33,6 +39,7 @@
     struct Copy
     {
         std::string requestId;
+        /// Empty if the copy was not made.
         std::string destination;
         /// Address of the runner that has made the copy, once it has ended the run and keeps its memory.
         std::string stoppedSource;
@@ -66,7 +73,7 @@
     /// Ends: breaks off what runs.
     void stop();
     /// Refuses all requests for the duration and asks for a pause.
-    void overload(Duration duration) { this->overloadedUntil = this->after(duration); }
+    void overload(Duration duration);
     void slowDown(Duration duration) { this->slowUntil = this->after(duration); }
     void fallSilent(Duration duration);
     void resetConnections();
@@ -83,8 +90,13 @@
     {
         std::string requestId;
         uint64_t events = 0;
+        uint64_t lastEvent = 0;
+        /// The response ends with its connection otherwise.
+        bool isChunked = true;
         /// A gateway has called the runner to end it.
         bool isEndedByCall = false;
+        /// It is to end inside an event then.
+        bool endsInsideEvent = false;
     };
     class ActiveRun;
     using Connection = boost::beast::tcp_stream;
@@ -97,6 +109,8 @@
     boost::asio::awaitable<bool> send(Connection &connection, Response response) const;
     boost::asio::awaitable<bool> sendStream(Connection &connection, Run &run, uint64_t first, uint64_t last);
     boost::asio::awaitable<bool> copy(Connection &connection, const std::string &body);
+    /// Ends the run on a call, and replies before or after the end, or not at all.
+    boost::asio::awaitable<bool> endRunByCall(Connection &connection, Run &run, std::string destination);
     /// Runs a request that ends the runner.
     boost::asio::awaitable<void> crash(Connection &connection, Request request);
     /// Takes the time of a step of work, longer while the runner is slow or silent.
@@ -107,7 +121,9 @@
     Response makeResponse(unsigned status, const std::string &requestId, std::string body = {}) const;
     Response refusal(unsigned status, const std::string &requestId) const;
     std::string report() const;
+    /// Runs, and what is kept of ended ones, may be lost.
     void disturbRuns();
+    void disturbKeptRuns();
 
     boost::asio::io_context &io;
     RunnerSpec spec;
