--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -275,6 +275,7 @@
         if (this->writer.isResponseStarted()) {
             const bool isComplete = co_await this->isDoubtfulEndComplete();
             if (isComplete && co_await this->completeResponse() == RelayOutcome::Complete) {
+                this->lastRunnerId = this->doubtfulEnd->runnerId;
                 this->recordEnd(200, "complete");
                 co_return;
             }
