gateway: let a generation that returned to its leaving runner stay there

Change: a generation that its runner has taken back is not called to end again; it stays until the announced stop.

--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -183,15 +183,13 @@
     const bool hasBackup =
             this->backup.runner() && this->gateway.runners.acceptsMoves(*this->backup.runner(), steadyNow());
     const Duration age = this->runFirstEventAt ? steadyNow() - *this->runFirstEventAt : Duration::zero();
-    LeavingGeneration generation{this->remainingTokens(),
-                                 this->generatedTokens(),
-                                 this->runFirstEventAt.has_value(),
-                                 age,
-                                 hasBackup,
-                                 engine->supportsMigration && !this->context.route->isResumable,
-                                 std::nullopt,
+    LeavingGeneration generation{this->remainingTokens(), this->generatedTokens(),
+                                 this->runFirstEventAt.has_value(), age, hasBackup,
+                                 engine->supportsMigration && !this->context.route->isResumable, std::nullopt,
                                  this->load.runner()->entry.isLeaving,
-                                 this->calledRunner ||
+                                 // Where others have refused the generation, another call would only hold it
+                                 // up.
+                                 this->calledRunner || this->current.isStoppedSource ||
                                          this->gateway.runners.isPaused(*this->load.runner(), steadyNow())};
     if (this->isCopyUsable())
         generation.copyAge = steadyNow() - this->copy->madeAt;
--- a/tests/hostile/test_stoppedrun.cpp
+++ b/tests/hostile/test_stoppedrun.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
-#include <set>
+#include <algorithm>
 
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
@@ -335,14 +335,16 @@
 }
 
 // Guards against a stream that is cut because it moves between its leaving runner, which takes it back each
-// time, and one that refuses each copy.
-TEST_CASE("A generation that returned to its runner is not copied to the one that refused it", "[hostile]")
+// time, and others that refuse each copy.
+TEST_CASE("A generation that returned to its runner is not moved to those that refuse it", "[hostile]")
 {
+    const int runnerCount = GENERATE(2, 4);
     GatewayFixture *gateway = nullptr;
     std::string source;
     bool isRunning = false;
     bool isStopped = false;
     int copyCount = 0;
+    int stopCount = 0;
     int returnCount = 0;
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
         const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
@@ -351,6 +353,7 @@
             const bool isStop = message.find(R"("last":true)") != std::string::npos;
             isStopped = isStopped || isStop;
             copyCount += isStop ? 0 : 1;
+            stopCount += isStop && isRunning ? 1 : 0;
             std::string answer = "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}";
             if (isRunning)
                 answer = copied;
@@ -381,10 +384,17 @@
         connection.close();
     });
     gateway = &fixture;
+    for (int number = 3; number <= runnerCount; ++number) {
+        RunnerEntry entry = *std::ranges::find(fixture.runners, "m1", &RunnerEntry::id);
+        entry.id = "m" + std::to_string(number);
+        fixture.runners.push_back(std::move(entry));
+    }
+    fixture.gateway.applyFleet(fixture.runners);
     const CallerView view = fixture.call("/generation/a", "id-1");
     CHECK(view.isComplete);
     CHECK(view.body == allEvents());
-    CHECK(copyCount == 1);
+    CHECK(copyCount < runnerCount);
+    CHECK(stopCount == 1);
     CHECK(returnCount == 1);
 }
 
