soak: check leaving runners against the requests that callers send later

The trace shows a generation whose own response had passed the statement on; its runner had stopped the run for a copy, all others refused, and it went back to the runner that keeps it. The users' rule counts requests that a client sent later than drain_ms after the statement; the promise here counted any arrival. Change: the time at which the caller has sent the request decides, as in the rule.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -157,7 +157,7 @@
 void Ledger::reach(const std::string &id, const std::string &runner)
 {
     if (const auto found = this->requests.find(id); found != this->requests.end())
-        this->notices.checkArrival(id, runner, found->second.gateway);
+        this->notices.checkArrival(id, runner, found->second.gateway, found->second.sentAt);
 }
 
 void Ledger::askForPause(const std::string &id, const std::string &runner, Duration duration)
--- a/soak/runnernotices.cpp
+++ b/soak/runnernotices.cpp
@@ -34,18 +34,19 @@
 }
 
 void RunnerNotices::checkArrival(const std::string &requestId, const std::string &runner,
-                                 const Gateway &gateway)
+                                 const Gateway &gateway, TimePoint sentAt)
 {
-    this->checkLeaving(requestId, runner, gateway);
+    this->checkLeaving(requestId, runner, gateway, sentAt);
     this->checkPauses(requestId, runner, gateway);
 }
 
 void RunnerNotices::checkLeaving(const std::string &requestId, const std::string &runner,
-                                 const Gateway &gateway)
+                                 const Gateway &gateway, TimePoint sentAt)
 {
     const auto found = this->leavingSince.find({runner, gateway});
     const TimePoint now = steadyNow();
-    if (found == this->leavingSince.end() || now <= found->second + DrainTime ||
+    // A generation that began before may return to the runner.
+    if (found == this->leavingSince.end() || sentAt <= found->second + DrainTime ||
         gateway->wasFrozenWithin(found->second, now))
         return;
     std::ostringstream text;
--- a/soak/runnernotices.h
+++ b/soak/runnernotices.h
@@ -29,8 +29,9 @@
     void recordLeaving(const std::string &runner, const Gateway &gateway);
     /// The runner has refused a request of the gateway, and wants no more for the duration.
     void recordPause(const std::string &runner, const Gateway &gateway, Duration duration);
-    /// Checks a request of the gateway that has reached the runner.
-    void checkArrival(const std::string &requestId, const std::string &runner, const Gateway &gateway);
+    /// Checks a request of the gateway that has reached the runner. sentAt is when its caller has sent it.
+    void checkArrival(const std::string &requestId, const std::string &runner, const Gateway &gateway,
+                      TimePoint sentAt);
 
 private:
     struct Pause
@@ -43,7 +44,8 @@
         uint32_t arrivals = 0;
     };
 
-    void checkLeaving(const std::string &requestId, const std::string &runner, const Gateway &gateway);
+    void checkLeaving(const std::string &requestId, const std::string &runner, const Gateway &gateway,
+                      TimePoint sentAt);
     void checkPauses(const std::string &requestId, const std::string &runner, const Gateway &gateway);
 
     Journal &journal;
