--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -28,6 +28,8 @@
 namespace {
 
 constexpr auto TestTimeout = std::chrono::seconds{20};
+constexpr auto PollInterval = std::chrono::milliseconds{1};
+constexpr int SmallBufferBytes = 4096;
 
 const std::string Config = R"({"version":1,"routes":[
 {"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":3000,"slo_ms":100,"priority":0,
@@ -68,8 +70,13 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
 }
 
-asio::awaitable<void> readResponse(tcp::socket caller, std::function<void(const CallerView &)> ended)
+asio::awaitable<void> readResponse(tcp::socket caller, const bool &isReading,
+                                   std::function<void(const CallerView &)> ended)
 {
+    for (asio::steady_timer timer(caller.get_executor()); !isReading;) {
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
@@ -258,8 +265,13 @@
 {
     tcp::acceptor acceptor(this->io, anyPort());
     tcp::socket caller(this->io);
+    caller.open(tcp::v4());
+    if (!this->areCallersReading)
+        caller.set_option(asio::socket_base::receive_buffer_size(SmallBufferBytes));
     caller.connect(acceptor.local_endpoint());
     boost::beast::tcp_stream accepted(acceptor.accept());
+    if (!this->areCallersReading)
+        accepted.socket().set_option(asio::socket_base::send_buffer_size(SmallBufferBytes));
     RequestContext context;
     context.request = HttpRequest(http::verb::get, path, 11);
     context.request.set(http::field::host, "h");
@@ -300,7 +312,8 @@
     };
     spawnTask(this->io, "session",
               this->runSession(std::move(accepted), std::move(context), std::move(sessionEnded)));
-    spawnTask(this->io, "caller", readResponse(std::move(caller), std::move(callerEnded)));
+    spawnTask(this->io, "caller",
+              readResponse(std::move(caller), this->areCallersReading, std::move(callerEnded)));
 }
 
 } // namespace eelgrasslift
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -106,6 +106,8 @@
     ScriptedRunner runner;
     UnreachableScheduler scheduler;
     std::vector<RunnerEntry> runners;
+    /// Callers do not read until this is set. Their connections hold a few kilobytes then.
+    bool areCallersReading = true;
     /// Parts of the prompts of the next requests as the platform writes them; none if empty.
     std::string prompt;
 
--- a/tests/hostile/test_stoppedrun.cpp
+++ b/tests/hostile/test_stoppedrun.cpp
@@ -62,6 +62,9 @@
     std::string beforeReply{};
     /// Further fields of the reply.
     std::string replyFields{};
+    /// Reply to the next call: the status, 0 for none, and the name of the copy. Those after it get 404.
+    unsigned furtherStatus = 404;
+    std::string furtherHandle{};
 };
 
 std::string eventText(int id)
@@ -129,8 +132,13 @@
     {
         // A run that continues here has ended by the time of a further call.
         if (this->stopCallCount > 0) {
-            ++this->furtherCallCount;
-            co_await reply(connection, 404, {});
+            const bool isNext = ++this->furtherCallCount == 1;
+            if (isNext && this->test.furtherStatus == 0)
+                connection.close();
+            else if (isNext)
+                co_await reply(connection, this->test.furtherStatus, this->test.furtherHandle);
+            else
+                co_await reply(connection, 404, {});
             co_return;
         }
         ++this->stopCallCount;
@@ -206,7 +214,9 @@
     asio::awaitable<void> continueRun(tcp::socket &connection, const std::string &message, bool isSource)
     {
         ++this->continuationCount;
-        const std::string &keptHandle = this->test.handle.empty() ? "h" : this->test.handle;
+        std::string keptHandle = "h";
+        for (const std::string &handle : {this->test.handle, this->test.furtherHandle})
+            keptHandle = handle.empty() ? keptHandle : handle;
         const bool isCopyKnown = valueOf(message, "Kv-From").ends_with("/" + (isSource ? keptHandle : "h"));
         Continuation continuation = isSource ? this->test.source : this->test.other;
         if (continuation == Continuation::Accepts && !isCopyKnown)
@@ -321,6 +331,102 @@
     CHECK((run.continuationCount > 0) == test.isContinued);
 }
 
+// Guards against a part of a response without framing that is delivered as complete because its runner has
+// refused the call that should stop the run, and stops it later.
+TEST_CASE("A run whose runner has refused the call to stop it is not taken for complete", "[hostile]")
+{
+    using enum StreamEnd;
+    using enum ReplyTime;
+    using enum Continuation;
+    const std::string paused = NotExecuted + "Retry-After: 1\r\n";
+    const auto test = GENERATE_COPY(values<StopCase>({
+            {"copied later", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
+             "", 200, "h"},
+            {"no room later", Framing::None, BetweenEvents, Before, 421, "", Refuses, Accepts, true, true, "",
+             "", 503, "k"},
+            {"not executed, no room later", Framing::None, BetweenEvents, Before, 503, "", Accepts, Closes,
+             true, true, "", NotExecuted, 503, "k"},
+            {"no reply later", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
+             "", 0},
+            {"refused again", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
+             "", 429},
+            {"paused", Framing::None, BetweenEvents, Before, 503, "", Accepts, Closes, true, true, "",
+             paused},
+            {"copied later, nobody accepts", Framing::None, BetweenEvents, Before, 429, "", Refuses, Refuses,
+             false, true, "", "", 200, "h"},
+            {"chunks", Framing::Chunks, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "",
+             200, "h"},
+            {"inside an event", Framing::None, InsideEvent, Before, 429, "", Accepts, Closes, true, true, "",
+             "", 200, "h"},
+    }));
+    INFO(test.name);
+    StoppedRun run(test);
+    const CallerView view = run.fixture.call("/generation/a", "id-1");
+    CHECK(run.stopCallCount == 1);
+    CHECK(view.status == 200);
+    CHECK(view.isComplete == test.isWhole);
+    CHECK((view.body == allEvents()) == test.isWhole);
+    CHECK(allEvents().starts_with(view.body));
+    CHECK((run.continuationCount > 0) == test.isContinued);
+}
+
+// Guards against a part of a response without framing that is delivered as complete because events that a
+// slow caller has held up seem to show that the run went on after the reply to the call.
+TEST_CASE("A run that was stopped while its caller was slow is not taken for complete", "[hostile]")
+{
+    constexpr int StoppedAfter = EventCount / 2;
+    const std::string fill(8000, 'x');
+    const auto largeEvent = [&](int id) { return "id: " + std::to_string(id) + "\ndata: " + fill + "\n\n"; };
+    GatewayFixture *gateway = nullptr;
+    std::string source;
+    bool isCopied = false;
+    bool isStopped = false;
+    const auto wait = [&](Duration duration) -> asio::awaitable<void> {
+        asio::steady_timer timer(gateway->io, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
+        const std::string runnerId = valueOf(message, "X-Expect-Instance");
+        if (message.starts_with("POST /v1/kv-move") && message.find(R"("last":true)") == std::string::npos) {
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
+                                           R"({"handle":"h","made":1})");
+            isCopied = true;
+        } else if (message.starts_with("POST /v1/kv-move")) {
+            co_await sendBytes(connection, "HTTP/1.1 409 Busy\r\nContent-Length: 2\r\n\r\n{}");
+            isStopped = true;
+        } else if (message.starts_with("DELETE /v1/kv-handle/")) {
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } else if (source.empty()) {
+            source = runnerId;
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
+            for (int id = 1; id <= StoppedAfter; ++id)
+                co_await sendBytes(connection, largeEvent(id));
+            while (!isStopped) {
+                gateway->announceStop(Notice);
+                co_await wait(EventInterval);
+            }
+            connection.close();
+            co_await wait(LateReply);
+            gateway->areCallersReading = true;
+        } else {
+            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
+            for (int id = std::stoi(valueOf(message, "Last-Event-Id")) + 1; id <= EventCount; ++id)
+                co_await sendBytes(connection, largeEvent(id));
+            connection.close();
+        }
+    });
+    gateway = &fixture;
+    fixture.areCallersReading = false;
+    const CallerView view = fixture.call("/generation/a", "id-1");
+    std::string expected;
+    for (int id = 1; id <= EventCount; ++id)
+        expected += largeEvent(id);
+    REQUIRE(isCopied);
+    REQUIRE(isStopped);
+    CHECK(view.isComplete);
+    CHECK((view.body == expected));
+}
+
 // Guards against a runner that works on because the call that should stop the run was lost, as the stream
 // goes on elsewhere.
 TEST_CASE("A run is called to end again if the first call was lost and its stream is reset", "[hostile]")
