gateway: check the end of a run whose runner has refused the call to stop it

Callers got a part of a response without framing as complete if the leaving runner refused the call that should stop the run (429, 421 or a statement that it was not executed) and closed the stream later.

Cause: RunStopCalls takes such a reply for no evidence and starts from 'complete', the runner counted as called, so that no check followed, and its announced stop was not looked at. A paused runner was not checked either. So a call that was refused made the gateway believe more than no call at all.

Change: at a leaving runner an end without framing is complete only if a reply about this run says so. RunStopCalls decides whether a check is needed, from the replies rather than from whether there was a call; a reply before events that came much later is not about the end. Without a reply the stream continues from its copy, if there is one.

--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -176,8 +176,8 @@
     void recordStopReply(size_t call, RunStopReply reply);
     /// Decides whether the run has ended with its response. Waits a moment for a reply that tells.
     boost::asio::awaitable<RunEnd> judgeRunEnd(const RunnerStream &stream);
-    /// Whether the runner is leaving and can tell whether a run of its own has ended.
-    bool canCheckRunEnd(const RunnerPool::Runner &runner) const;
+    /// Whether the runner is leaving, so that it may stop runs, and can tell whether it has stopped one.
+    bool canStopRuns(const RunnerPool::Runner &runner) const;
     /// Whether the last run was complete, after all, though the stream was to continue; waits for the reply
     /// that tells.
     boost::asio::awaitable<bool> isDoubtfulEndComplete();
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -156,21 +156,20 @@
                           this->runFirstEventAt.has_value(),
                           this->splitter.hasPartialEvent(),
                           this->lastEventAt.value_or(this->runSentAt),
-                          stop.latest && stop.earliest <= Duration::zero()};
+                          stop.latest && stop.earliest <= Duration::zero(),
+                          this->canStopRuns(*runner)};
     this->isUnframed = end.isUnframed;
     const auto isPending = [&] { return this->stopCalls.judge(end) == RunEnd::Pending; };
-    RunEnd result = this->stopCalls.judge(end);
     Duration wait = StopReplyWait;
     // A runner that is leaving also closes its streams when it stops; its reply to a call tells.
-    if (end.isUnframed && result == RunEnd::Complete && !this->calledRunner &&
-        this->canCheckRunEnd(*runner)) {
+    if (this->stopCalls.needsCheck(end) && !this->gateway.runners.isPaused(*runner, steadyNow())) {
         this->stopRun(StopPurpose::Check);
         if (!this->hasCopy() && !this->backup.runner())
             wait = CheckTimeout;
     }
     co_await this->waitForStopReplies(isPending, steadyNow() + wait);
-    result = this->stopCalls.judge(end);
-    if (this->isUnframed && this->calledRunner)
+    const RunEnd result = this->stopCalls.judge(end);
+    if (this->isUnframed && (this->calledRunner || result != RunEnd::Complete))
         logInfo("run-end-judged", {{"request", this->context.metadata.id},
                                    {"runner", runner->entry.id},
                                    {"events", std::to_string(this->splitter.eventCount())},
@@ -186,11 +185,10 @@
     co_return result;
 }
 
-bool StreamSession::canCheckRunEnd(const RunnerPool::Runner &runner) const
+bool StreamSession::canStopRuns(const RunnerPool::Runner &runner) const
 {
     const EngineTraits *engine = this->context.engine();
-    return engine != nullptr && engine->supportsMigration && runner.entry.isExpectedToLeave() &&
-           !this->gateway.runners.isPaused(runner, steadyNow());
+    return engine != nullptr && engine->supportsMigration && runner.entry.isExpectedToLeave();
 }
 
 asio::awaitable<bool> StreamSession::isDoubtfulEndComplete()
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -11,6 +11,18 @@
 // run goes on.
 constexpr Duration MaxEventDelay = std::chrono::milliseconds{250};
 
+/// The runner has closed the stream by itself and does not tell why.
+RunEnd endWithoutStatement(const ReceivedEnd &end)
+{
+    return end.isStopDue ? RunEnd::Unknown : RunEnd::Unconfirmed;
+}
+
+/// Whether the run has sent events after the reply, which therefore was not about its end.
+bool hasContinued(const ReceivedEnd &end, TimePoint repliedAt)
+{
+    return end.lastEventAt > repliedAt + MaxEventDelay;
+}
+
 /// Combines what earlier calls tell about the end of a run with the reply to one more call.
 struct EndJudgement
 {
@@ -28,7 +40,7 @@
     {
         if (!this->precedesEnd)
             return this->withoutStatement();
-        return this->end.lastEventAt > this->repliedAt + MaxEventDelay ? this->earlier : RunEnd::Unknown;
+        return hasContinued(this->end, this->repliedAt) ? this->earlier : RunEnd::Unknown;
     }
     RunEnd operator()(const CallNotExecuted &) const
     {
@@ -39,12 +51,9 @@
         return this->precedesEnd ? RunEnd::Unknown : this->withoutStatement();
     }
 
-    /// The runner has closed the stream by itself and does not tell why.
     RunEnd withoutStatement() const
     {
-        if (this->earlier != RunEnd::Complete)
-            return this->earlier;
-        return this->end.isStopDue ? RunEnd::Unknown : RunEnd::Unconfirmed;
+        return this->earlier == RunEnd::Complete ? endWithoutStatement(this->end) : this->earlier;
     }
 };
 
@@ -102,9 +111,12 @@
     RunEnd result = RunEnd::Complete;
     if (!end.isUnframed)
         return result;
+    bool isConfirmed = !end.isLeaving;
     for (const Call &call : this->calls) {
         if (!call.concerns(end.runnerId, end.sentAt))
             continue;
+        isConfirmed = isConfirmed || (call.reply && std::holds_alternative<NoSuchRun>(*call.reply) &&
+                                      !hasContinued(end, call.repliedAt));
         if (call.reply)
             result = std::visit(EndJudgement{result, end, call.calledAt <= end.endedAt, call.repliedAt},
                                 *call.reply);
@@ -113,9 +125,20 @@
         if (result == RunEnd::Stopped)
             break;
     }
+    if (result == RunEnd::Complete && !isConfirmed)
+        return endWithoutStatement(end);
     return result;
 }
 
+bool RunStopCalls::needsCheck(const ReceivedEnd &end) const
+{
+    const RunEnd result = this->judge(end);
+    return end.isLeaving && (result == RunEnd::Unconfirmed || result == RunEnd::Unknown) &&
+           std::ranges::none_of(this->calls, [&](const Call &call) {
+               return call.calledAt > end.endedAt && call.concerns(end.runnerId, end.sentAt);
+           });
+}
+
 bool RunStopCalls::isPending(std::string_view runnerId, TimePoint sentAt) const
 {
     return std::ranges::any_of(
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -56,6 +56,9 @@
     TimePoint lastEventAt{};
     /// The runner had announced that it would stop by then.
     bool isStopDue = false;
+    /// The runner is leaving, so that it may have stopped the run of its own accord. It tells that in its
+    /// reply to a call.
+    bool isLeaving = false;
 };
 
 /// How a run ended whose response has ended.
@@ -85,6 +88,9 @@
     /// How the run has ended, as far as the replies tell by now.
     RunEnd judge(const ReceivedEnd &end) const;
 
+    /// Whether only a call to the runner after the end can tell how the run has ended, and there was none.
+    bool needsCheck(const ReceivedEnd &end) const;
+
     /// Whether the runner has not replied yet to a call that may concern the run.
     bool isPending(std::string_view runnerId, TimePoint sentAt) const;
 
--- a/tests/gateway/test_runstopcalls.cpp
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -130,6 +130,76 @@
     CHECK(toString(calls.judge(end)) == toString(RunEnd::Unknown));
 }
 
+// Guards against a part that is delivered as complete because the runner has refused the call that should
+// stop the run, or has replied about another run, and stops this one later.
+TEST_CASE("The end of a run at a leaving runner needs a reply about that run", "[gateway]")
+{
+    struct LeavingCase
+    {
+        const char *name;
+        std::vector<StopCall> calls;
+        RunEnd expected;
+        /// The same if the runner is due to stop.
+        RunEnd expectedIfDue;
+        bool isCheckNeeded;
+    };
+    const auto test = GENERATE(values<LeavingCase>({
+            {"no call", {}, RunEnd::Unconfirmed, RunEnd::Unknown, true},
+            {"not executed", {{"r1", 90, CallNotExecuted{}, 95}}, RunEnd::Unconfirmed, RunEnd::Unknown, true},
+            {"had ended", {{"r1", 90, NoSuchRun{}, 95}}, RunEnd::Complete, RunEnd::Complete, false},
+            {"had ended long before",
+             {{"r1", -700, NoSuchRun{}, -600}},
+             RunEnd::Unconfirmed,
+             RunEnd::Unknown,
+             true},
+            {"no run while the earlier one returned",
+             {{"r1", -700, NoSuchRun{}, 1}},
+             RunEnd::Unconfirmed,
+             RunEnd::Unknown,
+             true},
+            {"copied for another call, then continued",
+             {{"r1", -20, CopyInProgress{}, 1}},
+             RunEnd::Unconfirmed,
+             RunEnd::Unknown,
+             true},
+            {"no reply yet", {{"r1", 300, std::nullopt}}, RunEnd::Pending, RunEnd::Pending, false},
+            {"stopped", {{"r1", 90, RunStopped{"h"}, 95}}, RunEnd::Stopped, RunEnd::Stopped, false},
+            {"not executed, then checked",
+             {{"r1", 90, CallNotExecuted{}, 95}, {"r1", 400, NoSuchRun{}, 410}},
+             RunEnd::Complete,
+             RunEnd::Complete,
+             false},
+            {"not executed, then found stopped",
+             {{"r1", 90, CallNotExecuted{}, 95}, {"r1", 400, RunStopped{"h"}, 410}},
+             RunEnd::Stopped,
+             RunEnd::Stopped,
+             false},
+            {"not executed twice",
+             {{"r1", 90, CallNotExecuted{}, 95}, {"r1", 400, CallNotExecuted{}, 410}},
+             RunEnd::Unconfirmed,
+             RunEnd::Unknown,
+             false},
+            {"call to another runner",
+             {{"r2", 90, NoSuchRun{}, 95}},
+             RunEnd::Unconfirmed,
+             RunEnd::Unknown,
+             true},
+    }));
+    INFO(test.name);
+    const RunStopCalls calls = recorded(test.calls);
+    ReceivedEnd end = unframedEnd();
+    end.isLeaving = true;
+    end.lastEventAt = at(300);
+    end.endedAt = at(310);
+    CHECK(calls.needsCheck(end) == test.isCheckNeeded);
+    CHECK(toString(calls.judge(end)) == toString(test.expected));
+    end.isStopDue = true;
+    CHECK(calls.needsCheck(end) == test.isCheckNeeded);
+    CHECK(toString(calls.judge(end)) == toString(test.expectedIfDue));
+    end.isUnframed = false;
+    CHECK_FALSE(calls.needsCheck(end));
+}
+
 // Guards against a runner that works on although nothing has stopped it, and against calls that only disturb.
 TEST_CASE("A run that a stream has left needs a call unless one has ended it or is under way", "[gateway]")
 {
