gateway: tell whether a run goes on by events that it had to wait for

Callers got a part of a response without framing as complete if they read slowly while its runner replied that the run is copied for another call and stopped it nevertheless.

Cause: an event that is read more than 250 ms after such a reply counted as a sign that the run goes on. With a slow caller, and likewise after the gateway has stood still, events are read long after they were made. Change: the time counts at which the wait for the event began, if it had not arrived by then.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -501,6 +501,7 @@
     this->arePartsServed = false;
     this->calledRunner.reset();
     this->runSentAt = stream.sentAt;
+    this->lastEventAwaitedAt = stream.sentAt;
     this->stoppedSource.reset();
     this->requestedSwitch.reset();
     this->activeConnection = stream.connection;
@@ -589,6 +590,10 @@
         parser.get().body().size = bytes.size();
         parser.get().body().more = true;
         stream.connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
+        std::optional<TimePoint> awaitedAt;
+        if (!this->stopCalls.isEmpty() && stream.connection->buffer.size() == 0 &&
+            !stream.connection->hasUnreadBytes())
+            awaitedAt = steadyNow();
         co_await http::async_read_some(stream.connection->stream, stream.connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
         // requestSwitch() cancels the read; the connection stays usable.
@@ -602,6 +607,7 @@
             this->stallDetector.recordProgress(steadyNow());
         if (!events.empty()) {
             this->recordEvents(previousCount);
+            this->lastEventAwaitedAt = awaitedAt.value_or(this->lastEventAwaitedAt);
             const bool isSent = co_await this->writer.sendChunk(events);
             if (!isSent || this->isAbandoned)
                 co_return callerDisconnected;
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -282,6 +282,9 @@
     /// none has.
     RunnerPool::RunnerPointer calledRunner;
     RunStopCalls stopCalls;
+    /// When the wait for the latest event of the current run began that had not arrived by then; kept only if
+    /// there are stopCalls.
+    TimePoint lastEventAwaitedAt{};
     /// When the request was sent to the current runner.
     TimePoint runSentAt{};
     /// The end of the last run, if it may have been complete; until another run continues the stream.
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -155,7 +155,7 @@
                           stream.parser->need_eof(),
                           this->runFirstEventAt.has_value(),
                           this->splitter.hasPartialEvent(),
-                          this->lastEventAt.value_or(this->runSentAt),
+                          this->lastEventAwaitedAt,
                           stop.latest && stop.earliest <= Duration::zero(),
                           this->canStopRuns(*runner)};
     this->isUnframed = end.isUnframed;
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -20,7 +20,7 @@
 /// Whether the run has sent events after the reply, which therefore was not about its end.
 bool hasContinued(const ReceivedEnd &end, TimePoint repliedAt)
 {
-    return end.lastEventAt > repliedAt + MaxEventDelay;
+    return end.lastEventAwaitedAt > repliedAt + MaxEventDelay;
 }
 
 /// Combines what earlier calls tell about the end of a run with the reply to one more call.
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -53,7 +53,8 @@
     bool hasEvent = false;
     /// The beginning of another event has arrived.
     bool hasPartialEvent = false;
-    TimePoint lastEventAt{};
+    /// When the wait for the latest event began that had not arrived by then.
+    TimePoint lastEventAwaitedAt{};
     /// The runner had announced that it would stop by then.
     bool isStopDue = false;
     /// The runner is leaving, so that it may have stopped the run of its own accord. It tells that in its
@@ -85,6 +86,8 @@
     size_t begin(std::string_view runnerId, TimePoint calledAt);
     void finish(size_t call, RunStopReply reply, TimePoint repliedAt);
 
+    bool isEmpty() const { return this->calls.empty(); }
+
     /// How the run has ended, as far as the replies tell by now.
     RunEnd judge(const ReceivedEnd &end) const;
 
