gateway: repeat a refused continuation only while its copy is in transit

Cause: planFailedSwitch() tries each copy up to four times, since it may be in transit. The gateway knows better: a copy is complete with the reply to its request, and its last part with that to the call that stops the run. Change: only a copy whose last part may be on its way, and a backup, is tried again.

--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -369,6 +369,7 @@
     if (this->isQuarantined())
         co_return RelayResult{RelayOutcome::Withheld, SendOutcome::NotConnected, "quarantined", std::nullopt};
     ++this->sendCount;
+    this->isCopyInTransit = this->mayBeInTransit(destination);
     stream.sentAt = steadyNow();
     if (!this->firstSentAt)
         this->firstSentAt = stream.sentAt;
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -65,6 +65,8 @@
         std::string_view method;
         /// The runner has ended the run for a copy elsewhere and keeps the KV cache, though it is leaving.
         bool isStoppedSource = false;
+        /// The copy there has been made piece by piece while the run went on.
+        bool isBackup = false;
     };
 
     /// A complete copy of the KV cache at another runner.
@@ -149,6 +151,8 @@
                                                                         Destination previous);
     /// Copies the KV cache to another runner.
     boost::asio::awaitable<void> copyToAnotherRunner();
+    /// Whether the runner may not have the whole copy from which the stream continues.
+    bool mayBeInTransit(const Destination &destination) const;
     /// Whether the runner with the copy still runs, as far as is known.
     bool hasCopy() const;
     /// Whether the generation could continue from the copy now.
@@ -273,6 +277,8 @@
     std::optional<std::pair<std::string, SwitchReason>> lastSwitch;
 
     StallDetector stallDetector;
+    /// The copy was in transit, as far as is known, when the request for the current continuation was sent.
+    bool isCopyInTransit = false;
     /// Refusals of the current continuation.
     uint32_t refusedContinuations = 0;
     bool isCopying = false;
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -90,7 +90,7 @@
         return std::nullopt;
     return Destination{runner,
                        this->gateway.format.copyReference(runner->entry.address, this->context.metadata.id),
-                       "backup"};
+                       "backup", false, true};
 }
 
 asio::awaitable<std::optional<StreamSession::Destination>>
@@ -104,7 +104,8 @@
         co_await this->copyingDone.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     if (!previous.continueFrom.empty() && failed.outcome == SendOutcome::RefusedByRunner) {
-        const FailedSwitch failedSwitch{failed.outcome, true, ++this->refusedContinuations, false};
+        const FailedSwitch failedSwitch{failed.outcome, this->isCopyInTransit, ++this->refusedContinuations,
+                                        false};
         if (planFailedSwitch(failedSwitch) != SwitchStep::Retry) {
             // If the stream returns to its own runner, it is not copied to this one again.
             this->fullRunners.insert(previous.runner->entry.id);
@@ -158,6 +159,17 @@
     co_return Destination{runner, {}, "resume"};
 }
 
+bool StreamSession::mayBeInTransit(const Destination &destination) const
+{
+    if (destination.continueFrom.empty() || destination.isBackup)
+        return destination.isBackup;
+    // The last part of a copy is sent when the run is stopped.
+    const RunnerPool::RunnerPointer &source = this->stoppedSource  ? this->stoppedSource->runner
+                                              : this->calledRunner ? this->calledRunner
+                                                                   : destination.runner;
+    return this->stopCalls.mayBeCopying(source->entry.id, this->runSentAt);
+}
+
 bool StreamSession::hasCopy() const
 {
     if (!this->copy)
@@ -319,8 +331,7 @@
         }
         failure = std::move(std::get<RelayResult>(opened));
         this->retryController.recordOutcome(failure.outcome);
-        step = planFailedSwitch(
-                {failure.outcome, !destination->continueFrom.empty(), refusals, isConnected()});
+        step = planFailedSwitch({failure.outcome, this->isCopyInTransit, refusals, isConnected()});
         if (step != SwitchStep::Retry)
             break;
         boost::system::error_code ignored;
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -145,6 +145,16 @@
             this->calls, [&](const Call &call) { return !call.reply && call.concerns(runnerId, sentAt); });
 }
 
+bool RunStopCalls::mayBeCopying(std::string_view runnerId, TimePoint sentAt) const
+{
+    return std::ranges::any_of(this->calls, [&](const Call &call) {
+        const bool isSettled = call.reply && (std::holds_alternative<RunStopped>(*call.reply) ||
+                                              std::holds_alternative<NoSuchRun>(*call.reply) ||
+                                              std::holds_alternative<CallNotExecuted>(*call.reply));
+        return !isSettled && call.concerns(runnerId, sentAt);
+    });
+}
+
 bool RunStopCalls::needsCall(std::string_view runnerId, TimePoint sentAt) const
 {
     return std::ranges::none_of(this->calls, [&](const Call &call) {
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -97,6 +97,9 @@
     /// Whether the runner has not replied yet to a call that may concern the run.
     bool isPending(std::string_view runnerId, TimePoint sentAt) const;
 
+    /// Whether the runner may still be copying the run for a call.
+    bool mayBeCopying(std::string_view runnerId, TimePoint sentAt) const;
+
     /// Whether the runner may still work on the run after all calls so far.
     bool needsCall(std::string_view runnerId, TimePoint sentAt) const;
 
--- a/src/libgateway/switchplan.h
+++ b/src/libgateway/switchplan.h
@@ -15,16 +15,16 @@
 struct FailedSwitch
 {
     SendOutcome outcome = SendOutcome::Unknown;
-    /// The stream continues from a copy of its KV cache there, so that no other runner will do.
-    bool isFromCopy = false;
+    /// The stream continues from a copy of its KV cache there that may still be in transit.
+    bool isCopyInTransit = false;
     /// Refusals of this continuation, including this one.
     uint32_t refusals = 0;
     /// The runner that the stream should leave is still connected.
     bool isCurrentConnected = false;
 };
 
-/// Decides how a stream goes on after a runner has not accepted its continuation. A copy may still be in
-/// transit, so a refused one is tried up to four times.
+/// Decides how a stream goes on after a runner has not accepted its continuation. A copy that may still be in
+/// transit is tried up to four times.
 ///
 /// Load pattern: runners leave at two seconds' notice while the others are full, or are slow for some
 /// seconds, so that streams leave runners that could have completed them for others that refuse.
