--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -28,18 +28,6 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds{250};
 
-// A resumable stream without an event for this long continues on another runner. Several times the pause
-// limit of routes, and shorter than the time after which callers disconnect.
-constexpr Duration StallTimeout = std::chrono::milliseconds{700};
-
-// A resumable stream that sends bytes but completes no event for this long continues on another runner too. A
-// runner may take a while between the first and the last byte of an event, so it is longer.
-constexpr Duration TrickleTimeout = 2 * StallTimeout;
-
-// Share of the route's pause limit after which a generation continues from its backup; the remainder is for
-// the continuation itself. Prefill of two other prompts on the same runner delays events by less.
-constexpr double StallTimeoutShare = 0.65;
-
 // Delay before a generation that found all runners full tries again; finished generations are reported to the
 // coordinators about as often.
 constexpr Duration PlacementRetryDelay = std::chrono::milliseconds{100};
@@ -72,13 +60,6 @@
 constexpr size_t ReadBufferBytes = 8192;
 constexpr size_t MaxErrorResponseBytes = 65536;
 
-Duration stallTimeout(const Route &route)
-{
-    if (route.isResumable || route.pauseLimit <= Duration::zero())
-        return StallTimeout;
-    return std::chrono::duration_cast<Duration>(route.pauseLimit * StallTimeoutShare);
-}
-
 } // namespace
 
 StreamSession::StreamSession(GatewayState &state, ResponseWriter &writer, RequestContext requestContext)
@@ -649,12 +630,6 @@
     co_return RelayResult{outcome, SendOutcome::Answered, "complete", std::nullopt};
 }
 
-bool StreamSession::isTrickling() const
-{
-    return this->context.route->isResumable && this->runFirstEventAt && this->lastEventAt &&
-           steadyNow() - *this->lastEventAt > TrickleTimeout;
-}
-
 void StreamSession::recordEvents(uint64_t previousCount)
 {
     const TimePoint now = steadyNow();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -182,6 +182,8 @@
     boost::asio::awaitable<RunEnd> judgeRunEnd(const RunnerStream &stream);
     /// Whether the runner is leaving, so that it may stop runs, and can tell whether it has stopped one.
     bool canStopRuns(const RunnerPool::Runner &runner) const;
+    /// Whether the replies so far tell that the last run was complete, though the stream was to continue.
+    bool isKnownComplete() const;
     /// Whether the last run was complete, after all, though the stream was to continue; waits for the reply
     /// that tells.
     boost::asio::awaitable<bool> isDoubtfulEndComplete();
@@ -197,6 +199,8 @@
     /// failed.
     boost::asio::awaitable<std::optional<std::string>> copyMemory(RunnerPool::RunnerPointer source,
                                                                   RunnerPool::RunnerPointer destination);
+    /// Time without an event after which a stream on the route has stalled.
+    static Duration stallTimeout(const Route &route);
     /// Starts watchForStall() for the connection whose events are forwarded, unless it runs.
     void startStallWatch();
     /// Checks for a stall whenever one is due, as long as the events of the connection are forwarded.
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -51,9 +51,6 @@
 // Bounds the switches of a stream that fail, each of which holds up its events for a moment.
 constexpr int MaxFailedSwitches = 6;
 
-// Shortest wait of the stall watch for its next check.
-constexpr Duration MinStallCheckDelay = std::chrono::milliseconds{1};
-
 } // namespace
 
 RunnerLoadReservation StreamSession::chooseBackup(const RunnerPool::Runner &primary) const
@@ -99,10 +96,7 @@
     boost::system::error_code ignored;
     if (this->isQuarantined() || (!isCertainlyNotRun(failed.outcome) && !this->mayRepeatAfterLoss()))
         co_return std::nullopt;
-    const auto isRunComplete = [this] {
-        return this->doubtfulEnd && this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Complete;
-    };
-    if (isRunComplete())
+    if (this->isKnownComplete())
         co_return std::nullopt;
     if (this->isCopying && !this->hasCopy()) {
         this->copyingDone.expires_after(CopyingWait);
@@ -118,7 +112,7 @@
         }
         asio::steady_timer retryDelay(this->gateway.io, ContinuationRetryDelay);
         co_await retryDelay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (isRunComplete())
+        if (this->isKnownComplete())
             co_return std::nullopt;
         co_return previous;
     }
@@ -166,17 +160,6 @@
     co_return Destination{runner, {}, "resume"};
 }
 
-bool StreamSession::mayBeInTransit(const Destination &destination) const
-{
-    if (destination.continueFrom.empty() || destination.isBackup)
-        return destination.isBackup;
-    // The last part of a copy is sent when the run is stopped.
-    const RunnerPool::RunnerPointer &source = this->stoppedSource  ? this->stoppedSource->runner
-                                              : this->calledRunner ? this->calledRunner
-                                                                   : destination.runner;
-    return this->stopCalls.mayBeCopying(source->entry.id, this->runSentAt);
-}
-
 bool StreamSession::hasCopy() const
 {
     if (!this->copy)
@@ -423,51 +406,6 @@
         this->backup.release();
 }
 
-void StreamSession::startStallWatch()
-{
-    if (std::exchange(this->isStallWatched, true))
-        return;
-    this->stallDetector.start(steadyNow());
-    spawnTask(this->gateway.io, "stall-watch",
-              watchForStall(this->weak_from_this(), this->forwardedConnection));
-}
-
-asio::awaitable<void> StreamSession::watchForStall(std::weak_ptr<StreamSession> stream,
-                                                   RunnerConnectionPointer connection)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    for (auto session = stream.lock(); session && session->isForwarding(connection);
-         session = stream.lock()) {
-        boost::system::error_code ignored;
-        timer.expires_after(
-                std::max<Duration>(session->stallDetector.nextCheck() - steadyNow(), MinStallCheckDelay));
-        session.reset();
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        session = stream.lock();
-        if (session && session->isForwarding(connection))
-            session->checkForStall();
-    }
-}
-
-void StreamSession::checkForStall()
-{
-    if (!this->stallDetector.check(steadyNow(), this->forwardedConnection->hasUnreadBytes()))
-        return;
-    this->stallDetector.postpone(steadyNow());
-    const bool canSwitch =
-            this->context.route->isResumable
-                    ? this->splitter.eventCount() > 0
-                    : this->runFirstEventAt && (this->isBackupReachable() || this->isCopyUsable());
-    if (!canSwitch || (this->isCopying && !this->isCopyUsable()) || this->isSwitching)
-        return;
-    logInfo("generation-stalled",
-            {{"request", this->context.metadata.id},
-             {"runner", this->lastRunnerId},
-             {"events", std::to_string(this->splitter.eventCount())},
-             {"backup", this->backup.runner() ? this->backup.runner()->entry.id : "none"}});
-    this->requestSwitch(SwitchReason::Stall);
-}
-
 std::string_view StreamSession::toString(SwitchReason reason)
 {
     switch (reason) {
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -191,6 +191,22 @@
     return engine != nullptr && engine->supportsMigration && runner.entry.isExpectedToLeave();
 }
 
+bool StreamSession::isKnownComplete() const
+{
+    return this->doubtfulEnd && this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Complete;
+}
+
+bool StreamSession::mayBeInTransit(const Destination &destination) const
+{
+    if (destination.continueFrom.empty() || destination.isBackup)
+        return destination.isBackup;
+    // The last part of a copy is sent when the run is stopped.
+    const RunnerPool::RunnerPointer &source = this->stoppedSource  ? this->stoppedSource->runner
+                                              : this->calledRunner ? this->calledRunner
+                                                                   : destination.runner;
+    return this->stopCalls.mayBeCopying(source->entry.id, this->runSentAt);
+}
+
 asio::awaitable<bool> StreamSession::isDoubtfulEndComplete()
 {
     if (!this->doubtfulEnd)
@@ -211,7 +227,7 @@
             source->continueFrom.empty() ? this->context.deadline : steadyNow() + KeptCopyWait;
     const auto isPending = [&] { return this->stopCalls.isPending(runnerId, this->runSentAt); };
     co_await this->waitForStopReplies(isPending, limit);
-    if (this->doubtfulEnd && this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Complete)
+    if (this->isKnownComplete())
         co_return std::nullopt;
     if (const auto kept = this->stopCalls.keptCopy(runnerId, this->runSentAt))
         source->continueFrom = this->gateway.format.copyReference(source->runner->entry.address, *kept);
--- a/tests/gateway/test_runstopcalls.cpp
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -200,20 +200,24 @@
     CHECK_FALSE(calls.needsCheck(end));
 }
 
-// Guards against a runner that works on although nothing has stopped it, and against calls that only disturb.
+// Guards against a runner that works on although nothing has stopped it, against calls that only disturb, and
+// against a copy that is given up while it is in transit.
 TEST_CASE("A run that a stream has left needs a call unless one has ended it or is under way", "[gateway]")
 {
-    const auto test = GENERATE(table<std::optional<RunStopReply>, bool>({
-            {std::nullopt, false},
-            {RunStopped{"h"}, false},
-            {NoSuchRun{}, false},
-            {CopyInProgress{}, true},
-            {CallNotExecuted{}, true},
-            {NoRunStatement{}, true},
+    const auto test = GENERATE(table<std::optional<RunStopReply>, bool, bool>({
+            {std::nullopt, false, true},
+            {RunStopped{"h"}, false, false},
+            {NoSuchRun{}, false, false},
+            {CopyInProgress{}, true, true},
+            {CallNotExecuted{}, true, false},
+            {NoRunStatement{}, true, true},
     }));
-    const auto &[reply, isNeeded] = test;
-    CHECK(recorded({{"r1", 90, reply, 95}}).needsCall("r1", at(0)) == isNeeded);
+    const auto &[reply, isNeeded, mayBeCopying] = test;
+    const RunStopCalls calls = recorded({{"r1", 90, reply, 95}});
+    CHECK(calls.needsCall("r1", at(0)) == isNeeded);
     CHECK(recorded({}).needsCall("r1", at(0)));
+    CHECK(calls.mayBeCopying("r1", at(0)) == mayBeCopying);
+    CHECK_FALSE(calls.mayBeCopying("r2", at(0)));
 }
 
 // Guards against a generation that is given up although the runner that has stopped it keeps it.
