tests: ends of runs of leaving runners that are misjudged (known red)

RunStopCalls takes replies to calls that were sent before a run for statements about that run, and lets a later call take back that a run had ended.

--- a/tests/gateway/test_runstopcalls.cpp
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -200,6 +200,39 @@
     CHECK_FALSE(calls.needsCheck(end));
 }
 
+// Guards against replies about an earlier run that are taken for statements about the one that the runner has
+// got since, as their calls were sent before it.
+TEST_CASE("A reply to a call that was sent before a run tells nothing about that run", "[gateway]")
+{
+    ReceivedEnd end = unframedEnd();
+    SECTION("had ended, soon before the end of a leaving runner's stream")
+    {
+        const RunStopCalls calls = recorded({{"r1", -50, NoSuchRun{}, 1}});
+        end.isLeaving = true;
+        CHECK(calls.needsCheck(end));
+        CHECK(toString(calls.judge(end)) == toString(RunEnd::Unconfirmed));
+    }
+    SECTION("had ended, and the stream leaves the run that has begun since")
+    {
+        CHECK(recorded({{"r1", -50, NoSuchRun{}, 1}}).needsCall("r1", end.sentAt));
+    }
+    SECTION("stopped, long before the last events")
+    {
+        const RunStopCalls calls = recorded({{"r1", -50, RunStopped{"h"}, 1}});
+        end.lastEventAwaitedAt = at(500);
+        end.endedAt = at(510);
+        CHECK(toString(calls.judge(end)) == toString(RunEnd::Complete));
+    }
+}
+
+// Guards against a complete run that becomes a failure because a call that came after its end was lost.
+TEST_CASE("A run that had ended by one reply was not stopped by a later call", "[gateway]")
+{
+    const RunStopReply reply = GENERATE(values<RunStopReply>({NoRunStatement{}, CopyInProgress{}}));
+    const RunStopCalls calls = recorded({{"r1", 80, NoSuchRun{}, 85}, {"r1", 90, reply, 95}});
+    CHECK(toString(calls.judge(unframedEnd())) == toString(RunEnd::Complete));
+}
+
 // Guards against a runner that works on although nothing has stopped it, and against calls that only disturb.
 TEST_CASE("A run that a stream has left needs a call unless one has ended it or is under way", "[gateway]")
 {
