tests: a part that is told as complete before the call that would tell (known red)

A check that was lost leaves the end unconfirmed. If the continuation then closes without an event, the response is completed at once, though the call for the run that the stream has left follows 80 ms later and learns that the run was stopped.

--- a/tests/hostile/test_runendreview.cpp
+++ b/tests/hostile/test_runendreview.cpp
@@ -44,7 +44,7 @@
 };
 
 /// What the runner with the copy does with a request that continues the generation.
-enum class Continuation { Accepts, Refuses, BreaksOff };
+enum class Continuation { Accepts, Refuses, BreaksOff, Closes };
 
 struct EndCase
 {
@@ -160,7 +160,9 @@
             co_return;
         }
         std::string events = eventsBetween(lastId + 1, EventCount);
-        if (this->test.other == Continuation::BreaksOff)
+        if (this->test.other == Continuation::Closes)
+            events.clear();
+        else if (this->test.other == Continuation::BreaksOff)
             events.resize(std::string("id: 1").size());
         co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n" + events);
         connection.close();
@@ -180,16 +182,18 @@
 } // namespace
 
 // Guards against a part that is delivered as complete although the runner that continues it has sent the
-// beginning of another event, or the runner that refuses the call names the copy that it keeps.
+// beginning of another event, or the runner that has been called names the copy that it keeps.
 TEST_CASE("A part is not complete if there is a sign that more was to come", "[hostile]")
 {
     using enum Continuation;
     const StopReply lateEnd{404, "", "{}", LateReply};
+    const StopReply kept{200, "", R"({"handle":"k","made":1})"};
     const StopReply named{503, "X-Not-Executed: 1\r\n", R"({"handle":"k","made":1})"};
     const auto test = GENERATE_COPY(values<EndCase>({
             {"check lost, continuation breaks off", false, {Refusal, Lost}, BreaksOff, false},
             {"check refused, continuation breaks off", false, {Refusal, Refusal}, BreaksOff, false},
             {"check answered late, continuation breaks off", false, {Refusal, lateEnd}, BreaksOff, false},
+            {"check lost, a further call tells", false, {Refusal, Lost, kept}, Closes, false},
             {"refusal names a copy", false, {named}, Accepts, true},
     }));
     INFO(test.name);
