--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -585,6 +585,8 @@
         const std::string_view received(bytes.data(), bytes.size() - parser.get().body().size);
         const uint64_t previousCount = this->splitter.eventCount();
         const std::string_view events = this->splitter.feed(received);
+        if (this->splitter.hasPartialEvent())
+            this->doubtfulEnd.reset();
         if (this->context.route->isResumable && !received.empty())
             this->stallDetector.recordProgress(steadyNow());
         if (!events.empty()) {
