gateway: do not let a restarted runner tell about earlier runs

Change: such a 404 is no statement. The runner says of a new id in its replies; those are skipped already.

--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -101,6 +101,10 @@
                                   {"runner", runner->entry.id},
                                   {"status", std::to_string(response ? response->result_int() : 0)},
                                   {"reply", std::string(eelgrasslift::toString(reply))},
+    // A runner that was started again knows nothing of the runs before.
+    const RunnerPool::RunnerPointer listed = gateway.runners.find(runner->entry.id);
+    if (listed && listed != runner && std::holds_alternative<NoSuchRun>(reply))
+        reply = NoRunStatement{};
                                   {"purpose", std::string(toString(purpose))},
                                   {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
     co_return reply;
