--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -41,6 +41,10 @@
 // name is known from the first copy: longer than a copy takes on a busy link.
 constexpr Duration KeptCopyWait = std::chrono::milliseconds{500};
 
+// How long the end of a stream waits for the reply to the call that follows a check without a statement:
+// that call is sent after RunEndDelay, and a runner replies within a round trip that it has no such run.
+constexpr Duration FurtherCallWait = std::chrono::milliseconds{300};
+
 } // namespace
 
 void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
@@ -215,10 +219,18 @@
 {
     if (!this->doubtfulEnd)
         co_return false;
-    const auto isPending = [this] { return this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Pending; };
-    co_await this->waitForStopReplies(isPending, this->context.deadline);
+    // The call of endRun() may tell what the check did not.
+    const bool isUnconfirmed = this->stopCalls.judge(*this->doubtfulEnd) == RunEnd::Unconfirmed;
+    const auto mayBeTold = [this] {
+        const RunEnd end = this->stopCalls.judge(*this->doubtfulEnd);
+        return end == RunEnd::Pending ||
+               (end == RunEnd::Unconfirmed && this->stopCalls.checkCount(*this->doubtfulEnd) < 2);
+    };
+    co_await this->waitForStopReplies(mayBeTold,
+                                      isUnconfirmed ? steadyNow() + FurtherCallWait : this->context.deadline);
     const RunEnd end = this->stopCalls.judge(*this->doubtfulEnd);
-    co_return end == RunEnd::Complete || end == RunEnd::Unconfirmed;
+    co_return end == RunEnd::Complete || end == RunEnd::Unconfirmed ||
+            (end == RunEnd::Pending && isUnconfirmed);
 }
 
 asio::awaitable<std::optional<StreamSession::Destination>> StreamSession::takeStoppedSource()
