--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -182,6 +182,8 @@
     boost::asio::awaitable<RunEnd> judgeRunEnd(const RunnerStream &stream);
     /// Whether the runner is leaving, so that it may stop runs, and can tell whether it has stopped one.
     bool canStopRuns(const RunnerPool::Runner &runner) const;
+    /// Waits until the runner takes requests again, unless that is after the limit.
+    boost::asio::awaitable<void> waitForEndOfPause(const RunnerPool::Runner &runner, TimePoint limit);
     /// Whether the replies so far tell that the last run was complete, though the stream was to continue.
     bool isKnownComplete() const;
     /// Whether the last run was complete, after all, though the stream was to continue; waits for the reply
@@ -292,8 +294,8 @@
     /// none has.
     RunnerPool::RunnerPointer calledRunner;
     RunStopCalls stopCalls;
-    /// When the wait for the latest event of the current run began that had not arrived by then; kept only if
-    /// there are stopCalls.
+    /// When the session began to wait for the latest event of the current run that it had to wait for; kept
+    /// only if there are stopCalls.
     TimePoint lastEventAwaitedAt{};
     /// When the request was sent to the current runner.
     TimePoint runSentAt{};
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -170,12 +170,15 @@
     const auto isPending = [&] { return this->stopCalls.judge(end) == RunEnd::Pending; };
     Duration wait = StopReplyWait;
     // A runner that is leaving also closes its streams when it stops; its reply to a call tells.
-    if (this->stopCalls.needsCheck(end) && !this->gateway.runners.isPaused(*runner, steadyNow())) {
-        this->stopRun(StopPurpose::Check);
-        if (!this->hasCopy() && !this->backup.runner())
+    if (this->stopCalls.needsCheck(end)) {
+        if (!this->hasCopy() && !this->backup.runner()) {
             wait = CheckTimeout;
+            co_await this->waitForEndOfPause(*runner, end.endedAt + CheckTimeout);
+        }
+        if (!this->gateway.runners.isPaused(*runner, steadyNow()))
+            this->stopRun(StopPurpose::Check);
     }
-    co_await this->waitForStopReplies(isPending, steadyNow() + wait);
+    co_await this->waitForStopReplies(isPending, end.endedAt + wait);
     const RunEnd result = this->stopCalls.judge(end);
     if (this->isUnframed && (this->calledRunner || result != RunEnd::Complete))
         logInfo("run-end-judged", {{"request", this->context.metadata.id},
@@ -193,6 +196,14 @@
     co_return result;
 }
 
+asio::awaitable<void> StreamSession::waitForEndOfPause(const RunnerPool::Runner &runner, TimePoint limit)
+{
+    for (bool isWaiting = true; isWaiting && !this->isAbandoned;) {
+        const auto nextSend = this->gateway.runners.nextSend(runner, steadyNow());
+        isWaiting = nextSend && co_await this->gateway.waitForPausedRunner(*nextSend, limit);
+    }
+}
+
 bool StreamSession::canStopRuns(const RunnerPool::Runner &runner) const
 {
     const EngineTraits *engine = this->context.engine();
