gateway: judge the end of a run only by replies about that run

A 404 to a call for an earlier run confirmed the end of a later one, and kept it from being called; 'stopped' for an earlier run outweighed half a second of later events; after a 404 a lost or refused call made a complete run doubtful again; a check was sent where no reply could help. Change: such replies are passed over. ReceivedEnd::canBeStopped gets the name of what it means.

--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -101,14 +101,14 @@
         reply = CallNotExecuted{};
     else
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
-    logInfo("run-ended-by-call", {{"request", request.requestId},
-                                  {"runner", runner->entry.id},
-                                  {"status", std::to_string(response ? response->result_int() : 0)},
-                                  {"reply", std::string(eelgrasslift::toString(reply))},
     // A runner that was started again knows nothing of the runs before.
     const RunnerPool::RunnerPointer listed = gateway.runners.find(runner->entry.id);
     if (listed && listed != runner && std::holds_alternative<NoSuchRun>(reply))
         reply = NoRunStatement{};
+    logInfo("run-ended-by-call", {{"request", request.requestId},
+                                  {"runner", runner->entry.id},
+                                  {"status", std::to_string(response ? response->result_int() : 0)},
+                                  {"reply", std::string(eelgrasslift::toString(reply))},
                                   {"purpose", std::string(toString(purpose))},
                                   {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
     co_return reply;
@@ -157,15 +157,15 @@
 {
     const RunnerPool::RunnerPointer runner = this->load.runner();
     const StopForecast stop = runner->stopForecast(steadyNow());
-    const ReceivedEnd end{runner->entry.id,
-                          this->runSentAt,
-                          steadyNow(),
-                          stream.parser->need_eof(),
-                          this->runFirstEventAt.has_value(),
-                          this->splitter.hasPartialEvent(),
-                          this->lastEventAwaitedAt,
-                          stop.latest && stop.earliest <= Duration::zero(),
-                          this->canStopRuns(*runner)};
+    const ReceivedEnd end{.runnerId = runner->entry.id,
+                          .sentAt = this->runSentAt,
+                          .endedAt = steadyNow(),
+                          .isUnframed = stream.parser->need_eof(),
+                          .hasEvent = this->runFirstEventAt.has_value(),
+                          .hasPartialEvent = this->splitter.hasPartialEvent(),
+                          .lastEventAwaitedAt = this->lastEventAwaitedAt,
+                          .isStopDue = stop.latest && stop.earliest <= Duration::zero(),
+                          .canBeStopped = this->canStopRuns(*runner)};
     this->isUnframed = end.isUnframed;
     const auto isPending = [&] { return this->stopCalls.judge(end) == RunEnd::Pending; };
     Duration wait = StopReplyWait;
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -111,12 +111,17 @@
     RunEnd result = RunEnd::Complete;
     if (!end.isUnframed)
         return result;
-    bool isConfirmed = !end.isLeaving;
+    // The runner has replied that it has no such run, before any call could stop it.
+    bool hasEnded = false;
     for (const Call &call : this->calls) {
-        if (!call.concerns(end.runnerId, end.sentAt))
+        if (!call.concerns(end.runnerId, end.sentAt) || isAboutEarlierRun(call, end))
             continue;
-        isConfirmed = isConfirmed || (call.reply && std::holds_alternative<NoSuchRun>(*call.reply) &&
-                                      !hasContinued(end, call.repliedAt));
+        const bool isStopped = call.reply && std::holds_alternative<RunStopped>(*call.reply);
+        if (hasEnded && call.reply && !isStopped)
+            continue;
+        hasEnded = hasEnded ||
+                   (result == RunEnd::Complete && call.reply &&
+                    std::holds_alternative<NoSuchRun>(*call.reply) && !hasContinued(end, call.repliedAt));
         if (call.reply)
             result = std::visit(EndJudgement{result, end, call.calledAt <= end.endedAt, call.repliedAt},
                                 *call.reply);
@@ -125,20 +130,37 @@
         if (result == RunEnd::Stopped)
             break;
     }
-    if (result == RunEnd::Complete && !isConfirmed)
+    if (result == RunEnd::Complete && end.canBeStopped && !hasEnded)
         return endWithoutStatement(end);
     return result;
 }
 
+bool RunStopCalls::isAboutEarlierRun(const Call &call, const ReceivedEnd &end)
+{
+    if (!call.reply)
+        return false;
+    if (std::holds_alternative<NoSuchRun>(*call.reply))
+        return call.calledAt < end.sentAt;
+    return std::holds_alternative<RunStopped>(*call.reply) && hasContinued(end, call.repliedAt);
+}
+
 bool RunStopCalls::needsCheck(const ReceivedEnd &end) const
 {
-    const RunEnd result = this->judge(end);
-    return end.isLeaving && (result == RunEnd::Unconfirmed || result == RunEnd::Unknown) &&
+    ReceivedEnd earlyEnd = end;
+    earlyEnd.isStopDue = false;
+    return end.canBeStopped && this->judge(earlyEnd) == RunEnd::Unconfirmed &&
            std::ranges::none_of(this->calls, [&](const Call &call) {
                return call.calledAt > end.endedAt && call.concerns(end.runnerId, end.sentAt);
            });
 }
 
+size_t RunStopCalls::checkCount(const ReceivedEnd &end) const
+{
+    return static_cast<size_t>(std::ranges::count_if(this->calls, [&](const Call &call) {
+        return call.runnerId == end.runnerId && call.calledAt > end.endedAt && call.reply;
+    }));
+}
+
 bool RunStopCalls::isPending(std::string_view runnerId, TimePoint sentAt) const
 {
     return std::ranges::any_of(
@@ -159,7 +181,7 @@
 {
     return std::ranges::none_of(this->calls, [&](const Call &call) {
         const bool tells = !call.reply || std::holds_alternative<RunStopped>(*call.reply) ||
-                           std::holds_alternative<NoSuchRun>(*call.reply);
+                           (std::holds_alternative<NoSuchRun>(*call.reply) && call.calledAt >= sentAt);
         return tells && call.concerns(runnerId, sentAt);
     });
 }
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -53,13 +53,13 @@
     bool hasEvent = false;
     /// The beginning of another event has arrived.
     bool hasPartialEvent = false;
-    /// When the wait for the latest event began that had not arrived by then.
+    /// When the gateway began to wait for the latest event that it had to wait for.
     TimePoint lastEventAwaitedAt{};
     /// The runner had announced that it would stop by then.
     bool isStopDue = false;
-    /// The runner is leaving, so that it may have stopped the run of its own accord. It tells that in its
-    /// reply to a call.
-    bool isLeaving = false;
+    /// The runner is leaving and moves runs, so that it may have stopped this one at any time. It tells that
+    /// in its reply to a call.
+    bool canBeStopped = false;
 };
 
 /// How a run ended whose response has ended.
@@ -69,7 +69,7 @@
     Stopped,     ///< On a call of the gateway.
     Pending,     ///< Complete or stopped; a reply to a call will tell.
     Unknown,     ///< Complete or stopped; no further reply will tell.
-    Unconfirmed, ///< Complete, unless the runner has stopped it of its own accord, which it does not tell.
+    Unconfirmed, ///< Complete, unless its leaving runner has stopped it, which no reply tells.
 };
 
 std::string_view toString(RunEnd end);
@@ -91,9 +91,12 @@
     /// How the run has ended, as far as the replies tell by now.
     RunEnd judge(const ReceivedEnd &end) const;
 
-    /// Whether only a call to the runner after the end can tell how the run has ended, and there was none.
+    /// Whether a call to the runner after the end would tell how the run has ended, and there was none.
     bool needsCheck(const ReceivedEnd &end) const;
 
+    /// Replies of the runner to calls after the end.
+    size_t checkCount(const ReceivedEnd &end) const;
+
     /// Whether the runner has not replied yet to a call that may concern the run.
     bool isPending(std::string_view runnerId, TimePoint sentAt) const;
 
@@ -123,6 +126,9 @@
         }
     };
 
+    /// Whether the reply to a call that may concern the run is about one before it.
+    static bool isAboutEarlierRun(const Call &call, const ReceivedEnd &end);
+
     /// In the order of the calls.
     std::vector<Call> calls;
 };
