gateway: take no statement on a run from a successor of its runner

Found by rows for doors not yet tried: the address may belong to another runner, or the list may not show the called one any more. After a 404 of another runner the run is judged as without a reply; if the runner is only listed no more, as after a refused call, since the reply may be its own.

--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -45,6 +45,18 @@
 // that call is sent after RunEndDelay, and a runner replies within a round trip that it has no such run.
 constexpr Duration FurtherCallWait = std::chrono::milliseconds{300};
 
+/// What a reply that there is no such run tells if the list shows the runner, or nullptr, for the id of the
+/// one that was called.
+RunStopReply replyOfListed(const RunnerPool::RunnerPointer &listed, const RunnerPool::RunnerPointer &called)
+{
+    if (listed == called)
+        return NoSuchRun{};
+    // A runner that is listed no more may still reply itself.
+    if (!listed)
+        return CallNotExecuted{};
+    return NoRunStatement{};
+}
+
 } // namespace
 
 void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
@@ -101,10 +113,9 @@
         reply = CallNotExecuted{};
     else
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
-    // A runner that was started again knows nothing of the runs before.
-    const RunnerPool::RunnerPointer listed = gateway.runners.find(runner->entry.id);
-    if (listed && listed != runner && std::holds_alternative<NoSuchRun>(reply))
-        reply = NoRunStatement{};
+    // A successor at the address knows nothing of the run.
+    if (std::holds_alternative<NoSuchRun>(reply))
+        reply = replyOfListed(gateway.runners.find(runner->entry.id), runner);
     logInfo("run-ended-by-call", {{"request", request.requestId},
                                   {"runner", runner->entry.id},
                                   {"status", std::to_string(response ? response->result_int() : 0)},
