gateway: let a refused check of the end of a run not outweigh a later reply

If a leaving runner that is due to stop refuses a check and replies to the next one that it has no such run, the end stayed unknown and a complete response failed (row 'complete, busy, due', found with rows for doors not yet tried). A refused check now leaves the end unconfirmed only until there is a reply.

--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -42,10 +42,7 @@
             return this->withoutStatement();
         return hasContinued(this->end, this->repliedAt) ? this->earlier : RunEnd::Unknown;
     }
-    RunEnd operator()(const CallNotExecuted &) const
-    {
-        return this->precedesEnd ? this->earlier : this->withoutStatement();
-    }
+    RunEnd operator()(const CallNotExecuted &) const { return this->earlier; }
     RunEnd operator()(const NoRunStatement &) const
     {
         return this->precedesEnd ? RunEnd::Unknown : this->withoutStatement();
@@ -113,6 +110,7 @@
         return result;
     // The runner has replied that it has no such run, before any call could stop it.
     bool hasEnded = false;
+    bool isCheckRefused = false;
     for (const Call &call : this->calls) {
         if (!call.concerns(end.runnerId, end.sentAt) || isAboutEarlierRun(call, end))
             continue;
@@ -122,6 +120,9 @@
         hasEnded = hasEnded ||
                    (result == RunEnd::Complete && call.reply &&
                     std::holds_alternative<NoSuchRun>(*call.reply) && !hasContinued(end, call.repliedAt));
+        isCheckRefused =
+                isCheckRefused || (call.reply && std::holds_alternative<CallNotExecuted>(*call.reply) &&
+                                   call.calledAt > end.endedAt);
         if (call.reply)
             result = std::visit(EndJudgement{result, end, call.calledAt <= end.endedAt, call.repliedAt},
                                 *call.reply);
@@ -130,7 +131,7 @@
         if (result == RunEnd::Stopped)
             break;
     }
-    if (result == RunEnd::Complete && end.canBeStopped && !hasEnded)
+    if (result == RunEnd::Complete && !hasEnded && (end.canBeStopped || isCheckRefused))
         return endWithoutStatement(end);
     return result;
 }
