gateway: repeat a check of the end of a run if its reply tells nothing

A leaving runner that is busy, still copies the run for an earlier call, or fails as it is asked how a run has ended was not asked again, and the part counted as complete if nothing was kept elsewhere.

--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -189,7 +189,21 @@
         if (!this->gateway.runners.isPaused(*runner, steadyNow()))
             this->stopRun(StopPurpose::Check);
     }
-    co_await this->waitForStopReplies(isPending, end.endedAt + wait);
+    const TimePoint limit = std::min(end.endedAt + wait, this->context.deadline);
+    co_await this->waitForStopReplies(isPending, limit);
+    // A runner that is busy, or copies the run for another call, may tell a moment later.
+    boost::system::error_code ignored;
+    asio::steady_timer delay(this->gateway.io);
+    for (int checks = 1; checks < MaxRunEndCalls && this->stopCalls.needsRepeatedCheck(end) &&
+                         steadyNow() + RunEndRetryDelay < limit;
+         ++checks) {
+        delay.expires_after(RunEndRetryDelay);
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (this->isAbandoned || this->gateway.runners.isPaused(*runner, steadyNow()))
+            break;
+        this->stopRun(StopPurpose::Check);
+        co_await this->waitForStopReplies(isPending, limit);
+    }
     const RunEnd result = this->stopCalls.judge(end);
     if (this->isUnframed && (this->calledRunner || result != RunEnd::Complete))
         logInfo("run-end-judged", {{"request", this->context.metadata.id},
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -155,6 +155,21 @@
            });
 }
 
+bool RunStopCalls::needsRepeatedCheck(const ReceivedEnd &end) const
+{
+    const RunEnd result = this->judge(end);
+    if (!end.canBeStopped || (result != RunEnd::Unconfirmed && result != RunEnd::Unknown))
+        return false;
+    const auto latest = std::find_if(this->calls.rbegin(), this->calls.rend(), [&](const Call &call) {
+        return call.calledAt > end.endedAt && call.concerns(end.runnerId, end.sentAt);
+    });
+    if (latest == this->calls.rend() || !latest->reply || std::holds_alternative<NoSuchRun>(*latest->reply))
+        return false;
+    // A runner that does not reply in time is not asked again.
+    const auto *unknown = std::get_if<NoRunStatement>(&*latest->reply);
+    return unknown == nullptr || !unknown->mayTakeEffect;
+}
+
 size_t RunStopCalls::checkCount(const ReceivedEnd &end) const
 {
     return static_cast<size_t>(std::ranges::count_if(this->calls, [&](const Call &call) {
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -94,6 +94,9 @@
     /// Whether a call to the runner after the end would tell how the run has ended, and there was none.
     bool needsCheck(const ReceivedEnd &end) const;
 
+    /// Whether the latest such call got a reply at once that tells nothing, so that another one may tell.
+    bool needsRepeatedCheck(const ReceivedEnd &end) const;
+
     /// Replies of the runner to calls after the end.
     size_t checkCount(const ReceivedEnd &end) const;
 
--- a/tests/gateway/test_runstopcalls.cpp
+++ b/tests/gateway/test_runstopcalls.cpp
@@ -169,6 +169,11 @@
              RunEnd::Complete,
              RunEnd::Complete,
              false},
+            {"not executed after the end, then had ended",
+             {{"r1", 320, CallNotExecuted{}, 330}, {"r1", 400, NoSuchRun{}, 410}},
+             RunEnd::Complete,
+             RunEnd::Complete,
+             false},
             {"not executed, then found stopped",
              {{"r1", 90, CallNotExecuted{}, 95}, {"r1", 400, RunStopped{"h"}, 410}},
              RunEnd::Stopped,
@@ -266,3 +271,26 @@
     CHECK_FALSE(calls.isPending("r1", at(0)));
     CHECK(recorded({{"r1", 90, std::nullopt}}).isPending("r1", at(0)));
 }
+
+// Guards against a part that is delivered as complete after a check that tells nothing, and against calls
+// without end.
+TEST_CASE("A check that got a reply at once that tells nothing is repeated", "[gateway]")
+{
+    const auto [reply, isRepeated] = GENERATE(table<std::optional<RunStopReply>, bool>({
+            {std::nullopt, false},
+            {RunStopped{"h"}, false},
+            {NoSuchRun{}, false},
+            {CopyInProgress{}, true},
+            {CallNotExecuted{}, true},
+            {NoRunStatement{}, true},
+            {NoRunStatement{true}, false},
+    }));
+    ReceivedEnd end = unframedEnd();
+    end.canBeStopped = true;
+    CHECK(recorded({{"r1", 101, reply, 110}}).needsRepeatedCheck(end) == isRepeated);
+    CHECK_FALSE(recorded({{"r1", 101, CallNotExecuted{}, 110}, {"r1", 160, NoSuchRun{}, 170}})
+                        .needsRepeatedCheck(end));
+    CHECK_FALSE(recorded({{"r1", 90, reply, 95}}).needsRepeatedCheck(end));
+    end.canBeStopped = false;
+    CHECK_FALSE(recorded({{"r1", 101, reply, 110}}).needsRepeatedCheck(end));
+}
