--- a/tests/hostile/test_leavinganswer.cpp
+++ b/tests/hostile/test_leavinganswer.cpp
@@ -1,4 +1,4 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
 #include "gateway/fleetreader.h"
 #include "gateway/generationscheduler.h"
@@ -23,15 +23,6 @@
 const std::string EventBody = "Transfer-Encoding: chunked\r\n\r\n"
                               "b\r\nid: 1\ndata:\r\n2\r\n\n\n\r\n0\r\n\r\n";
 
-std::string fieldOf(const std::string &head, const std::string &name)
-{
-    const size_t at = head.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return head.substr(from, head.find('\r', from) - from);
-}
-
 /// A request that was sent to a runner.
 struct SentRequest
 {
@@ -109,8 +100,8 @@
 private:
     asio::awaitable<void> handle(tcp::socket &connection, std::string head)
     {
-        SentRequest request{fieldOf(head, "X-Expect-Instance"), fieldOf(head, "X-Kv-Backup"),
-                            fieldOf(head, "Kv-From"), head.starts_with("POST /v1/kv-move")};
+        SentRequest request{valueOf(head, "X-Expect-Instance"), valueOf(head, "X-Kv-Backup"),
+                            valueOf(head, "Kv-From"), head.starts_with("POST /v1/kv-move")};
         this->sent.push_back(request);
         co_await this->respond(connection, request, this->sent.size());
     }
--- a/tests/hostile/test_runnercrash.cpp
+++ b/tests/hostile/test_runnercrash.cpp
@@ -1,4 +1,4 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
 #include "gateway/clock.h"
 
@@ -21,11 +21,8 @@
 
 std::string withNextId(std::string bytes, const std::string &head)
 {
-    constexpr std::string_view Field = "Last-Event-Id: ";
-    const size_t at = head.find(Field);
-    const int last = at == std::string::npos ? 0 : std::stoi(head.substr(at + Field.size()));
     if (const size_t place = bytes.find("%N"); place != std::string::npos)
-        bytes.replace(place, 2, std::to_string(last + 1));
+        bytes.replace(place, 2, std::to_string(ModelRequest::parse(head).lastEventId + 1));
     return bytes;
 }
 
--- a/tests/hostile/test_runnermatrix.cpp
+++ b/tests/hostile/test_runnermatrix.cpp
@@ -1,5 +1,5 @@
 #include "gateway/clock.h"
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
 #include <catch2/catch.hpp>
 
@@ -79,15 +79,6 @@
         Situation{"address used again", true, false, 0s, true},
 };
 
-std::string valueOf(const std::string &head, const std::string &name)
-{
-    const size_t at = head.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return head.substr(from, head.find('\r', from) - from);
-}
-
 std::string streamHead(const std::string &fields)
 {
     return "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/hostile/test_runnerpause.cpp
+++ b/tests/hostile/test_runnerpause.cpp
@@ -1,6 +1,6 @@
 #include "gateway/clock.h"
 #include "gateway/fleetreader.h"
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,15 +21,6 @@
 // Longer than any of these tests lasts.
 constexpr double LongPause = 30;
 
-std::string valueOf(const std::string &head, const std::string &name)
-{
-    const size_t at = head.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return head.substr(from, head.find('\r', from) - from);
-}
-
 std::string pauseAnswer(double seconds, bool isPromised = true, const std::string &requestId = {})
 {
     return "HTTP/1.1 503 Busy\r\nRetry-After: " + std::to_string(seconds) + "\r\n" +
@@ -37,22 +28,6 @@
            (isPromised ? "X-Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
 }
 
-std::string events(int first, int last)
-{
-    std::string result;
-    for (int id = first; id <= last; ++id)
-        result += "id: " + std::to_string(id) + "\ndata:\n\n";
-    return result;
-}
-
-std::string chunk(const std::string &bytes)
-{
-    constexpr size_t MaxSize = 0xff;
-    REQUIRE(bytes.size() <= MaxSize);
-    constexpr std::string_view Digits = "0123456789abcdef";
-    return std::string{Digits[bytes.size() / 16], Digits[bytes.size() % 16]} + "\r\n" + bytes + "\r\n";
-}
-
 bool isStream(const std::string &path)
 {
     return path.starts_with("/stream/") || path.starts_with("/generation/") || path.starts_with("/backed/");
@@ -61,7 +36,7 @@
 std::string success(const std::string &path)
 {
     if (isStream(path))
-        return StreamHead + chunk(events(1, 3)) + "0\r\n\r\n";
+        return StreamHead + chunk(eventsBetween(1, 3)) + "0\r\n\r\n";
     return "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok";
 }
 
@@ -293,11 +268,10 @@
     {
         if (head.starts_with("POST /v1/kv-move")) {
             ++this->copyCount;
-            const std::string answer = this->test.isCopyRefused
-                                               ? pauseAnswer(this->test.pause)
-                                               : "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                                 R"({"handle":"h","made":1})";
-            co_await sendBytes(connection, answer);
+            if (this->test.isCopyRefused)
+                co_await sendBytes(connection, pauseAnswer(this->test.pause));
+            else
+                co_await sendReply(connection, 200, "h", 1);
         } else if (head.starts_with("DELETE /v1/kv-handle/")) {
             co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         } else if (std::exchange(this->isStarted, true)) {
@@ -309,18 +283,16 @@
 
     asio::awaitable<void> generate(tcp::socket &connection)
     {
-        asio::steady_timer timer(this->fixture.io);
         bool isOpen = co_await sendBytes(connection, StreamHead);
         for (int id = 1; id <= EventCount && isOpen; ++id) {
-            isOpen = co_await sendBytes(connection, chunk(events(id, id)));
+            isOpen = co_await sendBytes(connection, chunk(eventsBetween(id, id)));
             if (id == 10 && this->test.noticePeriod > Duration::zero())
                 this->fixture.announceStop(this->test.noticePeriod);
             if (id == 10 && this->test.isCut) {
                 connection.close();
                 co_return;
             }
-            timer.expires_after(20ms);
-            co_await timer.async_wait(asio::use_awaitable);
+            co_await wait(20ms);
         }
         if (isOpen)
             co_await sendBytes(connection, "0\r\n\r\n");
@@ -338,7 +310,7 @@
         this->continuedAt = steadyNow();
         co_await sendBytes(connection, StreamHead);
         for (int id = std::stoi(valueOf(head, "Last-Event-Id")) + 1; id <= EventCount; ++id)
-            co_await sendBytes(connection, chunk(events(id, id)));
+            co_await sendBytes(connection, chunk(eventsBetween(id, id)));
         co_await sendBytes(connection, "0\r\n\r\n");
     }
 
@@ -367,7 +339,7 @@
     const CallerView view = script.play();
     CHECK(view.status == 200);
     CHECK(view.isComplete == test.isComplete);
-    CHECK(view.body == events(1, test.isComplete ? EventCount : 10));
+    CHECK(view.body == eventsBetween(1, test.isComplete ? EventCount : 10));
     CHECK(script.continuationCount == test.continuationCount);
     if (test.isCopyRefused)
         CHECK(script.copyCount == 1);
@@ -537,7 +509,7 @@
                 }
                 const std::string own = valueOf(head, "X-Expect-Instance");
                 const std::string other = own.substr(0, 1) + (own.ends_with("1") ? "2" : "1");
-                co_await sendBytes(connection, StreamHead + chunk(events(1, 1)));
+                co_await sendBytes(connection, StreamHead + chunk(eventsBetween(1, 1)));
                 asio::steady_timer timer(fixture.io);
                 co_await waitForFirstEvent(timer, *fixture.gateway.runners.find(own));
                 paused = test.isSourcePaused ? own : other;
@@ -550,13 +522,13 @@
                     fixture.announceStop(test.noticePeriod);
                 timer.expires_after(300ms);
                 co_await timer.async_wait(asio::use_awaitable);
-                co_await sendBytes(connection, chunk(events(2, 3)) + "0\r\n\r\n");
+                co_await sendBytes(connection, chunk(eventsBetween(2, 3)) + "0\r\n\r\n");
             });
     scheduler.runnerId = test.path == "/backed/a" ? "b1" : "m1";
     fixture.gateway.fleetScheduler = &scheduler;
     const CallerView view = fixture.call(test.path, "id-1");
     CHECK(view.isComplete);
-    CHECK(view.body == events(1, 3));
+    CHECK(view.body == eventsBetween(1, 3));
     CHECK(fixture.runner.requestCount() == 1);
     CHECK(fixture.gateway.metrics.serialize().find(R"(done="false")") == std::string::npos);
     if (test.path == "/generation/a")
@@ -582,7 +554,7 @@
             co_return;
         }
         source = fixture.gateway.runners.find(valueOf(head, "X-Expect-Instance"));
-        co_await sendBytes(connection, StreamHead + chunk(events(1, 1)));
+        co_await sendBytes(connection, StreamHead + chunk(eventsBetween(1, 1)));
         asio::steady_timer timer(fixture.io);
         co_await waitForFirstEvent(timer, *source);
         scheduler.runnerId = source->entry.id == "m1" ? "m2" : "m1";
@@ -591,7 +563,7 @@
             timer.expires_after(5ms);
             co_await timer.async_wait(asio::use_awaitable);
         }
-        co_await sendBytes(connection, chunk(events(2, 3)) + "0\r\n\r\n");
+        co_await sendBytes(connection, chunk(eventsBetween(2, 3)) + "0\r\n\r\n");
     });
     scheduler.runnerId = "m1";
     fixture.gateway.fleetScheduler = &scheduler;
--- a/tests/hostile/test_runnerswitch.cpp
+++ b/tests/hostile/test_runnerswitch.cpp
@@ -1,8 +1,7 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
 #include "gateway/clock.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
@@ -22,26 +21,9 @@
 const std::string StreamHead = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string Refusal = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
-std::string eventText(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata:\n\n";
-}
-
-std::string chunk(const std::string &bytes)
-{
-    // One hexadecimal digit is enough for an event of two digits.
-    constexpr size_t MaxSize = 0xff;
-    REQUIRE(bytes.size() <= MaxSize);
-    constexpr std::string_view Digits = "0123456789abcdef";
-    return std::string{Digits[bytes.size() / 16], Digits[bytes.size() % 16]} + "\r\n" + bytes + "\r\n";
-}
-
 std::string allEvents()
 {
-    std::string events;
-    for (int id = 1; id <= EventCount; ++id)
-        events += eventText(id);
-    return events;
+    return eventsBetween(1, EventCount);
 }
 
 /// How the other runner treats a generation that is continued there.
@@ -91,20 +73,13 @@
     std::optional<std::chrono::steady_clock::duration> overlap;
 
 private:
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     asio::awaitable<void> respond(tcp::socket &connection, std::string head)
     {
         if (head.starts_with("POST /v1/kv-move"))
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                           R"({"handle":"h","made":1})");
+            co_await sendReply(connection, 200, "h", 1);
         else if (head.starts_with("DELETE /v1/kv-handle/h")) {
             ++this->releaseCount;
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            co_await sendReply(connection, 200);
         } else if (this->isStarted)
             co_await this->continueGeneration(connection, head);
         else
@@ -116,12 +91,12 @@
         this->isStarted = true;
         bool isOpen = co_await sendBytes(connection, StreamHead);
         for (int id = 1; id <= EventCount && isOpen; ++id) {
-            isOpen = co_await sendBytes(connection, chunk(eventText(id)));
+            isOpen = co_await sendBytes(connection, chunk(eventsBetween(id, id)));
             if (id == 10 && this->test.noticePeriod > Duration::zero())
                 this->fixture.announceStop(this->test.noticePeriod);
             if (id == 10 && this->test.seemsLeaving)
                 this->fixture.suspectStop();
-            co_await this->wait(id == 10 ? this->test.pause : EventInterval);
+            co_await wait(id == 10 ? this->test.pause : EventInterval);
         }
         if (isOpen)
             co_await sendBytes(connection, "0\r\n\r\n");
@@ -136,7 +111,7 @@
         if (!this->continuedAt)
             this->continuedAt = std::chrono::steady_clock::now();
         if (this->test.other == OtherRunner::RefusesLate)
-            co_await this->wait(400ms);
+            co_await wait(400ms);
         if (this->test.other == OtherRunner::Refuses || this->test.other == OtherRunner::RefusesLate) {
             co_await sendBytes(connection, Refusal);
             co_return;
@@ -146,13 +121,12 @@
             co_return;
         }
         if (this->test.other == OtherRunner::AcceptsLate)
-            co_await this->wait(700ms);
-        const std::string name = "Last-Event-Id: ";
-        const size_t at = head.find(name);
-        REQUIRE(at != std::string::npos);
+            co_await wait(700ms);
+        const std::string lastId = valueOf(head, "Last-Event-Id");
+        REQUIRE_FALSE(lastId.empty());
         co_await sendBytes(connection, StreamHead);
-        for (int id = std::stoi(head.substr(at + name.size())) + 1; id <= EventCount; ++id)
-            co_await sendBytes(connection, chunk(eventText(id)));
+        for (int id = std::stoi(lastId) + 1; id <= EventCount; ++id)
+            co_await sendBytes(connection, chunk(eventsBetween(id, id)));
         co_await sendBytes(connection, "0\r\n\r\n");
     }
 
@@ -236,34 +210,23 @@
     /// The work lasts this long after the tenth event.
     static constexpr auto WorkTime = 2000ms;
 
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     asio::awaitable<void> respond(tcp::socket &connection, std::string message)
     {
-        const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                   R"({"handle":"h","made":1})";
         if (message.starts_with("POST /v1/kv-move")) {
             const bool endsRun = message.find(R"("last":true)") != std::string::npos;
             const bool isRunning = this->isStarted && !this->workedUntil;
             this->isEnded = this->isEnded || endsRun;
-            const std::string answer =
-                    isRunning ? copied : "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}";
-            co_await sendBytes(connection, answer);
+            co_await sendReply(connection, isRunning ? 200 : 404, isRunning ? "h" : "", 1);
         } else if (message.starts_with("DELETE /v1/kv-handle/h")) {
             ++this->releaseCount;
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            co_await sendReply(connection, 200);
         } else if (this->isStarted) {
             this->continuedAt = std::chrono::steady_clock::now();
-            const std::string name = "Last-Event-Id: ";
-            const size_t at = message.find(name);
-            REQUIRE(at != std::string::npos);
+            const std::string lastId = valueOf(message, "Last-Event-Id");
+            REQUIRE_FALSE(lastId.empty());
             co_await sendBytes(connection, StreamHead);
-            for (int id = std::stoi(message.substr(at + name.size())) + 1; id <= EventCount; ++id)
-                co_await sendBytes(connection, chunk(eventText(id)));
+            for (int id = std::stoi(lastId) + 1; id <= EventCount; ++id)
+                co_await sendBytes(connection, chunk(eventsBetween(id, id)));
             co_await sendBytes(connection, "0\r\n\r\n");
         } else {
             co_await this->work(connection);
@@ -275,8 +238,8 @@
         this->isStarted = true;
         co_await sendBytes(connection, StreamHead);
         for (int id = 1; id <= 10; ++id) {
-            co_await sendBytes(connection, chunk(eventText(id)));
-            co_await this->wait(EventInterval);
+            co_await sendBytes(connection, chunk(eventsBetween(id, id)));
+            co_await wait(EventInterval);
         }
         const auto start = std::chrono::steady_clock::now();
         this->leftAt = start;
@@ -294,9 +257,11 @@
         bool isOpen = stops;
         while (!this->isEnded && std::chrono::steady_clock::now() < start + WorkTime &&
                !(stops && std::chrono::steady_clock::now() >= start + Notice)) {
-            if (isOpen && id < EventCount)
-                isOpen = co_await sendBytes(connection, chunk(eventText(id++)));
-            co_await this->wait(EventInterval);
+            if (isOpen && id < EventCount) {
+                isOpen = co_await sendBytes(connection, chunk(eventsBetween(id, id)));
+                ++id;
+            }
+            co_await wait(EventInterval);
         }
         this->workedUntil = std::chrono::steady_clock::now();
         connection.close();
@@ -348,39 +313,33 @@
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
         if (message.starts_with("POST /v1/kv-move")) {
             isEnded = isEnded || message.find(R"("last":true)") != std::string::npos;
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                           R"({"handle":"h","made":1})");
+            co_await sendReply(connection, 200, "h", 1);
             co_return;
         }
-        const std::string name = "X-Expect-Instance: ";
-        const size_t at = message.find(name) + name.size();
-        const std::string id = message.substr(at, message.find('\r', at) - at);
+        const std::string id = valueOf(message, "X-Expect-Instance");
         if (source.empty()) {
             source = id;
             co_await sendBytes(connection, StreamHead);
             for (int number = 1; !isEnded; ++number) {
-                co_await sendBytes(connection, chunk(eventText(number)));
+                co_await sendBytes(connection, chunk(eventsBetween(number, number)));
                 if (number == 10)
                     gateway->announceStop(2000ms);
-                asio::steady_timer pause(gateway->io, EventInterval);
-                co_await pause.async_wait(asio::use_awaitable);
+                co_await wait(EventInterval);
             }
             connection.close();
             co_return;
         }
         if (id != source) {
             ++refusedCount;
-            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
-                                           "Content-Length: 0\r\n\r\n");
+            co_await sendRefusal(connection);
             co_return;
         }
         ++returnCount;
         CHECK(message.find("Kv-From: " + gateway->runner.address() + "/h\r\n") != std::string::npos);
-        const std::string lastEvent = "Last-Event-Id: ";
-        const int first = std::stoi(message.substr(message.find(lastEvent) + lastEvent.size())) + 1;
+        const int first = std::stoi(valueOf(message, "Last-Event-Id")) + 1;
         co_await sendBytes(connection, StreamHead);
         for (int number = first; number <= EventCount; ++number)
-            co_await sendBytes(connection, chunk(eventText(number)));
+            co_await sendBytes(connection, chunk(eventsBetween(number, number)));
         co_await sendBytes(connection, "0\r\n\r\n");
     });
     gateway = &fixture;
@@ -446,27 +405,20 @@
     constexpr auto StallPause = 900ms;
     constexpr int EventsBeforeStall = 5;
     std::map<std::string, int> sends;
-    GatewayFixture *gateway = nullptr;
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
-        const std::string name = "X-Expect-Instance: ";
-        const size_t at = head.find(name) + name.size();
-        ++sends[head.substr(at, head.find('\r', at) - at)];
-        const std::string lastEvent = "Last-Event-Id: ";
-        const size_t eventAt = head.find(lastEvent);
-        const int first =
-                eventAt == std::string::npos ? 1 : std::stoi(head.substr(eventAt + lastEvent.size())) + 1;
+        const ModelRequest request = ModelRequest::parse(head);
+        ++sends[request.runnerId];
+        const int first = request.lastEventId + 1;
         bool isOpen = co_await sendBytes(connection, StreamHead);
         for (int id = first; id <= EventCount && isOpen; ++id) {
-            isOpen = co_await sendBytes(connection, chunk(eventText(id)));
+            isOpen = co_await sendBytes(connection, chunk(eventsBetween(id, id)));
             if (id != first + EventsBeforeStall - 1)
                 continue;
-            asio::steady_timer pause(gateway->io, StallPause);
-            co_await pause.async_wait(asio::use_awaitable);
+            co_await wait(StallPause);
         }
         if (isOpen)
             co_await sendBytes(connection, "0\r\n\r\n");
     });
-    gateway = &fixture;
     for (const char *id : {"p3", "p4"}) {
         fixture.runners.push_back(fixture.runners.front());
         fixture.runners.back().id = id;
@@ -484,11 +436,9 @@
 {
     std::set<std::string> runners;
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string head) -> asio::awaitable<void> {
-        const std::string name = "X-Expect-Instance: ";
-        const size_t at = head.find(name) + name.size();
-        runners.insert(head.substr(at, head.find('\r', at) - at));
+        runners.insert(valueOf(head, "X-Expect-Instance"));
         const int first = static_cast<int>(runners.size()) * 5;
-        co_await sendBytes(connection, StreamHead + chunk(eventText(first)));
+        co_await sendBytes(connection, StreamHead + chunk(eventsBetween(first, first)));
         connection.close();
     });
     for (const char *id : {"p3", "p4"}) {
@@ -498,7 +448,7 @@
     fixture.gateway.applyFleet(fixture.runners);
     const CallerView view = fixture.call("/stream/a", "id-1");
     CHECK_FALSE(view.isComplete);
-    CHECK(view.body == eventText(5) + eventText(10));
+    CHECK(view.body == eventsBetween(5, 5) + eventsBetween(10, 10));
     CHECK(runners.size() == fixture.gateway.routes()->match("h", "/stream/a")->maxAttempts);
 }
 
--- a/tests/hostile/test_stoppedrun.cpp
+++ b/tests/hostile/test_stoppedrun.cpp
@@ -1,7 +1,5 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -67,26 +65,9 @@
     std::string furtherHandle{};
 };
 
-std::string eventText(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata:\n\n";
-}
-
 std::string allEvents()
 {
-    std::string events;
-    for (int id = 1; id <= EventCount; ++id)
-        events += eventText(id);
-    return events;
-}
-
-std::string valueOf(const std::string &message, const std::string &name)
-{
-    const size_t at = message.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
+    return eventsBetween(1, EventCount);
 }
 
 /// A runner that leaves, with a generation that has a copy at another one, and is called to end the run.
@@ -107,21 +88,15 @@
     int furtherCallCount = 0;
 
 private:
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     asio::awaitable<void> respond(tcp::socket &connection, std::string message)
     {
         const std::string runnerId = valueOf(message, "X-Expect-Instance");
         if (message.starts_with("POST /v1/kv-move") && message.find(R"("last":true)") != std::string::npos)
             co_await this->stopRun(connection);
         else if (message.starts_with("POST /v1/kv-move"))
-            co_await reply(connection, 200, "h");
+            co_await sendReply(connection, 200, "h", 1);
         else if (message.starts_with("DELETE /v1/kv-handle/"))
-            co_await reply(connection, 200, {});
+            co_await sendReply(connection, 200);
         else if (this->sourceId.empty())
             co_await this->generate(connection, runnerId);
         else
@@ -136,35 +111,27 @@
             if (isNext && this->test.furtherStatus == 0)
                 connection.close();
             else if (isNext)
-                co_await reply(connection, this->test.furtherStatus, this->test.furtherHandle);
+                co_await sendReply(connection, this->test.furtherStatus, this->test.furtherHandle.c_str(), 1);
             else
-                co_await reply(connection, 404, {});
+                co_await sendReply(connection, 404);
             co_return;
         }
         ++this->stopCallCount;
+        const CopyReply reply{this->test.status, this->test.handle, 1, this->test.replyFields};
         co_await sendBytes(connection, this->test.beforeReply);
         if (this->test.replyTime == ReplyTime::Before)
-            co_await reply(connection, this->test.status, this->test.handle, this->test.replyFields);
+            co_await sendReply(connection, reply);
         this->isStopped = true;
         if (this->test.replyTime == ReplyTime::Before)
             co_return;
         while (!this->isStreamClosed)
-            co_await this->wait(1ms);
+            co_await wait(1ms);
         if (this->test.replyTime == ReplyTime::Late)
-            co_await this->wait(LateReply);
+            co_await wait(LateReply);
         if (this->test.replyTime == ReplyTime::Never)
             connection.close();
         else
-            co_await reply(connection, this->test.status, this->test.handle, this->test.replyFields);
-    }
-
-    static asio::awaitable<void> reply(tcp::socket &connection, unsigned status, std::string handle,
-                                       std::string fields = {})
-    {
-        const std::string body = handle.empty() ? "{}" : R"({"handle":")" + handle + R"(","made":1})";
-        co_await sendBytes(connection, "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields +
-                                               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                                               body);
+            co_await sendReply(connection, reply);
     }
 
     asio::awaitable<void> sendHead(tcp::socket &connection) const
@@ -178,9 +145,7 @@
     asio::awaitable<void> sendEvents(tcp::socket &connection, std::string bytes) const
     {
         if (this->test.framing == Framing::Chunks) {
-            std::ostringstream size;
-            size << std::hex << bytes.size();
-            bytes = size.str() + "\r\n" + bytes + "\r\n";
+            bytes = chunk(bytes);
         }
         co_await sendBytes(connection, std::move(bytes));
     }
@@ -192,14 +157,14 @@
         co_await this->sendHead(connection);
         int id = 1;
         while (!this->isStopped && id <= EventCount) {
-            co_await this->sendEvents(connection, eventText(id));
+            co_await this->sendEvents(connection, eventsBetween(id, id));
             if (id++ == EventsBeforeNotice)
                 this->fixture.announceStop(Notice);
-            co_await this->wait(EventInterval);
+            co_await wait(EventInterval);
         }
         if (this->test.end == StreamEnd::Complete) {
-            while (id <= EventCount)
-                co_await this->sendEvents(connection, eventText(id++));
+            for (; id <= EventCount; ++id)
+                co_await this->sendEvents(connection, eventsBetween(id, id));
             if (this->test.framing == Framing::Chunks)
                 co_await sendBytes(connection, "0\r\n\r\n");
         }
@@ -226,13 +191,12 @@
             co_return;
         }
         if (continuation == Continuation::Refuses) {
-            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
-                                           "Content-Length: 0\r\n\r\n");
+            co_await sendRefusal(connection);
             co_return;
         }
         co_await this->sendHead(connection);
         for (int id = std::stoi(valueOf(message, "Last-Event-Id")) + 1; id <= EventCount; ++id)
-            co_await this->sendEvents(connection, eventText(id));
+            co_await this->sendEvents(connection, eventsBetween(id, id));
         if (this->test.framing == Framing::Chunks)
             co_await sendBytes(connection, "0\r\n\r\n");
         else
@@ -381,10 +345,6 @@
     std::string source;
     bool isCopied = false;
     bool isStopped = false;
-    const auto wait = [&](Duration duration) -> asio::awaitable<void> {
-        asio::steady_timer timer(gateway->io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    };
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
         const std::string runnerId = valueOf(message, "X-Expect-Instance");
         if (message.starts_with("POST /v1/kv-move") && message.find(R"("last":true)") == std::string::npos) {
@@ -468,8 +428,7 @@
         }
         const std::string runnerId = valueOf(message, "X-Expect-Instance");
         if (!source.empty() && runnerId != source) {
-            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
-                                           "Content-Length: 0\r\n\r\n");
+            co_await sendRefusal(connection);
             co_return;
         }
         const bool isFirst = source.empty();
@@ -480,11 +439,10 @@
         co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
         int id = isFirst ? 1 : std::stoi(valueOf(message, "Last-Event-Id")) + 1;
         for (; !isStopped && id <= EventCount; ++id) {
-            co_await sendBytes(connection, eventText(id));
+            co_await sendBytes(connection, eventsBetween(id, id));
             if (isFirst && id == 5)
                 gateway->announceStop(Notice);
-            asio::steady_timer pause(gateway->io, EventInterval);
-            co_await pause.async_wait(asio::use_awaitable);
+            co_await wait(EventInterval);
         }
         isRunning = false;
         connection.close();
@@ -529,18 +487,12 @@
 private:
     static constexpr int ShortStream = 12;
 
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     asio::awaitable<void> respond(tcp::socket &connection, std::string message)
     {
         if (message.starts_with("POST /v1/kv-move")) {
             const bool isStop = message.find(R"("last":true)") != std::string::npos;
             if (isStop)
-                co_await this->wait(this->replyDelay);
+                co_await wait(this->replyDelay);
             const std::string status = isStop && !this->isStopDue ? "404 None" : "503 Full";
             co_await sendBytes(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
             co_return;
@@ -548,12 +500,12 @@
         const bool isFirst = ++this->streamCount == 1;
         co_await sendBytes(connection, "HTTP/" + this->version + " 200 OK\r\nX-Server-Seal: s\r\n\r\n");
         for (int id = 1; isFirst && id <= ShortStream; ++id) {
-            co_await sendBytes(connection, eventText(id));
+            co_await sendBytes(connection, eventsBetween(id, id));
             if (id == ShortStream / 2 && this->isStopDue)
                 this->fixture.announceStop(150ms);
             else if (id == ShortStream / 2)
                 this->fixture.suspectStop();
-            co_await this->wait(EventInterval);
+            co_await wait(EventInterval);
         }
         if (this->refusesConnections)
             this->fixture.runner.end();
@@ -614,12 +566,7 @@
 TEST_CASE("The runner that a stream has left is called to end the run, not the one that has failed",
           "[hostile]")
 {
-    GatewayFixture *gateway = nullptr;
     int sourceCallCount = 0;
-    const auto wait = [&](Duration duration) -> asio::awaitable<void> {
-        asio::steady_timer timer(gateway->io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    };
     // Either runner may be the first.
     std::string source;
     const auto respondAt = [&](std::string address, tcp::socket &connection,
@@ -629,7 +576,8 @@
             co_await sendBytes(connection, "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}");
         } else if (source.empty()) {
             source = address;
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n" + eventText(1));
+            co_await sendBytes(connection,
+                               "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n" + eventsBetween(1, 1));
             co_await wait(4s);
         } else {
             co_await wait(350ms);
@@ -642,7 +590,6 @@
     ScriptedRunner second(fixture.io, [&](tcp::socket &connection, int, std::string message) {
         return respondAt("second", connection, std::move(message));
     });
-    gateway = &fixture;
     for (RunnerEntry &entry : fixture.runners) {
         if (entry.id.ends_with("2"))
             entry.address = second.address();
--- a/tests/hostile/test_unframedend.cpp
+++ b/tests/hostile/test_unframedend.cpp
@@ -1,7 +1,5 @@
-#include "gatewayfixture.h"
+#include "modelrunners.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -13,222 +11,17 @@
 
 namespace {
 
-constexpr int EventCount = 60;
+constexpr int EventCount = ModelRunners::EventCount;
 constexpr int EventsBeforeEnd = 12;
-constexpr auto EventInterval = 20ms;
+constexpr auto EventInterval = ModelRunners::EventInterval;
 constexpr auto LateReply = 400ms;
-constexpr auto Notice = 2000ms;
 const std::string RequestId = "id-1";
 
-std::string eventsBetween(int first, int last)
-{
-    std::string events;
-    for (int id = first; id <= last; ++id)
-        events += "id: " + std::to_string(id) + "\ndata:\n\n";
-    return events;
-}
-
 std::string allEvents()
 {
-    return eventsBetween(1, EventCount);
-}
-
-std::string valueOf(const std::string &message, const std::string &name)
-{
-    const size_t at = message.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
+    return ModelRunners::allEvents();
 }
 
-/// Reply of a runner to a call that stops a run; without a status it closes the connection.
-struct StopReply
-{
-    unsigned status = 0;
-    std::string handle{};
-    int made = EventsBeforeEnd;
-};
-
-/// What a gateway sends to a runner.
-struct Message
-{
-    enum class Kind { Run, Copy, Stop, Release };
-
-    Kind kind = Kind::Run;
-    /// Number of the runner, which is the end of its id.
-    int runner = 1;
-    int lastEventId = 0;
-    /// Name of the copy from which the run continues.
-    std::string handle{};
-};
-
-/// Three runners for each service, each at an address of its own, which respond without framing.
-class UnframedRunners
-{
-public:
-    using Respond = std::function<asio::awaitable<void>(tcp::socket &connection, Message message)>;
-
-    explicit UnframedRunners(Respond respondTo, int runnerCount = 3)
-        : respond(std::move(respondTo))
-        , fixture(this->script(1))
-        , second(this->fixture.io, this->script(2))
-        , third(this->fixture.io, this->script(3))
-    {
-        for (const char *service : {"p", "m", "b"}) {
-            RunnerEntry entry = this->entry(service + std::string("1"));
-            entry.id = service + std::string("3");
-            this->fixture.runners.push_back(entry);
-        }
-        std::erase_if(this->fixture.runners,
-                      [&](const RunnerEntry &entry) { return numberOf(entry.id) > runnerCount; });
-        for (RunnerEntry &entry : this->fixture.runners)
-            entry.address = this->at(numberOf(entry.id)).address();
-        this->fixture.gateway.applyFleet(this->fixture.runners);
-    }
-
-    ScriptedRunner &at(int number)
-    {
-        return number == 1 ? this->fixture.runner : number == 2 ? this->second : this->third;
-    }
-
-    CallerView call(const std::string &path)
-    {
-        const CallerView view = this->fixture.call(path, RequestId);
-        // A copy that is being made keeps the session.
-        this->fixture.runUntil([this] { return this->fixture.lastSession() == nullptr; });
-        return view;
-    }
-
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
-    asio::awaitable<void> waitFor(const bool &condition)
-    {
-        while (!condition)
-            co_await this->wait(1ms);
-    }
-
-    /// Lets the gateway know that the runner is leaving, for all services.
-    void announceStop(int number)
-    {
-        for (RunnerEntry &entry : this->fixture.runners) {
-            if (numberOf(entry.id) != number)
-                continue;
-            entry.report.emplace();
-            entry.report->isLeaving = true;
-            entry.report->timeUntilStop = Notice;
-        }
-        this->fixture.gateway.applyFleet(this->fixture.runners);
-    }
-
-    /// Health checks say whether the runner is leaving.
-    void suspectStop(int number, bool seemsLeaving)
-    {
-        for (RunnerEntry &entry : this->fixture.runners)
-            entry.seemsLeaving = numberOf(entry.id) == number ? seemsLeaving : entry.seemsLeaving;
-        this->fixture.gateway.applyFleet(this->fixture.runners);
-    }
-
-    static asio::awaitable<void> sendHead(tcp::socket &connection)
-    {
-        co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
-    }
-
-    /// Sends the events one by one, until the condition holds. Returns the id of the next one.
-    asio::awaitable<int> sendEvents(tcp::socket &connection, int first, int last, const bool &isStopped)
-    {
-        int id = first;
-        for (; id <= last && !isStopped; ++id) {
-            co_await sendBytes(connection, eventsBetween(id, id));
-            co_await this->wait(EventInterval);
-        }
-        co_return id;
-    }
-
-    /// The rest of a stream, which ends with its connection.
-    static asio::awaitable<void> sendRest(tcp::socket &connection, int first)
-    {
-        co_await sendHead(connection);
-        co_await sendBytes(connection, eventsBetween(first, EventCount));
-        connection.close();
-    }
-
-    static asio::awaitable<void> refuse(tcp::socket &connection)
-    {
-        co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
-                                               RequestId + "\r\nContent-Length: 0\r\n\r\n");
-    }
-
-    static asio::awaitable<void> reply(tcp::socket &connection, const StopReply &reply)
-    {
-        return sendReply(connection, reply.status, reply.handle, reply.made);
-    }
-
-    static asio::awaitable<void> reply(tcp::socket &connection, unsigned status, const char *handle = "")
-    {
-        return sendReply(connection, status, handle, EventsBeforeEnd);
-    }
-
-private:
-    static asio::awaitable<void> sendReply(tcp::socket &connection, unsigned status, std::string handle,
-                                           int made)
-    {
-        if (status == 0) {
-            connection.close();
-            co_return;
-        }
-        std::string body = "{}";
-        if (!handle.empty())
-            body = R"({"handle":")" + handle + R"(","made":)" + std::to_string(made) + "}";
-        co_await sendBytes(connection, "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Length: " +
-                                               std::to_string(body.size()) + "\r\n\r\n" + body);
-    }
-
-    static int numberOf(const std::string &id) { return id.back() - '0'; }
-
-    const RunnerEntry &entry(const std::string &id)
-    {
-        return *std::ranges::find(this->fixture.runners, id, &RunnerEntry::id);
-    }
-
-    ScriptedRunner::Script script(int number)
-    {
-        return [this, number](tcp::socket &connection, int, const std::string &text) {
-            return this->handle(connection, number, text);
-        };
-    }
-
-    asio::awaitable<void> handle(tcp::socket &connection, int number, std::string text)
-    {
-        Message message;
-        message.runner = number;
-        if (text.starts_with("POST /v1/kv-move"))
-            message.kind = text.find(R"("last":true)") == std::string::npos ? Message::Kind::Copy
-                                                                            : Message::Kind::Stop;
-        else if (text.starts_with("DELETE /v1/kv-handle/"))
-            message.kind = Message::Kind::Release;
-        const std::string lastId = valueOf(text, "Last-Event-Id");
-        message.lastEventId = lastId.empty() ? 0 : std::stoi(lastId);
-        const std::string reference = valueOf(text, "Kv-From");
-        message.handle = reference.substr(reference.rfind('/') + 1);
-        if (message.kind == Message::Kind::Release)
-            co_await reply(connection, 200);
-        else
-            co_await this->respond(connection, std::move(message));
-    }
-
-    Respond respond;
-
-public:
-    GatewayFixture fixture;
-    ScriptedRunner second;
-    ScriptedRunner third;
-};
-
 /// What a generation could be continued from when its runner closes the stream.
 enum class Kept {
     Backup,
@@ -244,7 +37,7 @@
     /// The runner has sent all events.
     bool isRunComplete;
     Kept kept;
-    StopReply reply;
+    CopyReply reply;
     /// The runner refuses connections after it has closed the stream.
     bool isGone = false;
     bool isWhole = true;
@@ -260,7 +53,7 @@
 public:
     explicit ClosedByRunner(const CheckCase &checkCase)
         : test(checkCase)
-        , runners([this](tcp::socket &connection, Message message) {
+        , runners([this](tcp::socket &connection, ModelRequest message) {
             return this->respond(connection, std::move(message));
         })
     {}
@@ -276,13 +69,13 @@
     }
 
 private:
-    asio::awaitable<void> respond(tcp::socket &connection, Message message)
+    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
     {
         switch (message.kind) {
-        case Message::Kind::Copy:
+        case ModelRequest::Kind::Copy:
             co_await this->copy(connection);
             break;
-        case Message::Kind::Stop:
+        case ModelRequest::Kind::Stop:
             co_await this->replyToCheck(connection);
             break;
         default:
@@ -299,48 +92,48 @@
             ++this->earlyStopCount;
         const bool isFirst = !std::exchange(this->isChecked, true);
         if (this->test.isLate)
-            co_await this->runners.wait(LateReply);
+            co_await wait(LateReply);
         if (isFirst || this->test.reply.status == 0)
-            co_await UnframedRunners::reply(connection, this->test.reply);
+            co_await sendReply(connection, this->test.reply);
         else
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
     }
 
     asio::awaitable<void> copy(tcp::socket &connection)
     {
         if (this->test.kept == Kept::Nothing)
-            co_await this->runners.waitFor(this->isClosed);
+            co_await waitFor(this->isClosed);
         const bool isCopying = this->test.kept == Kept::Copy || this->test.kept == Kept::CopyOfSuspect;
         if (isCopying && !this->isClosed)
-            co_await UnframedRunners::reply(connection, 200, "h");
+            co_await sendReply(connection, 200, "h");
         else
-            co_await UnframedRunners::reply(connection, 503);
+            co_await sendReply(connection, 503);
         this->isCopyReplied = true;
     }
 
     asio::awaitable<void> generate(tcp::socket &connection, int runner)
     {
         this->source = runner;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         const bool isStopped = false;
         co_await this->runners.sendEvents(connection, 1, EventsBeforeEnd, isStopped);
         if (this->test.isRunComplete)
             co_await sendBytes(connection, eventsBetween(EventsBeforeEnd + 1, EventCount));
         // The gateway has read them.
-        co_await this->runners.wait(EventInterval);
+        co_await wait(EventInterval);
         if (this->test.kept == Kept::CopyOfSuspect)
             this->runners.suspectStop(runner, true);
         else
             this->runners.announceStop(runner);
         if (this->test.kept != Kept::Nothing && this->test.kept != Kept::Request)
-            co_await this->runners.waitFor(this->isCopyReplied);
+            co_await waitFor(this->isCopyReplied);
         if (this->test.isGone)
             this->runners.at(runner).end();
         this->isClosed = true;
         connection.close();
     }
 
-    asio::awaitable<void> continueRun(tcp::socket &connection, Message message)
+    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
     {
         std::string expected = this->test.kept == Kept::Backup ? RequestId : "h";
         if (this->test.kept == Kept::Nothing || this->test.isRefused)
@@ -350,11 +143,11 @@
         if (message.runner == this->source)
             expected = this->test.reply.handle;
         if (message.handle != expected) {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
             co_return;
         }
         this->continuedAt = message.runner;
-        co_await UnframedRunners::sendRest(connection, message.lastEventId + 1);
+        co_await this->runners.sendRest(connection, message.lastEventId + 1);
     }
 
     CheckCase test;
@@ -367,7 +160,7 @@
     int source = 0;
     /// The runner that has accepted the rest of the generation.
     int continuedAt = 0;
-    UnframedRunners runners;
+    ModelRunners runners;
 };
 
 } // namespace
@@ -446,8 +239,8 @@
 struct SecondStopCase
 {
     const char *name;
-    StopReply first;
-    StopReply second;
+    CopyReply first;
+    CopyReply second;
     /// The replies come before the streams are closed.
     bool isReplyEarly;
     /// The third runner refuses, so that the second one has to go on.
@@ -464,7 +257,7 @@
 public:
     explicit TwoStops(const SecondStopCase &stopCase)
         : test(stopCase)
-        , runners([this](tcp::socket &connection, Message message) {
+        , runners([this](tcp::socket &connection, ModelRequest message) {
             return this->respond(connection, std::move(message));
         })
     {}
@@ -475,27 +268,27 @@
     }
 
 private:
-    asio::awaitable<void> respond(tcp::socket &connection, Message message)
+    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
     {
-        const StopReply copied{200, "h" + std::to_string(message.runner)};
-        if (message.kind == Message::Kind::Copy) {
+        const CopyReply copied{200, "h" + std::to_string(message.runner)};
+        if (message.kind == ModelRequest::Kind::Copy) {
             if (this->order.size() < 3)
-                co_await UnframedRunners::reply(connection, copied);
+                co_await sendReply(connection, copied);
             else
-                co_await UnframedRunners::reply(connection, 503);
-        } else if (message.kind == Message::Kind::Stop) {
+                co_await sendReply(connection, 503);
+        } else if (message.kind == ModelRequest::Kind::Stop) {
             co_await this->stop(connection, message.runner);
         } else if (this->order.size() < 2 && this->isKnown(message)) {
             co_await this->generate(connection, message);
         } else if (this->isKnown(message) && !this->isRefused(message.runner)) {
             this->order.push_back(message.runner);
-            co_await UnframedRunners::sendRest(connection, message.lastEventId + 1);
+            co_await this->runners.sendRest(connection, message.lastEventId + 1);
         } else {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
         }
     }
 
-    bool isKnown(const Message &message) const
+    bool isKnown(const ModelRequest &message) const
     {
         if (this->order.empty())
             return true;
@@ -513,26 +306,26 @@
         const auto run = std::ranges::find(this->order, runner);
         const auto index = static_cast<size_t>(run - this->order.begin());
         if (index > 1 || this->isStopped[index]) {
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
             co_return;
         }
-        StopReply reply = index == 0 ? this->test.first : this->test.second;
+        CopyReply reply = index == 0 ? this->test.first : this->test.second;
         if (!reply.handle.empty())
             reply.handle += std::to_string(runner);
         if (this->test.isReplyEarly)
-            co_await UnframedRunners::reply(connection, reply);
+            co_await sendReply(connection, reply);
         this->isStopped[index] = true;
         if (this->test.isReplyEarly)
             co_return;
-        co_await this->runners.waitFor(this->isClosed[index]);
-        co_await UnframedRunners::reply(connection, reply);
+        co_await waitFor(this->isClosed[index]);
+        co_await sendReply(connection, reply);
     }
 
-    asio::awaitable<void> generate(tcp::socket &connection, Message message)
+    asio::awaitable<void> generate(tcp::socket &connection, ModelRequest message)
     {
         const size_t index = this->order.size();
         this->order.push_back(message.runner);
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         int id = message.lastEventId + 1;
         id = co_await this->runners.sendEvents(connection, id, id + 4, this->isStopped[index]);
         this->runners.announceStop(message.runner);
@@ -550,7 +343,7 @@
     std::vector<int> order;
     std::array<bool, 2> isStopped{};
     std::array<bool, 2> isClosed{};
-    UnframedRunners runners;
+    ModelRunners runners;
 };
 
 } // namespace
@@ -605,7 +398,7 @@
 public:
     explicit AwaitedReply(const InterruptedCase &interruptedCase)
         : test(interruptedCase)
-        , runners([this](tcp::socket &connection, Message message) {
+        , runners([this](tcp::socket &connection, ModelRequest message) {
             return this->respond(connection, std::move(message));
         })
     {}
@@ -618,23 +411,23 @@
     }
 
 private:
-    asio::awaitable<void> respond(tcp::socket &connection, Message message)
+    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
     {
-        if (message.kind == Message::Kind::Copy) {
-            co_await UnframedRunners::reply(connection, 200, "h");
+        if (message.kind == ModelRequest::Kind::Copy) {
+            co_await sendReply(connection, 200, "h");
             this->isCopied = true;
-        } else if (message.kind == Message::Kind::Stop) {
+        } else if (message.kind == ModelRequest::Kind::Stop) {
             this->isCalled = true;
-            co_await this->runners.waitFor(this->isReplyDue);
-            co_await UnframedRunners::reply(connection, 404);
+            co_await waitFor(this->isReplyDue);
+            co_await sendReply(connection, 404);
         } else if (std::exchange(this->isStarted, true)) {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
             this->isRefused = true;
         } else {
             co_await this->generate(connection, message.runner);
             if (!this->test.isAtOnce)
-                co_await this->runners.waitFor(this->isRefused);
-            co_await this->runners.waitFor(this->isCalled);
+                co_await waitFor(this->isRefused);
+            co_await waitFor(this->isCalled);
             this->interrupt();
         }
     }
@@ -643,12 +436,12 @@
     {
         // The gateway must still wait for the reply when the time of the request is over.
         const bool isLong = this->test.interruption == Interruption::Deadline;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         co_await this->runners.sendEvents(connection, 1, EventsBeforeEnd, this->isCalled);
         if (isLong)
-            co_await this->runners.wait(1000ms);
+            co_await wait(1000ms);
         this->runners.announceStop(runner);
-        co_await this->runners.waitFor(this->isCopied);
+        co_await waitFor(this->isCopied);
         if (this->test.isCalledBefore)
             co_await this->runners.sendEvents(connection, EventsBeforeEnd + 1, EventCount, this->isCalled);
         else if (this->test.isRunComplete)
@@ -678,7 +471,7 @@
     bool isWaiting = false;
     std::chrono::steady_clock::time_point interruptedAt;
     std::chrono::steady_clock::time_point endedAt;
-    UnframedRunners runners;
+    ModelRunners runners;
 };
 
 } // namespace
@@ -717,7 +510,7 @@
 struct MadeCase
 {
     const char *name;
-    StopReply reply;
+    CopyReply reply;
     /// The runner with the copy refuses, so that the generation goes on at the one that was called.
     bool isRefused;
     /// The run is continued after this event, in place of the last one that the gateway names.
@@ -744,28 +537,28 @@
     INFO(test.name);
     int source = 0;
     bool isStopped = false;
-    std::optional<UnframedRunners> runners;
-    runners.emplace([&](tcp::socket &connection, Message message) -> asio::awaitable<void> {
-        if (message.kind == Message::Kind::Copy) {
-            co_await UnframedRunners::reply(connection, 200, "h");
-        } else if (message.kind == Message::Kind::Stop) {
+    std::optional<ModelRunners> runners;
+    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
+        if (message.kind == ModelRequest::Kind::Copy) {
+            co_await sendReply(connection, 200, "h");
+        } else if (message.kind == ModelRequest::Kind::Stop) {
             const bool isFirst = message.runner == source && !std::exchange(isStopped, true);
             if (isFirst)
-                co_await UnframedRunners::reply(connection, test.reply);
+                co_await sendReply(connection, test.reply);
             else
-                co_await UnframedRunners::reply(connection, 404);
+                co_await sendReply(connection, 404);
         } else if (source == 0) {
             source = message.runner;
-            co_await UnframedRunners::sendHead(connection);
+            co_await runners->sendHead(connection);
             co_await runners->sendEvents(connection, 1, 5, isStopped);
             runners->announceStop(source);
             co_await runners->sendEvents(connection, 6, EventCount, isStopped);
             connection.close();
         } else if (message.handle == "h" && (message.runner == source) == test.isRefused) {
             const int last = test.continuedAfter.value_or(message.lastEventId);
-            co_await UnframedRunners::sendRest(connection, last + 1);
+            co_await runners->sendRest(connection, last + 1);
         } else {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
         }
     });
     const CallerView view = runners->call("/generation/a");
@@ -806,18 +599,18 @@
     }));
     INFO(path << ", " << test.name);
     int stopCount = 0;
-    std::optional<UnframedRunners> runners;
-    runners.emplace([&](tcp::socket &connection, Message message) -> asio::awaitable<void> {
-        if (message.kind != Message::Kind::Run) {
+    std::optional<ModelRunners> runners;
+    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
+        if (message.kind != ModelRequest::Kind::Run) {
             ++stopCount;
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
             co_return;
         }
         co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n" + test.response);
         if (test.isLeaving)
             runners->announceStop(message.runner);
         // A reset discards what was not read before.
-        co_await runners->wait(EventInterval);
+        co_await wait(EventInterval);
         if (test.isReset)
             connection.set_option(asio::socket_base::linger(true, 0));
         connection.close();
@@ -842,18 +635,18 @@
     INFO(path << ", " << eventCount << " events, another runner leaves: " << isOtherLeaving);
     bool isStarted = false;
     int furtherCount = 0;
-    std::optional<UnframedRunners> runners;
-    runners.emplace([&](tcp::socket &connection, Message message) -> asio::awaitable<void> {
+    std::optional<ModelRunners> runners;
+    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
         if (std::exchange(isStarted, true)) {
             ++furtherCount;
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
             co_return;
         }
-        co_await UnframedRunners::sendHead(connection);
+        co_await runners->sendHead(connection);
         co_await sendBytes(connection, eventsBetween(1, eventCount));
         if (isOtherLeaving)
             runners->announceStop(message.runner % 3 + 1);
-        co_await runners->wait(EventInterval);
+        co_await wait(EventInterval);
         connection.close();
     });
     const CallerView view = runners->call(path);
@@ -868,7 +661,7 @@
 struct StallCase
 {
     const char *name;
-    StopReply reply;
+    CopyReply reply;
     /// The runner replies before the stream has ended at the other one.
     bool isReplyFirst;
     /// The runner closes the stream before the other one has accepted it.
@@ -883,74 +676,74 @@
 public:
     explicit StalledStop(const StallCase &stallCase)
         : test(stallCase)
-        , runners([this](tcp::socket &connection, Message message) {
+        , runners([this](tcp::socket &connection, ModelRequest message) {
             return this->respond(connection, std::move(message));
         })
     {}
 
 private:
-    asio::awaitable<void> respond(tcp::socket &connection, Message message)
+    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
     {
-        if (message.kind == Message::Kind::Copy)
-            co_await UnframedRunners::reply(connection, 200, "h");
-        else if (message.kind == Message::Kind::Stop && message.runner == this->source)
+        if (message.kind == ModelRequest::Kind::Copy)
+            co_await sendReply(connection, 200, "h");
+        else if (message.kind == ModelRequest::Kind::Stop && message.runner == this->source)
             co_await this->stop(connection);
-        else if (message.kind == Message::Kind::Stop)
+        else if (message.kind == ModelRequest::Kind::Stop)
             co_await this->stopNext(connection);
         else if (this->source == 0)
             co_await this->generate(connection, message.runner);
         else if (message.handle == "h" && message.runner != this->source)
             co_await this->continueRun(connection, message);
         else
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
     }
 
     asio::awaitable<void> stop(tcp::socket &connection)
     {
         if (std::exchange(this->isStopped, true)) {
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
             co_return;
         }
         if (this->test.isReplyFirst)
-            co_await this->runners.waitFor(this->isMoved);
+            co_await waitFor(this->isMoved);
         else
-            co_await this->runners.waitFor(this->isEnded);
-        co_await UnframedRunners::reply(connection, this->test.reply);
+            co_await waitFor(this->isEnded);
+        co_await sendReply(connection, this->test.reply);
         this->isReplied = true;
     }
 
     asio::awaitable<void> stopNext(tcp::socket &connection)
     {
         const bool isRunning = this->test.isLeftAgain && !std::exchange(this->isNextStopped, true);
-        co_await UnframedRunners::reply(connection, isRunning ? 200 : 404, isRunning ? "h" : "");
+        co_await sendReply(connection, isRunning ? 200 : 404, isRunning ? "h" : "");
     }
 
     asio::awaitable<void> generate(tcp::socket &connection, int runner)
     {
         this->source = runner;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         co_await this->runners.sendEvents(connection, 1, 5, this->isStopped);
         this->runners.announceStop(runner);
         co_await this->runners.sendEvents(connection, 6, EventCount, this->isStopped);
         if (this->test.isClosedFirst)
-            co_await this->runners.waitFor(this->isAsked);
+            co_await waitFor(this->isAsked);
         else
-            co_await this->runners.waitFor(this->isMoved);
+            co_await waitFor(this->isMoved);
         connection.close();
         this->isClosed = true;
     }
 
-    asio::awaitable<void> continueRun(tcp::socket &connection, Message message)
+    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
     {
         this->isAsked = true;
         if (this->test.isClosedFirst)
-            co_await this->runners.waitFor(this->isClosed);
+            co_await waitFor(this->isClosed);
         if (this->isMoved) {
-            co_await UnframedRunners::sendRest(connection, message.lastEventId + 1);
+            co_await this->runners.sendRest(connection, message.lastEventId + 1);
             co_return;
         }
         this->isMoved = true;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         int id = message.lastEventId + 1;
         if (this->test.isLeftAgain) {
             id = co_await this->runners.sendEvents(connection, id, id + 3, this->isNextStopped);
@@ -958,7 +751,7 @@
             id = co_await this->runners.sendEvents(connection, id, EventCount, this->isNextStopped);
         } else {
             if (this->test.isReplyFirst)
-                co_await this->runners.waitFor(this->isReplied);
+                co_await waitFor(this->isReplied);
             co_await sendBytes(connection, eventsBetween(id, EventCount));
         }
         connection.close();
@@ -976,7 +769,7 @@
     bool isStopped = false;
     bool isMoved = false;
     bool isNextStopped = false;
-    UnframedRunners runners;
+    ModelRunners runners;
 };
 
 } // namespace
@@ -1014,7 +807,7 @@
 struct EarlierCallCase
 {
     const char *name;
-    StopReply reply;
+    CopyReply reply;
     /// The later run ends by itself before the call takes effect.
     bool isRunComplete;
 };
@@ -1027,22 +820,22 @@
     explicit ReturnedStream(const EarlierCallCase &callCase)
         : test(callCase)
         , runners([this](tcp::socket &connection,
-                         Message message) { return this->respond(connection, std::move(message)); },
+                         ModelRequest message) { return this->respond(connection, std::move(message)); },
                   2)
     {}
 
 private:
-    asio::awaitable<void> respond(tcp::socket &connection, Message message)
+    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
     {
-        if (message.kind == Message::Kind::Copy) {
-            co_await UnframedRunners::reply(connection, 200, message.runner == this->source ? "h" : "i");
+        if (message.kind == ModelRequest::Kind::Copy) {
+            co_await sendReply(connection, 200, message.runner == this->source ? "h" : "i");
             this->isCopied = true;
-        } else if (message.kind == Message::Kind::Stop && message.runner == this->source) {
+        } else if (message.kind == ModelRequest::Kind::Stop && message.runner == this->source) {
             co_await this->stop(connection);
-        } else if (message.kind == Message::Kind::Stop) {
+        } else if (message.kind == ModelRequest::Kind::Stop) {
             this->isOtherStopped = true;
-            co_await this->runners.waitFor(this->isOtherClosed);
-            co_await UnframedRunners::reply(connection, 200, "i");
+            co_await waitFor(this->isOtherClosed);
+            co_await sendReply(connection, 200, "i");
         } else if (this->source == 0) {
             co_await this->generate(connection, message.runner);
         } else if (message.handle == "h" && message.runner != this->source && !this->isOtherClosed) {
@@ -1050,52 +843,52 @@
         } else if (message.handle == "i" && message.runner == this->source) {
             co_await this->finish(connection, message);
         } else {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
         }
     }
 
     asio::awaitable<void> stop(tcp::socket &connection)
     {
         if (std::exchange(this->isCalled, true)) {
-            co_await UnframedRunners::reply(connection, 404);
+            co_await sendReply(connection, 404);
             co_return;
         }
-        co_await this->runners.waitFor(this->isLaterRunClosed);
-        co_await UnframedRunners::reply(connection, this->test.reply);
+        co_await waitFor(this->isLaterRunClosed);
+        co_await sendReply(connection, this->test.reply);
     }
 
     asio::awaitable<void> generate(tcp::socket &connection, int runner)
     {
         this->source = runner;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         co_await this->runners.sendEvents(connection, 1, 5, this->isCalled);
         this->runners.suspectStop(runner, true);
-        co_await this->runners.waitFor(this->isCopied);
+        co_await waitFor(this->isCopied);
         connection.set_option(asio::socket_base::linger(true, 0));
         connection.close();
     }
 
-    asio::awaitable<void> continueRun(tcp::socket &connection, Message message)
+    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
     {
         this->runners.suspectStop(this->source, false);
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         int id = message.lastEventId + 1;
         co_await sendBytes(connection, eventsBetween(id, id));
-        co_await this->runners.waitFor(this->isCalled);
+        co_await waitFor(this->isCalled);
         this->runners.announceStop(message.runner);
         co_await this->runners.sendEvents(connection, id + 1, EventCount, this->isOtherStopped);
         connection.close();
         this->isOtherClosed = true;
     }
 
-    asio::awaitable<void> finish(tcp::socket &connection, Message message)
+    asio::awaitable<void> finish(tcp::socket &connection, ModelRequest message)
     {
         this->hasReturned = true;
-        co_await UnframedRunners::sendHead(connection);
+        co_await this->runners.sendHead(connection);
         const int last = this->test.isRunComplete ? EventCount : message.lastEventId + 3;
         co_await sendBytes(connection, eventsBetween(message.lastEventId + 1, last));
         // The gateway has read them.
-        co_await this->runners.wait(EventInterval);
+        co_await wait(EventInterval);
         connection.close();
         this->isLaterRunClosed = true;
     }
@@ -1110,7 +903,7 @@
 public:
     bool isCalled = false;
     bool hasReturned = false;
-    UnframedRunners runners;
+    ModelRunners runners;
 };
 
 } // namespace
@@ -1148,31 +941,31 @@
             {"first call answered, complete", 200, true},
     }));
     INFO(name);
-    const StopReply firstReply{firstStatus, firstStatus == 0 ? "" : "h"};
+    const CopyReply firstReply{firstStatus, firstStatus == 0 ? "" : "h"};
     int source = 0;
     int runCount = 0;
     int callCount = 0;
     bool isStopped = false;
     bool isClosed = false;
-    std::optional<UnframedRunners> runners;
-    runners.emplace([&](tcp::socket &connection, Message message) -> asio::awaitable<void> {
-        if (message.kind == Message::Kind::Copy) {
+    std::optional<ModelRunners> runners;
+    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
+        if (message.kind == ModelRequest::Kind::Copy) {
             // No further copy, so that the second run is not called.
-            co_await UnframedRunners::reply(connection, runCount == 1 ? 200 : 503, runCount == 1 ? "h" : "");
-        } else if (message.kind == Message::Kind::Stop && message.runner == source) {
+            co_await sendReply(connection, runCount == 1 ? 200 : 503, runCount == 1 ? "h" : "");
+        } else if (message.kind == ModelRequest::Kind::Stop && message.runner == source) {
             const int call = ++callCount;
             isStopped = true;
-            co_await runners->waitFor(isClosed);
+            co_await waitFor(isClosed);
             if (call == 1)
-                co_await UnframedRunners::reply(connection, firstReply);
+                co_await sendReply(connection, firstReply);
             else if (runCount == 2 && !isRunComplete)
-                co_await UnframedRunners::reply(connection, 503, "k");
+                co_await sendReply(connection, 503, "k");
             else
-                co_await UnframedRunners::reply(connection, 404);
+                co_await sendReply(connection, 404);
         } else if (source == 0) {
             source = message.runner;
             ++runCount;
-            co_await UnframedRunners::sendHead(connection);
+            co_await runners->sendHead(connection);
             co_await runners->sendEvents(connection, 1, 5, isStopped);
             runners->announceStop(source);
             co_await runners->sendEvents(connection, 6, EventCount, isStopped);
@@ -1180,16 +973,16 @@
             isClosed = true;
         } else if (message.runner == source && message.handle == (runCount == 1 ? "h" : "k")) {
             if (++runCount == 2 && !isRunComplete) {
-                co_await UnframedRunners::sendHead(connection);
+                co_await runners->sendHead(connection);
                 const int first = message.lastEventId + 1;
                 co_await sendBytes(connection, eventsBetween(first, first + 3));
-                co_await runners->wait(EventInterval);
+                co_await wait(EventInterval);
                 connection.close();
             } else {
-                co_await UnframedRunners::sendRest(connection, message.lastEventId + 1);
+                co_await runners->sendRest(connection, message.lastEventId + 1);
             }
         } else {
-            co_await UnframedRunners::refuse(connection);
+            co_await sendRefusal(connection);
         }
     });
     const CallerView view = runners->call("/generation/a");
