--- a/tests/hostile/modelrequest.cpp
+++ b/tests/hostile/modelrequest.cpp
@@ -90,13 +90,7 @@
 
 asio::awaitable<void> waitFor(const std::function<bool()> &condition)
 {
-    while (!condition())
-        co_await wait(std::chrono::milliseconds{1});
-}
-
-asio::awaitable<void> waitFor(const bool &condition)
-{
-    while (!condition)
+    while (condition && !condition())
         co_await wait(std::chrono::milliseconds{1});
 }
 
--- a/tests/hostile/modelrequest.h
+++ b/tests/hostile/modelrequest.h
@@ -54,7 +54,7 @@
 std::string chunk(const std::string &bytes);
 
 boost::asio::awaitable<void> wait(Duration duration);
+/// An empty condition holds.
 boost::asio::awaitable<void> waitFor(const std::function<bool()> &condition);
-boost::asio::awaitable<void> waitFor(const bool &condition);
 
 } // namespace eelgrasslift
--- a/tests/hostile/modelrunners.cpp
+++ b/tests/hostile/modelrunners.cpp
@@ -1,7 +1,5 @@
 #include "modelrunners.h"
 
-#include <algorithm>
-
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
@@ -19,29 +17,30 @@
 ModelRunners::ModelRunners(Respond respondTo, int runnerCount)
     : respond(std::move(respondTo))
     , fixture(this->script(1))
-    , second(this->fixture.io, this->script(2))
-    , third(this->fixture.io, this->script(3))
 {
-    for (const char *service : {"p", "m", "b"}) {
-        RunnerEntry entry = this->entry(service + std::string("1"));
-        entry.id = service + std::string("3");
-        this->fixture.runners.push_back(entry);
+    this->fixture.runners.clear();
+    for (int number = 1; number <= runnerCount; ++number) {
+        if (number > 1)
+            this->others.emplace_back(this->fixture.io, this->script(number));
+        for (const char *service : {"p", "m", "b"}) {
+            RunnerEntry &entry = this->fixture.runners.emplace_back();
+            entry.id = service + std::to_string(number);
+            entry.service = service;
+            entry.address = this->at(number).address();
+            entry.slots = 6;
+        }
     }
-    std::erase_if(this->fixture.runners,
-                  [&](const RunnerEntry &entry) { return numberOf(entry.id) > runnerCount; });
-    for (RunnerEntry &entry : this->fixture.runners)
-        entry.address = this->at(numberOf(entry.id)).address();
     this->fixture.gateway.applyFleet(this->fixture.runners);
 }
 
 ScriptedRunner &ModelRunners::at(int number)
 {
-    return number == 1 ? this->fixture.runner : number == 2 ? this->second : this->third;
+    return number == 1 ? this->fixture.runner : this->others.at(static_cast<size_t>(number) - 2);
 }
 
 CallerView ModelRunners::call(const std::string &path)
 {
-    const CallerView view = this->fixture.call(path, "id-1");
+    const CallerView view = this->fixture.call(path, RequestId);
     // A copy that is being made keeps the session.
     this->fixture.runUntil([this] { return this->fixture.lastSession() == nullptr; });
     return view;
@@ -107,11 +106,6 @@
         connection.close();
 }
 
-const RunnerEntry &ModelRunners::entry(const std::string &id)
-{
-    return *std::ranges::find(this->fixture.runners, id, &RunnerEntry::id);
-}
-
 ScriptedRunner::Script ModelRunners::script(int number)
 {
     return [this, number](tcp::socket &connection, int, const std::string &message) {
--- a/tests/hostile/modelrunners.h
+++ b/tests/hostile/modelrunners.h
@@ -2,9 +2,12 @@
 
 #include "modelrequest.h"
 
+#include <deque>
+
 namespace eelgrasslift {
 
-/// Three runners for each service, each at an address of its own. Their streams have 60 events.
+/// Runners of each service with the same numbers, each number at an address of its own. Their streams have 60
+/// events.
 class ModelRunners
 {
 public:
@@ -16,6 +19,7 @@
     static constexpr int EventCount = 60;
     static constexpr auto EventInterval = std::chrono::milliseconds{20};
     static constexpr auto Notice = std::chrono::milliseconds{2000};
+    static constexpr const char *RequestId = "id-1";
     static std::string allEvents() { return eventsBetween(1, EventCount); }
 
     /// The runners confirm that a copy was released; respondTo gets all other requests.
@@ -49,7 +53,6 @@
     Framing framing = Framing::None;
 
 private:
-    const RunnerEntry &entry(const std::string &id);
     ScriptedRunner::Script script(int number);
     boost::asio::awaitable<void> handle(boost::asio::ip::tcp::socket &connection, int number,
                                         std::string message);
@@ -58,8 +61,10 @@
 
 public:
     GatewayFixture fixture;
-    ScriptedRunner second;
-    ScriptedRunner third;
+
+private:
+    /// From number 2 on.
+    std::deque<ScriptedRunner> others;
 };
 
 } // namespace eelgrasslift
--- a/tests/hostile/test_stoppedrun.cpp
+++ b/tests/hostile/test_stoppedrun.cpp
@@ -1,22 +1,20 @@
-#include "modelrequest.h"
+#include "plannedgeneration.h"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-
 using namespace eelgrasslift;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using Continuation = PlannedGeneration::Continuation;
+using Framing = ModelRunners::Framing;
 
 namespace {
 
-constexpr int EventCount = 60;
-constexpr auto EventInterval = 20ms;
+constexpr int EventCount = ModelRunners::EventCount;
+constexpr auto EventInterval = ModelRunners::EventInterval;
 constexpr auto LateReply = 400ms;
-constexpr auto Notice = 2000ms;
-
-enum class Framing { Chunks, None };
+constexpr auto Notice = ModelRunners::Notice;
 
 // Late responses to other requests, and one that only precedes the reply.
 const std::string StrayNoRun = "HTTP/1.1 404 None\r\nX-Attempt-Id: id-0\r\nContent-Length: 2\r\n\r\n{}";
@@ -26,25 +24,19 @@
 const std::string Interim = "HTTP/1.1 102 Processing\r\n\r\n";
 const std::string NotExecuted = "X-Not-Executed: 1\r\n";
 
-/// What a runner does to the stream of a run that it is called to end.
-enum class StreamEnd {
-    BetweenEvents,
-    InsideEvent,
-    Reset,
-    Complete ///< The run ends by itself just as the call arrives.
-};
-
 /// When the runner replies to the call, counted from the end of the stream.
 enum class ReplyTime { Before, After, Late, Never };
 
-/// How a runner treats a request that continues the generation.
-enum class Continuation { Accepts, Refuses, Closes };
+using enum ModelRunners::Framing;
+using enum PlannedGeneration::Continuation;
+using enum ReplyTime;
+using enum RunPlan::End;
 
 struct StopCase
 {
     const char *name;
     Framing framing;
-    StreamEnd end;
+    RunPlan::End end;
     ReplyTime replyTime;
     /// Status of the reply and, if it has one, the name of the copy in it.
     unsigned status;
@@ -65,149 +57,40 @@
     std::string furtherHandle{};
 };
 
-std::string allEvents()
+/// A runner that leaves, with a generation that has a copy at another one, and is called to end the run.
+void stopRun(PlannedGeneration &generation, const StopCase &test)
 {
-    return eventsBetween(1, EventCount);
+    generation.runners.framing = test.framing;
+    RunPlan &plan = generation.plans.emplace_back();
+    plan.eventCount = 10;
+    plan.end = test.end;
+    plan.beforeReply = test.beforeReply;
+    plan.replies = {{test.status, test.handle, 1, test.replyFields},
+                    {test.furtherStatus, test.furtherHandle, 1}};
+    if (test.replyTime != Before)
+        plan.repliesAfter = generation.closed(0, test.replyTime == Late ? LateReply : 0ms);
+    generation.copy = [](const ModelRequest &) { return CopyReply{200, "h", 1}; };
+    generation.treat = [&](const ModelRequest &request) {
+        const bool isSource = generation.isSource(request.runner);
+        std::string kept = "h";
+        for (const std::string &handle : {test.handle, test.furtherHandle})
+            kept = isSource && !handle.empty() ? handle : kept;
+        const Continuation continuation = isSource ? test.source : test.other;
+        const bool isUnknown = continuation == Accepts && request.handle != kept;
+        return isUnknown ? Refuses : continuation;
+    };
 }
 
-/// A runner that leaves, with a generation that has a copy at another one, and is called to end the run.
-class StoppedRun
+void checkStoppedRun(const StopCase &test)
 {
-public:
-    explicit StoppedRun(const StopCase &stopCase)
-        : fixture([this](tcp::socket &connection, int, std::string message) {
-            return this->respond(connection, std::move(message));
-        })
-        , test(stopCase)
-    {}
-
-    GatewayFixture fixture;
-    int continuationCount = 0;
-    /// Calls that met the run, and later ones.
-    int stopCallCount = 0;
-    int furtherCallCount = 0;
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, std::string message)
-    {
-        const std::string runnerId = valueOf(message, "X-Expect-Instance");
-        if (message.starts_with("POST /v1/kv-move") && message.find(R"("last":true)") != std::string::npos)
-            co_await this->stopRun(connection);
-        else if (message.starts_with("POST /v1/kv-move"))
-            co_await sendReply(connection, 200, "h", 1);
-        else if (message.starts_with("DELETE /v1/kv-handle/"))
-            co_await sendReply(connection, 200);
-        else if (this->sourceId.empty())
-            co_await this->generate(connection, runnerId);
-        else
-            co_await this->continueRun(connection, message, runnerId == this->sourceId);
-    }
-
-    asio::awaitable<void> stopRun(tcp::socket &connection)
-    {
-        // A run that continues here has ended by the time of a further call.
-        if (this->stopCallCount > 0) {
-            const bool isNext = ++this->furtherCallCount == 1;
-            if (isNext && this->test.furtherStatus == 0)
-                connection.close();
-            else if (isNext)
-                co_await sendReply(connection, this->test.furtherStatus, this->test.furtherHandle.c_str(), 1);
-            else
-                co_await sendReply(connection, 404);
-            co_return;
-        }
-        ++this->stopCallCount;
-        const CopyReply reply{this->test.status, this->test.handle, 1, this->test.replyFields};
-        co_await sendBytes(connection, this->test.beforeReply);
-        if (this->test.replyTime == ReplyTime::Before)
-            co_await sendReply(connection, reply);
-        this->isStopped = true;
-        if (this->test.replyTime == ReplyTime::Before)
-            co_return;
-        while (!this->isStreamClosed)
-            co_await wait(1ms);
-        if (this->test.replyTime == ReplyTime::Late)
-            co_await wait(LateReply);
-        if (this->test.replyTime == ReplyTime::Never)
-            connection.close();
-        else
-            co_await sendReply(connection, reply);
-    }
-
-    asio::awaitable<void> sendHead(tcp::socket &connection) const
-    {
-        co_await sendBytes(connection, std::string("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n") +
-                                               (this->test.framing == Framing::Chunks
-                                                        ? "Transfer-Encoding: chunked\r\n\r\n"
-                                                        : "\r\n"));
-    }
-
-    asio::awaitable<void> sendEvents(tcp::socket &connection, std::string bytes) const
-    {
-        if (this->test.framing == Framing::Chunks) {
-            bytes = chunk(bytes);
-        }
-        co_await sendBytes(connection, std::move(bytes));
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, std::string runnerId)
-    {
-        constexpr int EventsBeforeNotice = 10;
-        this->sourceId = std::move(runnerId);
-        co_await this->sendHead(connection);
-        int id = 1;
-        while (!this->isStopped && id <= EventCount) {
-            co_await this->sendEvents(connection, eventsBetween(id, id));
-            if (id++ == EventsBeforeNotice)
-                this->fixture.announceStop(Notice);
-            co_await wait(EventInterval);
-        }
-        if (this->test.end == StreamEnd::Complete) {
-            for (; id <= EventCount; ++id)
-                co_await this->sendEvents(connection, eventsBetween(id, id));
-            if (this->test.framing == Framing::Chunks)
-                co_await sendBytes(connection, "0\r\n\r\n");
-        }
-        if (this->test.end == StreamEnd::InsideEvent)
-            co_await this->sendEvents(connection, "id: 5");
-        if (this->test.end == StreamEnd::Reset)
-            connection.set_option(asio::socket_base::linger(true, 0));
-        connection.close();
-        this->isStreamClosed = true;
-    }
-
-    asio::awaitable<void> continueRun(tcp::socket &connection, const std::string &message, bool isSource)
-    {
-        ++this->continuationCount;
-        std::string keptHandle = "h";
-        for (const std::string &handle : {this->test.handle, this->test.furtherHandle})
-            keptHandle = handle.empty() ? keptHandle : handle;
-        const bool isCopyKnown = valueOf(message, "Kv-From").ends_with("/" + (isSource ? keptHandle : "h"));
-        Continuation continuation = isSource ? this->test.source : this->test.other;
-        if (continuation == Continuation::Accepts && !isCopyKnown)
-            continuation = Continuation::Refuses;
-        if (continuation == Continuation::Closes) {
-            connection.close();
-            co_return;
-        }
-        if (continuation == Continuation::Refuses) {
-            co_await sendRefusal(connection);
-            co_return;
-        }
-        co_await this->sendHead(connection);
-        for (int id = std::stoi(valueOf(message, "Last-Event-Id")) + 1; id <= EventCount; ++id)
-            co_await this->sendEvents(connection, eventsBetween(id, id));
-        if (this->test.framing == Framing::Chunks)
-            co_await sendBytes(connection, "0\r\n\r\n");
-        else
-            connection.close();
-    }
-
-    StopCase test;
-    std::string sourceId;
-    bool isStopped = false;
-    bool isStreamClosed = false;
-};
+    INFO(test.name);
+    PlannedGeneration generation(2);
+    stopRun(generation, test);
+    const CallerView view = generation.play();
+    CHECK(generation.called(0)());
+    checkStream(view, test.isWhole);
+    CHECK((generation.continuationCount > 0) == test.isContinued);
+}
 
 } // namespace
 
@@ -215,123 +98,76 @@
 // closed the connection on the gateway's own call.
 TEST_CASE("A run that was stopped by a call is not taken for complete", "[hostile]")
 {
-    using enum StreamEnd;
-    using enum ReplyTime;
-    using enum Continuation;
     const auto test = GENERATE(values<StopCase>({
-            {"chunks", Framing::Chunks, BetweenEvents, Late, 200, "h", Accepts, Closes, true},
-            {"late reply", Framing::None, BetweenEvents, Late, 200, "h", Accepts, Closes, true},
-            {"reply before the end", Framing::None, BetweenEvents, Before, 200, "h", Accepts, Closes, true},
-            {"no reply", Framing::None, BetweenEvents, Never, 0, "", Accepts, Closes, true},
-            {"call in progress", Framing::None, BetweenEvents, After, 409, "", Accepts, Closes, true},
-            {"no room for the copy", Framing::None, BetweenEvents, Before, 503, "k", Refuses, Accepts, true},
-            {"no room, late", Framing::None, BetweenEvents, Late, 503, "k", Refuses, Accepts, true},
-            {"no room, copy kept", Framing::None, BetweenEvents, After, 503, "k", Accepts, Closes, true},
-            {"refused elsewhere", Framing::None, BetweenEvents, After, 200, "h", Refuses, Accepts, true},
-            {"closed elsewhere", Framing::None, BetweenEvents, After, 200, "h", Closes, Closes, false},
-            {"nobody accepts", Framing::None, BetweenEvents, After, 200, "h", Refuses, Refuses, false},
-            {"nobody accepts, no reply", Framing::None, BetweenEvents, Never, 0, "", Refuses, Closes, false},
-            {"inside an event", Framing::None, InsideEvent, After, 200, "h", Accepts, Closes, true},
-            {"reset", Framing::None, Reset, After, 200, "h", Accepts, Closes, true},
-            {"late reply to another call", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes,
-             true, true, StrayNoRun},
-            {"late reply to another call, nobody accepts", Framing::None, BetweenEvents, After, 200, "h",
-             Refuses, Refuses, false, true, StrayNoRun},
-            {"reply of another runner", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes, true,
-             true, OtherRunner},
-            {"interim response", Framing::None, BetweenEvents, After, 200, "h", Accepts, Closes, true, true,
-             Interim},
-            {"no room and no name, nobody accepts", Framing::None, BetweenEvents, After, 503, "", Refuses,
-             Refuses, false},
+            {"chunks", Chunks, BetweenEvents, Late, 200, "h", Accepts, Closes, true},
+            {"late reply", None, BetweenEvents, Late, 200, "h", Accepts, Closes, true},
+            {"reply before the end", None, BetweenEvents, Before, 200, "h", Accepts, Closes, true},
+            {"no reply", None, BetweenEvents, Never, 0, "", Accepts, Closes, true},
+            {"call in progress", None, BetweenEvents, After, 409, "", Accepts, Closes, true},
+            {"no room for the copy", None, BetweenEvents, Before, 503, "k", Refuses, Accepts, true},
+            {"no room, late", None, BetweenEvents, Late, 503, "k", Refuses, Accepts, true},
+            {"no room, copy kept", None, BetweenEvents, After, 503, "k", Accepts, Closes, true},
+            {"refused elsewhere", None, BetweenEvents, After, 200, "h", Refuses, Accepts, true},
+            {"closed elsewhere", None, BetweenEvents, After, 200, "h", Closes, Closes, false},
+            {"nobody accepts", None, BetweenEvents, After, 200, "h", Refuses, Refuses, false},
+            {"nobody accepts, no reply", None, BetweenEvents, Never, 0, "", Refuses, Closes, false},
+            {"inside an event", None, InsideEvent, After, 200, "h", Accepts, Closes, true},
+            {"reset", None, Reset, After, 200, "h", Accepts, Closes, true},
+            {"late reply to another call", None, BetweenEvents, After, 200, "h", Accepts, Closes, true, true,
+             StrayNoRun},
+            {"late reply to another call, nobody accepts", None, BetweenEvents, After, 200, "h", Refuses,
+             Refuses, false, true, StrayNoRun},
+            {"reply of another runner", None, BetweenEvents, After, 200, "h", Accepts, Closes, true, true,
+             OtherRunner},
+            {"interim response", None, BetweenEvents, After, 200, "h", Accepts, Closes, true, true, Interim},
+            {"no room and no name, nobody accepts", None, BetweenEvents, After, 503, "", Refuses, Refuses,
+             false},
     }));
-    INFO(test.name);
-    StoppedRun run(test);
-    const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(run.stopCallCount == 1);
-    CHECK(view.status == 200);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK((view.body == allEvents()) == test.isWhole);
-    CHECK(allEvents().starts_with(view.body));
-    CHECK((run.continuationCount > 0) == test.isContinued);
+    checkStoppedRun(test);
 }
 
 // Guards against a failure in place of what a runner has completed, if the call that ends the run arrives
 // too late.
 TEST_CASE("A run that ended before the call to stop it is complete", "[hostile]")
 {
-    using enum StreamEnd;
-    using enum ReplyTime;
-    using enum Continuation;
     const auto test = GENERATE(values<StopCase>({
-            {"chunks", Framing::Chunks, Complete, After, 404, "", Refuses, Closes, true, false},
-            {"reply before the end", Framing::None, Complete, Before, 404, "", Refuses, Closes, true, false},
-            {"reply after the end", Framing::None, Complete, After, 404, "", Refuses, Closes, true, false},
-            {"late reply, nobody continues", Framing::None, Complete, Late, 404, "", Refuses, Closes, true},
-            {"late reply, copy used", Framing::None, Complete, Late, 404, "", Accepts, Closes, true},
-            {"call refused", Framing::None, Complete, Before, 429, "", Refuses, Closes, true, false},
-            {"call not executed",
-             Framing::None,
-             Complete,
-             Before,
-             503,
-             "",
-             Refuses,
-             Closes,
-             true,
-             false,
-             {},
+            {"chunks", Chunks, Complete, After, 404, "", Refuses, Closes, true, false},
+            {"reply before the end", None, Complete, Before, 404, "", Refuses, Closes, true, false},
+            {"reply after the end", None, Complete, After, 404, "", Refuses, Closes, true, false},
+            {"late reply, nobody continues", None, Complete, Late, 404, "", Refuses, Closes, true},
+            {"late reply, copy used", None, Complete, Late, 404, "", Accepts, Closes, true},
+            {"call refused", None, Complete, Before, 429, "", Refuses, Closes, true, false},
+            {"call not executed", None, Complete, Before, 503, "", Refuses, Closes, true, false, "",
              NotExecuted},
-            {"interim response", Framing::None, Complete, After, 404, "", Refuses, Closes, true, false,
-             Interim},
-            {"late reply to another call", Framing::None, Complete, After, 404, "", Refuses, Closes, true,
-             false, StrayCopy},
+            {"interim response", None, Complete, After, 404, "", Refuses, Closes, true, false, Interim},
+            {"late reply to another call", None, Complete, After, 404, "", Refuses, Closes, true, false,
+             StrayCopy},
     }));
-    INFO(test.name);
-    StoppedRun run(test);
-    const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(run.stopCallCount == 1);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK(view.body == allEvents());
-    CHECK((run.continuationCount > 0) == test.isContinued);
+    checkStoppedRun(test);
 }
 
 // Guards against a part of a response without framing that is delivered as complete because its runner has
 // refused the call that should stop the run, and stops it later.
 TEST_CASE("A run whose runner has refused the call to stop it is not taken for complete", "[hostile]")
 {
-    using enum StreamEnd;
-    using enum ReplyTime;
-    using enum Continuation;
     const std::string paused = NotExecuted + "Retry-After: 1\r\n";
     const auto test = GENERATE_COPY(values<StopCase>({
-            {"copied later", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
-             "", 200, "h"},
-            {"no room later", Framing::None, BetweenEvents, Before, 421, "", Refuses, Accepts, true, true, "",
-             "", 503, "k"},
-            {"not executed, no room later", Framing::None, BetweenEvents, Before, 503, "", Accepts, Closes,
-             true, true, "", NotExecuted, 503, "k"},
-            {"no reply later", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
-             "", 0},
-            {"refused again", Framing::None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "",
-             "", 429},
-            {"paused", Framing::None, BetweenEvents, Before, 503, "", Accepts, Closes, true, true, "",
-             paused},
-            {"copied later, nobody accepts", Framing::None, BetweenEvents, Before, 429, "", Refuses, Refuses,
-             false, true, "", "", 200, "h"},
-            {"chunks", Framing::Chunks, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "",
-             200, "h"},
-            {"inside an event", Framing::None, InsideEvent, Before, 429, "", Accepts, Closes, true, true, "",
-             "", 200, "h"},
+            {"copied later", None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "", 200,
+             "h"},
+            {"no room later", None, BetweenEvents, Before, 421, "", Refuses, Accepts, true, true, "", "", 503,
+             "k"},
+            {"not executed, no room later", None, BetweenEvents, Before, 503, "", Accepts, Closes, true, true,
+             "", NotExecuted, 503, "k"},
+            {"no reply later", None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "", 0},
+            {"refused again", None, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "", 429},
+            {"paused", None, BetweenEvents, Before, 503, "", Accepts, Closes, true, true, "", paused},
+            {"copied later, nobody accepts", None, BetweenEvents, Before, 429, "", Refuses, Refuses, false,
+             true, "", "", 200, "h"},
+            {"chunks", Chunks, BetweenEvents, Before, 429, "", Accepts, Closes, true, true, "", "", 200, "h"},
+            {"inside an event", None, InsideEvent, Before, 429, "", Accepts, Closes, true, true, "", "", 200,
+             "h"},
     }));
-    INFO(test.name);
-    StoppedRun run(test);
-    const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(run.stopCallCount == 1);
-    CHECK(view.status == 200);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK((view.body == allEvents()) == test.isWhole);
-    CHECK(allEvents().starts_with(view.body));
-    CHECK((run.continuationCount > 0) == test.isContinued);
+    checkStoppedRun(test);
 }
 
 // Guards against a part of a response without framing that is delivered as complete because events that a
@@ -341,43 +177,39 @@
     constexpr int StoppedAfter = EventCount / 2;
     const std::string fill(8000, 'x');
     const auto largeEvent = [&](int id) { return "id: " + std::to_string(id) + "\ndata: " + fill + "\n\n"; };
-    GatewayFixture *gateway = nullptr;
-    std::string source;
+    int source = 0;
     bool isCopied = false;
     bool isStopped = false;
-    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
-        const std::string runnerId = valueOf(message, "X-Expect-Instance");
-        if (message.starts_with("POST /v1/kv-move") && message.find(R"("last":true)") == std::string::npos) {
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                           R"({"handle":"h","made":1})");
-            isCopied = true;
-        } else if (message.starts_with("POST /v1/kv-move")) {
-            const std::string status = std::exchange(isStopped, true) ? "404 None" : "409 Busy";
-            co_await sendBytes(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
-        } else if (message.starts_with("DELETE /v1/kv-handle/")) {
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        } else if (source.empty()) {
-            source = runnerId;
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
-            for (int id = 1; id <= StoppedAfter; ++id)
-                co_await sendBytes(connection, largeEvent(id));
-            while (!isStopped) {
-                gateway->announceStop(Notice);
-                co_await wait(EventInterval);
-            }
-            connection.close();
-            co_await wait(LateReply);
-            gateway->areCallersReading = true;
-        } else {
-            co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
-            for (int id = std::stoi(valueOf(message, "Last-Event-Id")) + 1; id <= EventCount; ++id)
-                co_await sendBytes(connection, largeEvent(id));
-            connection.close();
-        }
-    });
-    gateway = &fixture;
-    fixture.areCallersReading = false;
-    const CallerView view = fixture.call("/generation/a", "id-1");
+    std::optional<ModelRunners> runners;
+    runners.emplace(
+            [&](tcp::socket &connection, ModelRequest request) -> asio::awaitable<void> {
+                if (request.kind == ModelRequest::Kind::Copy) {
+                    co_await sendReply(connection, 200, "h", 1);
+                    isCopied = true;
+                } else if (request.kind == ModelRequest::Kind::Stop) {
+                    co_await sendReply(connection, std::exchange(isStopped, true) ? 404 : 409);
+                } else if (source == 0) {
+                    source = request.runner;
+                    co_await runners->sendHead(connection);
+                    for (int id = 1; id <= StoppedAfter; ++id)
+                        co_await sendBytes(connection, largeEvent(id));
+                    while (!isStopped) {
+                        runners->announceStop(source);
+                        co_await wait(EventInterval);
+                    }
+                    connection.close();
+                    co_await wait(LateReply);
+                    runners->fixture.areCallersReading = true;
+                } else {
+                    co_await runners->sendHead(connection);
+                    for (int id = request.lastEventId + 1; id <= EventCount; ++id)
+                        co_await sendBytes(connection, largeEvent(id));
+                    connection.close();
+                }
+            },
+            2);
+    runners->fixture.areCallersReading = false;
+    const CallerView view = runners->call("/generation/a");
     std::string expected;
     for (int id = 1; id <= EventCount; ++id)
         expected += largeEvent(id);
@@ -391,13 +223,13 @@
 // goes on elsewhere.
 TEST_CASE("A run is called to end again if the first call was lost and its stream is reset", "[hostile]")
 {
-    const Framing framing = GENERATE(Framing::Chunks, Framing::None);
-    StoppedRun run({"lost call", framing, StreamEnd::Reset, ReplyTime::Never, 0, "", Continuation::Accepts,
-                    Continuation::Closes, true});
-    const CallerView view = run.fixture.call("/generation/a", "id-1");
-    CHECK(view.isComplete);
-    CHECK(view.body == allEvents());
-    run.fixture.runUntil([&] { return run.furtherCallCount > 0; });
+    const Framing framing = GENERATE(Chunks, None);
+    const StopCase test{"lost call", framing, Reset, Never, 0, "", Accepts, Closes, true};
+    PlannedGeneration generation(2);
+    stopRun(generation, test);
+    const CallerView view = generation.play();
+    checkStream(view, true);
+    generation.runners.fixture.runUntil([&] { return generation.callCount() > 1; });
 }
 
 // Guards against a stream that is cut because it moves between its leaving runner, which takes it back each
@@ -405,61 +237,27 @@
 TEST_CASE("A generation that returned to its runner is not moved to those that refuse it", "[hostile]")
 {
     const int runnerCount = GENERATE(2, 4);
-    GatewayFixture *gateway = nullptr;
-    std::string source;
-    bool isRunning = false;
-    bool isStopped = false;
+    PlannedGeneration generation(runnerCount);
+    RunPlan first;
+    first.replies = {{200, "h", 1}};
+    // A call that meets the second run fails the test, whatever the reply.
+    RunPlan second;
+    second.eventCount = 0;
+    second.departure = RunPlan::Departure::None;
+    generation.plans = {first, second};
     int copyCount = 0;
-    int stopCount = 0;
-    int returnCount = 0;
-    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
-        const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
-                                   R"({"handle":"h","made":1})";
-        if (message.starts_with("POST /v1/kv-move")) {
-            const bool isStop = message.find(R"("last":true)") != std::string::npos;
-            isStopped = isStopped || isStop;
-            copyCount += isStop ? 0 : 1;
-            stopCount += isStop && isRunning ? 1 : 0;
-            std::string answer = "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}";
-            if (isRunning)
-                answer = copied;
-            co_await sendBytes(connection, std::move(answer));
-            co_return;
-        }
-        const std::string runnerId = valueOf(message, "X-Expect-Instance");
-        if (!source.empty() && runnerId != source) {
-            co_await sendRefusal(connection);
-            co_return;
-        }
-        const bool isFirst = source.empty();
-        source = runnerId;
-        returnCount += isFirst ? 0 : 1;
-        isStopped = false;
-        isRunning = true;
-        co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
-        int id = isFirst ? 1 : std::stoi(valueOf(message, "Last-Event-Id")) + 1;
-        for (; !isStopped && id <= EventCount; ++id) {
-            co_await sendBytes(connection, eventsBetween(id, id));
-            if (isFirst && id == 5)
-                gateway->announceStop(Notice);
-            co_await wait(EventInterval);
-        }
-        isRunning = false;
-        connection.close();
-    });
-    gateway = &fixture;
-    for (int number = 3; number <= runnerCount; ++number) {
-        RunnerEntry entry = *std::ranges::find(fixture.runners, "m1", &RunnerEntry::id);
-        entry.id = "m" + std::to_string(number);
-        fixture.runners.push_back(std::move(entry));
-    }
-    fixture.gateway.applyFleet(fixture.runners);
-    const CallerView view = fixture.call("/generation/a", "id-1");
-    CHECK(view.isComplete);
-    CHECK(view.body == allEvents());
+    generation.copy = [&](const ModelRequest &) {
+        ++copyCount;
+        return generation.runs.back().isClosed ? CopyReply{404} : CopyReply{200, "h", 1};
+    };
+    generation.treat = [&](const ModelRequest &request) {
+        return generation.isSource(request.runner) ? Accepts : Refuses;
+    };
+    const CallerView view = generation.play();
+    checkStream(view, true);
     CHECK(copyCount < runnerCount);
-    CHECK(stopCount == 1);
-    CHECK(returnCount == 1);
+    CHECK(generation.runs.front().callCount + generation.runs.back().callCount == 1);
+    CHECK(generation.runs.size() == 2);
 }
 
 namespace {
@@ -489,12 +287,12 @@
 
     asio::awaitable<void> respond(tcp::socket &connection, std::string message)
     {
-        if (message.starts_with("POST /v1/kv-move")) {
-            const bool isStop = message.find(R"("last":true)") != std::string::npos;
+        const ModelRequest request = ModelRequest::parse(message);
+        if (request.kind == ModelRequest::Kind::Copy || request.kind == ModelRequest::Kind::Stop) {
+            const bool isStop = request.kind == ModelRequest::Kind::Stop;
             if (isStop)
                 co_await wait(this->replyDelay);
-            const std::string status = isStop && !this->isStopDue ? "404 None" : "503 Full";
-            co_await sendBytes(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
+            co_await sendReply(connection, isStop && !this->isStopDue ? 404 : 503);
             co_return;
         }
         const bool isFirst = ++this->streamCount == 1;
@@ -568,33 +366,24 @@
 {
     int sourceCallCount = 0;
     // Either runner may be the first.
-    std::string source;
-    const auto respondAt = [&](std::string address, tcp::socket &connection,
-                               std::string message) -> asio::awaitable<void> {
-        if (message.starts_with("POST /v1/kv-move")) {
-            sourceCallCount += address == source ? 1 : 0;
-            co_await sendBytes(connection, "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}");
-        } else if (source.empty()) {
-            source = address;
-            co_await sendBytes(connection,
-                               "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n" + eventsBetween(1, 1));
-            co_await wait(4s);
-        } else {
-            co_await wait(350ms);
-            connection.close();
-        }
-    };
-    GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) {
-        return respondAt("first", connection, std::move(message));
-    });
-    ScriptedRunner second(fixture.io, [&](tcp::socket &connection, int, std::string message) {
-        return respondAt("second", connection, std::move(message));
-    });
-    for (RunnerEntry &entry : fixture.runners) {
-        if (entry.id.ends_with("2"))
-            entry.address = second.address();
-    }
-    fixture.gateway.applyFleet(fixture.runners);
-    CHECK_FALSE(fixture.call("/resumable/a", "id-1").isComplete);
-    fixture.runUntil([&] { return sourceCallCount > 0; });
+    int source = 0;
+    std::optional<ModelRunners> runners;
+    runners.emplace(
+            [&](tcp::socket &connection, ModelRequest request) -> asio::awaitable<void> {
+                if (request.kind != ModelRequest::Kind::Run) {
+                    sourceCallCount += request.runner == source ? 1 : 0;
+                    co_await sendReply(connection, 404);
+                } else if (source == 0) {
+                    source = request.runner;
+                    co_await runners->sendHead(connection);
+                    co_await runners->sendPart(connection, eventsBetween(1, 1));
+                    co_await wait(4s);
+                } else {
+                    co_await wait(350ms);
+                    connection.close();
+                }
+            },
+            2);
+    CHECK_FALSE(runners->fixture.call("/resumable/a", ModelRunners::RequestId).isComplete);
+    runners->fixture.runUntil([&] { return sourceCallCount > 0; });
 }
--- a/tests/hostile/test_unframedend.cpp
+++ b/tests/hostile/test_unframedend.cpp
@@ -1,4 +1,4 @@
-#include "modelrunners.h"
+#include "plannedgeneration.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +8,7 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using Continuation = PlannedGeneration::Continuation;
 
 namespace {
 
@@ -15,7 +16,6 @@
 constexpr int EventsBeforeEnd = 12;
 constexpr auto EventInterval = ModelRunners::EventInterval;
 constexpr auto LateReply = 400ms;
-const std::string RequestId = "id-1";
 
 std::string allEvents()
 {
@@ -47,121 +47,47 @@
     bool isRefused = false;
 };
 
-/// A leaving runner closes the stream between two events, without a call of the gateway.
-class ClosedByRunner
+Continuation acceptIf(bool isAccepted)
 {
-public:
-    explicit ClosedByRunner(const CheckCase &checkCase)
-        : test(checkCase)
-        , runners([this](tcp::socket &connection, ModelRequest message) {
-            return this->respond(connection, std::move(message));
-        })
-    {}
-
-    CallerView play()
-    {
-        std::string path = "/generation/a";
-        if (this->test.kept == Kept::Backup)
-            path = "/backed/a";
-        if (this->test.kept == Kept::Request)
-            path = "/resumable/a";
-        return this->runners.call(path);
-    }
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
-    {
-        switch (message.kind) {
-        case ModelRequest::Kind::Copy:
-            co_await this->copy(connection);
-            break;
-        case ModelRequest::Kind::Stop:
-            co_await this->replyToCheck(connection);
-            break;
-        default:
-            if (this->source == 0)
-                co_await this->generate(connection, message.runner);
-            else
-                co_await this->continueRun(connection, message);
-        }
-    }
-
-    asio::awaitable<void> replyToCheck(tcp::socket &connection)
-    {
-        if (!this->isClosed)
-            ++this->earlyStopCount;
-        const bool isFirst = !std::exchange(this->isChecked, true);
-        if (this->test.isLate)
-            co_await wait(LateReply);
-        if (isFirst || this->test.reply.status == 0)
-            co_await sendReply(connection, this->test.reply);
-        else
-            co_await sendReply(connection, 404);
-    }
-
-    asio::awaitable<void> copy(tcp::socket &connection)
-    {
-        if (this->test.kept == Kept::Nothing)
-            co_await waitFor(this->isClosed);
-        const bool isCopying = this->test.kept == Kept::Copy || this->test.kept == Kept::CopyOfSuspect;
-        if (isCopying && !this->isClosed)
-            co_await sendReply(connection, 200, "h");
-        else
-            co_await sendReply(connection, 503);
-        this->isCopyReplied = true;
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, int runner)
-    {
-        this->source = runner;
-        co_await this->runners.sendHead(connection);
-        const bool isStopped = false;
-        co_await this->runners.sendEvents(connection, 1, EventsBeforeEnd, isStopped);
-        if (this->test.isRunComplete)
-            co_await sendBytes(connection, eventsBetween(EventsBeforeEnd + 1, EventCount));
-        // The gateway has read them.
-        co_await wait(EventInterval);
-        if (this->test.kept == Kept::CopyOfSuspect)
-            this->runners.suspectStop(runner, true);
-        else
-            this->runners.announceStop(runner);
-        if (this->test.kept != Kept::Nothing && this->test.kept != Kept::Request)
-            co_await waitFor(this->isCopyReplied);
-        if (this->test.isGone)
-            this->runners.at(runner).end();
-        this->isClosed = true;
-        connection.close();
-    }
+    return isAccepted ? Continuation::Accepts : Continuation::Refuses;
+}
 
-    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
-    {
-        std::string expected = this->test.kept == Kept::Backup ? RequestId : "h";
-        if (this->test.kept == Kept::Nothing || this->test.isRefused)
+/// A leaving runner closes the stream between two events, without a call of the gateway.
+void closeByRunner(PlannedGeneration &generation, const CheckCase &test)
+{
+    using enum Kept;
+    RunPlan &plan = generation.plans.emplace_back();
+    plan.eventCount = EventsBeforeEnd;
+    plan.isUntilCalled = false;
+    if (test.isRunComplete)
+        plan.end = RunPlan::End::Complete;
+    if (test.kept == CopyOfSuspect)
+        plan.departure = RunPlan::Departure::Suspected;
+    if (test.kept != Nothing && test.kept != Request)
+        plan.closesAfter = generation.copied();
+    plan.isGone = test.isGone;
+    plan.replies = {test.reply};
+    if (test.reply.status == 0)
+        generation.furtherReply = {};
+    if (test.isLate)
+        generation.replyDelay = LateReply;
+    if (test.kept == Nothing)
+        generation.copiesAfter = generation.closed(0);
+    generation.copy = [&](const ModelRequest &) {
+        const bool isCopying = test.kept == Copy || test.kept == CopyOfSuspect;
+        return isCopying && !generation.closed(0)() ? CopyReply{200, "h"} : CopyReply{503};
+    };
+    generation.treat = [&](const ModelRequest &request) {
+        std::string expected = test.kept == Backup ? ModelRunners::RequestId : "h";
+        if (test.kept == Nothing || test.isRefused)
             expected = "none";
-        if (this->test.kept == Kept::Request)
+        if (test.kept == Request)
             expected.clear();
-        if (message.runner == this->source)
-            expected = this->test.reply.handle;
-        if (message.handle != expected) {
-            co_await sendRefusal(connection);
-            co_return;
-        }
-        this->continuedAt = message.runner;
-        co_await this->runners.sendRest(connection, message.lastEventId + 1);
-    }
-
-    CheckCase test;
-    bool isCopyReplied = false;
-    bool isClosed = false;
-
-public:
-    bool isChecked = false;
-    int earlyStopCount = 0;
-    int source = 0;
-    /// The runner that has accepted the rest of the generation.
-    int continuedAt = 0;
-    ModelRunners runners;
-};
+        if (generation.isSource(request.runner))
+            expected = test.reply.handle;
+        return acceptIf(request.handle == expected);
+    };
+}
 
 } // namespace
 
@@ -219,19 +145,20 @@
             {"cut, copy refused, no room, late", false, Kept::Copy, {503, "k"}, false, true, true, true},
     }));
     INFO(test.name);
-    ClosedByRunner run(test);
-    const CallerView view = run.play();
-    REQUIRE(run.earlyStopCount == 0);
-    CHECK((run.isChecked || test.isGone));
-    CHECK(view.status == 200);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK((view.body == allEvents()) == test.isWhole);
-    CHECK(allEvents().starts_with(view.body));
+    PlannedGeneration generation;
+    closeByRunner(generation, test);
+    const char *path = test.kept == Kept::Backup    ? "/backed/a"
+                       : test.kept == Kept::Request ? "/resumable/a"
+                                                    : "/generation/a";
+    const CallerView view = generation.play(path);
+    REQUIRE(generation.runs.front().callCount == 0);
+    CHECK((generation.callCount() > 0 || test.isGone));
+    checkStream(view, test.isWhole);
     if (test.isRunComplete || !test.isWhole)
         return;
     const bool isContinuedAtSource = test.kept == Kept::Nothing || test.isRefused;
-    CHECK(run.continuedAt != 0);
-    CHECK((run.continuedAt == run.source) == isContinuedAtSource);
+    CHECK(generation.runs.size() > 1);
+    CHECK(generation.isSource(generation.runs.back().runner) == isContinuedAtSource);
 }
 
 namespace {
@@ -250,102 +177,6 @@
     bool isWhole = true;
 };
 
-/// Each runner of a generation leaves and is called to end its run; the first two close their streams between
-/// two events.
-class TwoStops
-{
-public:
-    explicit TwoStops(const SecondStopCase &stopCase)
-        : test(stopCase)
-        , runners([this](tcp::socket &connection, ModelRequest message) {
-            return this->respond(connection, std::move(message));
-        })
-    {}
-
-    int stoppedCount() const
-    {
-        return static_cast<int>(std::ranges::count_if(this->isStopped, [](bool value) { return value; }));
-    }
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
-    {
-        const CopyReply copied{200, "h" + std::to_string(message.runner)};
-        if (message.kind == ModelRequest::Kind::Copy) {
-            if (this->order.size() < 3)
-                co_await sendReply(connection, copied);
-            else
-                co_await sendReply(connection, 503);
-        } else if (message.kind == ModelRequest::Kind::Stop) {
-            co_await this->stop(connection, message.runner);
-        } else if (this->order.size() < 2 && this->isKnown(message)) {
-            co_await this->generate(connection, message);
-        } else if (this->isKnown(message) && !this->isRefused(message.runner)) {
-            this->order.push_back(message.runner);
-            co_await this->runners.sendRest(connection, message.lastEventId + 1);
-        } else {
-            co_await sendRefusal(connection);
-        }
-    }
-
-    bool isKnown(const ModelRequest &message) const
-    {
-        if (this->order.empty())
-            return true;
-        const std::string last = std::to_string(this->order.back());
-        return message.handle == (message.runner == this->order.back() ? "k" : "h") + last;
-    }
-
-    bool isRefused(int runner) const
-    {
-        return this->test.isThirdFull && std::ranges::find(this->order, runner) == this->order.end();
-    }
-
-    asio::awaitable<void> stop(tcp::socket &connection, int runner)
-    {
-        const auto run = std::ranges::find(this->order, runner);
-        const auto index = static_cast<size_t>(run - this->order.begin());
-        if (index > 1 || this->isStopped[index]) {
-            co_await sendReply(connection, 404);
-            co_return;
-        }
-        CopyReply reply = index == 0 ? this->test.first : this->test.second;
-        if (!reply.handle.empty())
-            reply.handle += std::to_string(runner);
-        if (this->test.isReplyEarly)
-            co_await sendReply(connection, reply);
-        this->isStopped[index] = true;
-        if (this->test.isReplyEarly)
-            co_return;
-        co_await waitFor(this->isClosed[index]);
-        co_await sendReply(connection, reply);
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, ModelRequest message)
-    {
-        const size_t index = this->order.size();
-        this->order.push_back(message.runner);
-        co_await this->runners.sendHead(connection);
-        int id = message.lastEventId + 1;
-        id = co_await this->runners.sendEvents(connection, id, id + 4, this->isStopped[index]);
-        this->runners.announceStop(message.runner);
-        id = co_await this->runners.sendEvents(connection, id, EventCount, this->isStopped[index]);
-        if (index == 1 && this->test.isSecondComplete)
-            co_await sendBytes(connection, eventsBetween(id, EventCount));
-        connection.close();
-        this->isClosed[index] = true;
-    }
-
-    SecondStopCase test;
-
-public:
-    /// Runners that have accepted the generation.
-    std::vector<int> order;
-    std::array<bool, 2> isStopped{};
-    std::array<bool, 2> isClosed{};
-    ModelRunners runners;
-};
-
 } // namespace
 
 // Guards against the end of a continuation that is judged by the call for the run before it.
@@ -365,13 +196,36 @@
             {"first reply lost, second run complete", {}, {404}, false, false, true},
     }));
     INFO(test.name);
-    TwoStops run(test);
-    const CallerView view = run.runners.call("/generation/a");
-    REQUIRE(run.stoppedCount() == 2);
-    CHECK(view.status == 200);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK((view.body == allEvents()) == test.isWhole);
-    CHECK(allEvents().starts_with(view.body));
+    // Each runner leaves and is called to end its run; the first two close their streams between two events.
+    PlannedGeneration generation;
+    for (const CopyReply &reply : {test.first, test.second}) {
+        const size_t index = generation.plans.size();
+        RunPlan &plan = generation.plans.emplace_back();
+        plan.replies = {reply};
+        if (!reply.handle.empty())
+            plan.replies.front().handle += std::to_string(index);
+        if (!test.isReplyEarly)
+            plan.repliesAfter = generation.closed(index);
+    }
+    if (test.isSecondComplete)
+        generation.plans.back().end = RunPlan::End::Complete;
+    const auto copyName = [&](const char *prefix) {
+        return prefix + std::to_string(generation.runs.size() - 1);
+    };
+    generation.copy = [&](const ModelRequest &) {
+        return generation.runs.size() < 3 ? CopyReply{200, copyName("h")} : CopyReply{503};
+    };
+    generation.treat = [&](const ModelRequest &request) {
+        const bool isLast = request.runner == generation.runs.back().runner;
+        const bool isNew = std::ranges::find(generation.runs, request.runner,
+                                             &PlannedGeneration::Run::runner) == generation.runs.end();
+        const bool isFull = test.isThirdFull && isNew && generation.runs.size() > 1;
+        return acceptIf(request.handle == copyName(isLast ? "k" : "h") && !isFull);
+    };
+    const CallerView view = generation.play();
+    REQUIRE(generation.called(0)());
+    REQUIRE(generation.called(1)());
+    checkStream(view, test.isWhole);
 }
 
 namespace {
@@ -392,87 +246,13 @@
     bool isRunComplete = false;
 };
 
-/// A leaving runner that does not reply for as long as the gateway waits.
-class AwaitedReply
+void interrupt(RequestSession &session, Interruption interruption)
 {
-public:
-    explicit AwaitedReply(const InterruptedCase &interruptedCase)
-        : test(interruptedCase)
-        , runners([this](tcp::socket &connection, ModelRequest message) {
-            return this->respond(connection, std::move(message));
-        })
-    {}
-
-    CallerView play()
-    {
-        const CallerView view = this->runners.call("/generation/a");
-        this->endedAt = std::chrono::steady_clock::now();
-        return view;
-    }
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
-    {
-        if (message.kind == ModelRequest::Kind::Copy) {
-            co_await sendReply(connection, 200, "h");
-            this->isCopied = true;
-        } else if (message.kind == ModelRequest::Kind::Stop) {
-            this->isCalled = true;
-            co_await waitFor(this->isReplyDue);
-            co_await sendReply(connection, 404);
-        } else if (std::exchange(this->isStarted, true)) {
-            co_await sendRefusal(connection);
-            this->isRefused = true;
-        } else {
-            co_await this->generate(connection, message.runner);
-            if (!this->test.isAtOnce)
-                co_await waitFor(this->isRefused);
-            co_await waitFor(this->isCalled);
-            this->interrupt();
-        }
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, int runner)
-    {
-        // The gateway must still wait for the reply when the time of the request is over.
-        const bool isLong = this->test.interruption == Interruption::Deadline;
-        co_await this->runners.sendHead(connection);
-        co_await this->runners.sendEvents(connection, 1, EventsBeforeEnd, this->isCalled);
-        if (isLong)
-            co_await wait(1000ms);
-        this->runners.announceStop(runner);
-        co_await waitFor(this->isCopied);
-        if (this->test.isCalledBefore)
-            co_await this->runners.sendEvents(connection, EventsBeforeEnd + 1, EventCount, this->isCalled);
-        else if (this->test.isRunComplete)
-            co_await sendBytes(connection, eventsBetween(EventsBeforeEnd + 1, EventCount));
-        connection.close();
-    }
-
-    void interrupt()
-    {
-        this->interruptedAt = std::chrono::steady_clock::now();
-        const auto session = this->runners.fixture.lastSession();
-        this->isWaiting = session != nullptr;
-        if (session && this->test.interruption == Interruption::Abandoned)
-            session->abandon();
-        if (session && this->test.interruption == Interruption::Expired)
-            session->expire();
-    }
-
-    InterruptedCase test;
-    bool isCopied = false;
-    bool isCalled = false;
-    bool isStarted = false;
-    bool isRefused = false;
-    const bool isReplyDue = false;
-
-public:
-    bool isWaiting = false;
-    std::chrono::steady_clock::time_point interruptedAt;
-    std::chrono::steady_clock::time_point endedAt;
-    ModelRunners runners;
-};
+    if (interruption == Interruption::Abandoned)
+        session.abandon();
+    if (interruption == Interruption::Expired)
+        session.expire();
+}
 
 } // namespace
 
@@ -497,10 +277,35 @@
     INFO(test.name);
     // The deadline is 3 s after the request.
     const auto maxDelay = test.interruption == Deadline ? 2500ms : 1000ms;
-    AwaitedReply run(test);
-    const CallerView view = run.play();
-    REQUIRE(run.isWaiting);
-    CHECK(run.endedAt - run.interruptedAt < maxDelay);
+    PlannedGeneration generation;
+    bool isWaiting = false;
+    std::chrono::steady_clock::time_point interruptedAt;
+    RunPlan &plan = generation.plans.emplace_back();
+    plan.eventCount = EventsBeforeEnd;
+    // The gateway must still wait for the reply when the time of the request is over.
+    if (test.interruption == Deadline)
+        plan.pauseBeforeLeaving = 1000ms;
+    plan.isUntilCalled = test.isCalledBefore;
+    plan.closesAfter = generation.copied();
+    if (test.isRunComplete)
+        plan.end = RunPlan::End::Complete;
+    plan.replies = std::vector<CopyReply>(8, CopyReply{404});
+    plan.repliesAfter = [] { return false; };
+    plan.finishesAfter = [&] {
+        return generation.called(0)() && (test.isAtOnce || generation.refusedCount > 0);
+    };
+    plan.finished = [&] {
+        interruptedAt = std::chrono::steady_clock::now();
+        const auto session = generation.runners.fixture.lastSession();
+        isWaiting = session != nullptr;
+        if (session)
+            interrupt(*session, test.interruption);
+    };
+    generation.treat = [](const ModelRequest &) { return Continuation::Refuses; };
+    const CallerView view = generation.play();
+    const auto endedAt = std::chrono::steady_clock::now();
+    REQUIRE(isWaiting);
+    CHECK(endedAt - interruptedAt < maxDelay);
     CHECK_FALSE(view.isComplete);
     CHECK(allEvents().starts_with(view.body));
 }
@@ -535,37 +340,15 @@
             {"fewer, sent again by the source", {503, "h", 1}, true, 1, false},
     }));
     INFO(test.name);
-    int source = 0;
-    bool isStopped = false;
-    std::optional<ModelRunners> runners;
-    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
-        if (message.kind == ModelRequest::Kind::Copy) {
-            co_await sendReply(connection, 200, "h");
-        } else if (message.kind == ModelRequest::Kind::Stop) {
-            const bool isFirst = message.runner == source && !std::exchange(isStopped, true);
-            if (isFirst)
-                co_await sendReply(connection, test.reply);
-            else
-                co_await sendReply(connection, 404);
-        } else if (source == 0) {
-            source = message.runner;
-            co_await runners->sendHead(connection);
-            co_await runners->sendEvents(connection, 1, 5, isStopped);
-            runners->announceStop(source);
-            co_await runners->sendEvents(connection, 6, EventCount, isStopped);
-            connection.close();
-        } else if (message.handle == "h" && (message.runner == source) == test.isRefused) {
-            const int last = test.continuedAfter.value_or(message.lastEventId);
-            co_await runners->sendRest(connection, last + 1);
-        } else {
-            co_await sendRefusal(connection);
-        }
-    });
-    const CallerView view = runners->call("/generation/a");
-    REQUIRE(isStopped);
-    CHECK(view.isComplete == test.isWhole);
-    CHECK((view.body == allEvents()) == test.isWhole);
-    CHECK(allEvents().starts_with(view.body));
+    PlannedGeneration generation;
+    generation.plans.emplace_back().replies = {test.reply};
+    generation.continuedAfter = test.continuedAfter;
+    generation.treat = [&](const ModelRequest &request) {
+        return acceptIf(request.handle == "h" && generation.isSource(request.runner) == test.isRefused);
+    };
+    const CallerView view = generation.play();
+    REQUIRE(generation.called(0)());
+    checkStream(view, test.isWhole);
 }
 
 namespace {
@@ -671,106 +454,31 @@
 };
 
 /// A leaving runner that is called to end the run stands still, and the stream moves elsewhere.
-class StalledStop
+void stall(PlannedGeneration &generation, const StallCase &test)
 {
-public:
-    explicit StalledStop(const StallCase &stallCase)
-        : test(stallCase)
-        , runners([this](tcp::socket &connection, ModelRequest message) {
-            return this->respond(connection, std::move(message));
-        })
-    {}
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
-    {
-        if (message.kind == ModelRequest::Kind::Copy)
-            co_await sendReply(connection, 200, "h");
-        else if (message.kind == ModelRequest::Kind::Stop && message.runner == this->source)
-            co_await this->stop(connection);
-        else if (message.kind == ModelRequest::Kind::Stop)
-            co_await this->stopNext(connection);
-        else if (this->source == 0)
-            co_await this->generate(connection, message.runner);
-        else if (message.handle == "h" && message.runner != this->source)
-            co_await this->continueRun(connection, message);
-        else
-            co_await sendRefusal(connection);
-    }
-
-    asio::awaitable<void> stop(tcp::socket &connection)
-    {
-        if (std::exchange(this->isStopped, true)) {
-            co_await sendReply(connection, 404);
-            co_return;
-        }
-        if (this->test.isReplyFirst)
-            co_await waitFor(this->isMoved);
-        else
-            co_await waitFor(this->isEnded);
-        co_await sendReply(connection, this->test.reply);
-        this->isReplied = true;
-    }
-
-    asio::awaitable<void> stopNext(tcp::socket &connection)
-    {
-        const bool isRunning = this->test.isLeftAgain && !std::exchange(this->isNextStopped, true);
-        co_await sendReply(connection, isRunning ? 200 : 404, isRunning ? "h" : "");
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, int runner)
-    {
-        this->source = runner;
-        co_await this->runners.sendHead(connection);
-        co_await this->runners.sendEvents(connection, 1, 5, this->isStopped);
-        this->runners.announceStop(runner);
-        co_await this->runners.sendEvents(connection, 6, EventCount, this->isStopped);
-        if (this->test.isClosedFirst)
-            co_await waitFor(this->isAsked);
-        else
-            co_await waitFor(this->isMoved);
-        connection.close();
-        this->isClosed = true;
-    }
-
-    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
-    {
-        this->isAsked = true;
-        if (this->test.isClosedFirst)
-            co_await waitFor(this->isClosed);
-        if (this->isMoved) {
-            co_await this->runners.sendRest(connection, message.lastEventId + 1);
-            co_return;
-        }
-        this->isMoved = true;
-        co_await this->runners.sendHead(connection);
-        int id = message.lastEventId + 1;
-        if (this->test.isLeftAgain) {
-            id = co_await this->runners.sendEvents(connection, id, id + 3, this->isNextStopped);
-            this->runners.announceStop(message.runner);
-            id = co_await this->runners.sendEvents(connection, id, EventCount, this->isNextStopped);
-        } else {
-            if (this->test.isReplyFirst)
-                co_await waitFor(this->isReplied);
-            co_await sendBytes(connection, eventsBetween(id, EventCount));
-        }
-        connection.close();
-        this->isEnded = true;
+    RunPlan source;
+    source.closesAfter = test.isClosedFirst ? generation.asked(1) : generation.started(1);
+    source.replies = {test.reply};
+    source.repliesAfter = test.isReplyFirst ? generation.started(1) : generation.closed(1);
+    RunPlan next;
+    if (test.isClosedFirst)
+        next.startsAfter = generation.closed(0);
+    if (test.isLeftAgain) {
+        next.eventCount = 4;
+        next.replies = {{200, "h"}};
+    } else {
+        next.eventCount = 0;
+        next.isUntilCalled = false;
+        next.departure = RunPlan::Departure::None;
+        next.end = RunPlan::End::Complete;
+        if (test.isReplyFirst)
+            next.leavesAfter = generation.replied(0);
     }
-
-    StallCase test;
-    int source = 0;
-    bool isAsked = false;
-    bool isReplied = false;
-    bool isClosed = false;
-    bool isEnded = false;
-
-public:
-    bool isStopped = false;
-    bool isMoved = false;
-    bool isNextStopped = false;
-    ModelRunners runners;
-};
+    generation.plans = {source, next};
+    generation.treat = [&](const ModelRequest &request) {
+        return acceptIf(request.handle == "h" && !generation.isSource(request.runner));
+    };
+}
 
 } // namespace
 
@@ -792,14 +500,13 @@
             {"left again, no reply", {}, true, false, true},
     }));
     INFO(test.name);
-    StalledStop run(test);
-    const CallerView view = run.runners.call("/generation/a");
-    REQUIRE(run.isStopped);
-    REQUIRE(run.isMoved);
-    REQUIRE(run.isNextStopped == test.isLeftAgain);
-    CHECK(view.status == 200);
-    CHECK(view.isComplete);
-    CHECK(view.body == allEvents());
+    PlannedGeneration generation;
+    stall(generation, test);
+    const CallerView view = generation.play();
+    REQUIRE(generation.called(0)());
+    REQUIRE(generation.started(1)());
+    REQUIRE(generation.called(1)() == test.isLeftAgain);
+    checkStream(view, true);
 }
 
 namespace {
@@ -814,97 +521,37 @@
 
 /// A stream leaves a runner, which is called to end the run, and returns to it before the call takes effect.
 /// The second runner leaves and is called, too.
-class ReturnedStream
+void returnStream(PlannedGeneration &generation, const EarlierCallCase &test)
 {
-public:
-    explicit ReturnedStream(const EarlierCallCase &callCase)
-        : test(callCase)
-        , runners([this](tcp::socket &connection,
-                         ModelRequest message) { return this->respond(connection, std::move(message)); },
-                  2)
-    {}
-
-private:
-    asio::awaitable<void> respond(tcp::socket &connection, ModelRequest message)
-    {
-        if (message.kind == ModelRequest::Kind::Copy) {
-            co_await sendReply(connection, 200, message.runner == this->source ? "h" : "i");
-            this->isCopied = true;
-        } else if (message.kind == ModelRequest::Kind::Stop && message.runner == this->source) {
-            co_await this->stop(connection);
-        } else if (message.kind == ModelRequest::Kind::Stop) {
-            this->isOtherStopped = true;
-            co_await waitFor(this->isOtherClosed);
-            co_await sendReply(connection, 200, "i");
-        } else if (this->source == 0) {
-            co_await this->generate(connection, message.runner);
-        } else if (message.handle == "h" && message.runner != this->source && !this->isOtherClosed) {
-            co_await this->continueRun(connection, message);
-        } else if (message.handle == "i" && message.runner == this->source) {
-            co_await this->finish(connection, message);
-        } else {
-            co_await sendRefusal(connection);
-        }
-    }
-
-    asio::awaitable<void> stop(tcp::socket &connection)
-    {
-        if (std::exchange(this->isCalled, true)) {
-            co_await sendReply(connection, 404);
-            co_return;
-        }
-        co_await waitFor(this->isLaterRunClosed);
-        co_await sendReply(connection, this->test.reply);
-    }
-
-    asio::awaitable<void> generate(tcp::socket &connection, int runner)
-    {
-        this->source = runner;
-        co_await this->runners.sendHead(connection);
-        co_await this->runners.sendEvents(connection, 1, 5, this->isCalled);
-        this->runners.suspectStop(runner, true);
-        co_await waitFor(this->isCopied);
-        connection.set_option(asio::socket_base::linger(true, 0));
-        connection.close();
-    }
-
-    asio::awaitable<void> continueRun(tcp::socket &connection, ModelRequest message)
-    {
-        this->runners.suspectStop(this->source, false);
-        co_await this->runners.sendHead(connection);
-        int id = message.lastEventId + 1;
-        co_await sendBytes(connection, eventsBetween(id, id));
-        co_await waitFor(this->isCalled);
-        this->runners.announceStop(message.runner);
-        co_await this->runners.sendEvents(connection, id + 1, EventCount, this->isOtherStopped);
-        connection.close();
-        this->isOtherClosed = true;
-    }
-
-    asio::awaitable<void> finish(tcp::socket &connection, ModelRequest message)
-    {
-        this->hasReturned = true;
-        co_await this->runners.sendHead(connection);
-        const int last = this->test.isRunComplete ? EventCount : message.lastEventId + 3;
-        co_await sendBytes(connection, eventsBetween(message.lastEventId + 1, last));
-        // The gateway has read them.
-        co_await wait(EventInterval);
-        connection.close();
-        this->isLaterRunClosed = true;
-    }
-
-    EarlierCallCase test;
-    int source = 0;
-    bool isCopied = false;
-    bool isOtherStopped = false;
-    bool isOtherClosed = false;
-    bool isLaterRunClosed = false;
-
-public:
-    bool isCalled = false;
-    bool hasReturned = false;
-    ModelRunners runners;
-};
+    RunPlan first;
+    first.departure = RunPlan::Departure::Suspected;
+    first.isUntilCalled = false;
+    first.closesAfter = generation.copied();
+    first.end = RunPlan::End::Reset;
+    first.replies = {test.reply};
+    first.repliesAfter = generation.closed(2);
+    RunPlan other;
+    other.started = [&] { generation.runners.suspectStop(generation.runs.front().runner, false); };
+    other.eventCount = 1;
+    other.leavesAfter = generation.called(0);
+    other.replies = {{200, "i"}};
+    other.repliesAfter = generation.closed(1);
+    RunPlan later;
+    later.eventCount = 3;
+    later.isUntilCalled = false;
+    later.departure = RunPlan::Departure::None;
+    if (test.isRunComplete)
+        later.end = RunPlan::End::Complete;
+    generation.plans = {first, other, later};
+    generation.copy = [&](const ModelRequest &request) {
+        return CopyReply{200, generation.isSource(request.runner) ? "h" : "i"};
+    };
+    generation.treat = [&](const ModelRequest &request) {
+        if (generation.isSource(request.runner))
+            return acceptIf(request.handle == "i");
+        return acceptIf(request.handle == "h" && !generation.closed(1)());
+    };
+}
 
 } // namespace
 
@@ -920,10 +567,11 @@
             {"later run complete", {404}, true},
     }));
     INFO(test.name);
-    ReturnedStream run(test);
-    const CallerView view = run.runners.call("/generation/a");
-    REQUIRE(run.isCalled);
-    REQUIRE(run.hasReturned);
+    PlannedGeneration generation(2);
+    returnStream(generation, test);
+    const CallerView view = generation.play();
+    REQUIRE(generation.called(0)());
+    REQUIRE(generation.started(2)());
     CHECK(view.isComplete == (view.body == allEvents()));
     CHECK(allEvents().starts_with(view.body));
     if (test.isRunComplete)
@@ -941,53 +589,29 @@
             {"first call answered, complete", 200, true},
     }));
     INFO(name);
-    const CopyReply firstReply{firstStatus, firstStatus == 0 ? "" : "h"};
-    int source = 0;
-    int runCount = 0;
-    int callCount = 0;
-    bool isStopped = false;
-    bool isClosed = false;
-    std::optional<ModelRunners> runners;
-    runners.emplace([&](tcp::socket &connection, ModelRequest message) -> asio::awaitable<void> {
-        if (message.kind == ModelRequest::Kind::Copy) {
-            // No further copy, so that the second run is not called.
-            co_await sendReply(connection, runCount == 1 ? 200 : 503, runCount == 1 ? "h" : "");
-        } else if (message.kind == ModelRequest::Kind::Stop && message.runner == source) {
-            const int call = ++callCount;
-            isStopped = true;
-            co_await waitFor(isClosed);
-            if (call == 1)
-                co_await sendReply(connection, firstReply);
-            else if (runCount == 2 && !isRunComplete)
-                co_await sendReply(connection, 503, "k");
-            else
-                co_await sendReply(connection, 404);
-        } else if (source == 0) {
-            source = message.runner;
-            ++runCount;
-            co_await runners->sendHead(connection);
-            co_await runners->sendEvents(connection, 1, 5, isStopped);
-            runners->announceStop(source);
-            co_await runners->sendEvents(connection, 6, EventCount, isStopped);
-            connection.close();
-            isClosed = true;
-        } else if (message.runner == source && message.handle == (runCount == 1 ? "h" : "k")) {
-            if (++runCount == 2 && !isRunComplete) {
-                co_await runners->sendHead(connection);
-                const int first = message.lastEventId + 1;
-                co_await sendBytes(connection, eventsBetween(first, first + 3));
-                co_await wait(EventInterval);
-                connection.close();
-            } else {
-                co_await runners->sendRest(connection, message.lastEventId + 1);
-            }
-        } else {
-            co_await sendRefusal(connection);
-        }
-    });
-    const CallerView view = runners->call("/generation/a");
-    REQUIRE(runCount == (isRunComplete ? 2 : 3));
-    CHECK(callCount > 1);
-    CHECK(view.isComplete);
-    CHECK(view.body == allEvents());
+    PlannedGeneration generation;
+    RunPlan first;
+    first.replies = {{firstStatus, firstStatus == 0 ? "" : "h"}};
+    first.repliesAfter = generation.closed(0);
+    generation.plans = {first};
+    if (!isRunComplete) {
+        RunPlan &second = generation.plans.emplace_back();
+        second.eventCount = 4;
+        second.isUntilCalled = false;
+        second.departure = RunPlan::Departure::None;
+        second.replies = std::vector<CopyReply>(8, CopyReply{503, "k"});
+        second.repliesAfter = generation.closed(1);
+    }
+    // No further copy, so that the second run is not called.
+    generation.copy = [&](const ModelRequest &) {
+        return generation.runs.size() == 1 ? CopyReply{200, "h"} : CopyReply{503};
+    };
+    generation.treat = [&](const ModelRequest &request) {
+        const char *handle = generation.runs.size() == 1 ? "h" : "k";
+        return acceptIf(generation.isSource(request.runner) && request.handle == handle);
+    };
+    const CallerView view = generation.play();
+    REQUIRE(generation.runs.size() == (isRunComplete ? 2 : 3));
+    CHECK(generation.callCounts[generation.runs.front().runner] > 1);
+    checkStream(view, true);
 }
