gateway: do not let a runner that states a new start tell about earlier runs

Seen with processes on (trial): a runner that was started again under its id replied 404 to the call, with its new start in the reply; 6 of 6 streams on it were told as complete, two of them with a copy in hand. helps only once the list shows the new start. Change: NoSuchRun carries the start that the reply states; another one than that of the called runner is no statement.

--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -47,10 +47,14 @@
 
 /// What a reply that there is no such run tells if the list shows the runner, or nullptr, for the id of the
 /// one that was called.
-RunStopReply replyOfListed(const RunnerPool::RunnerPointer &listed, const RunnerPool::RunnerPointer &called)
+RunStopReply replyOfListed(NoSuchRun reply, const RunnerPool::RunnerPointer &listed,
+                           const RunnerPool::Runner &called)
 {
-    if (listed == called)
-        return NoSuchRun{};
+    const int64_t startedAtMs = called.entry.startedAtMs;
+    if (startedAtMs != 0 && reply.startedAtMs.value_or(startedAtMs) != startedAtMs)
+        return NoRunStatement{};
+    if (listed.get() == &called)
+        return reply;
     // A runner that is listed no more may still reply itself.
     if (!listed)
         return CallNotExecuted{};
@@ -114,8 +118,8 @@
     else
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
     // A successor at the address knows nothing of the run.
-    if (std::holds_alternative<NoSuchRun>(reply))
-        reply = replyOfListed(gateway.runners.find(runner->entry.id), runner);
+    if (const auto *noRun = std::get_if<NoSuchRun>(&reply))
+        reply = replyOfListed(*noRun, gateway.runners.find(runner->entry.id), *runner);
     logInfo("run-ended-by-call", {{"request", request.requestId},
                                   {"runner", runner->entry.id},
                                   {"status", std::to_string(response ? response->result_int() : 0)},
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -19,7 +19,10 @@
 
 /// A runner has no run of the request: there never was one, or it has ended.
 struct NoSuchRun
-{};
+{
+    /// Start of the runner that replies, in milliseconds since 1970, if it states that.
+    std::optional<int64_t> startedAtMs{};
+};
 
 /// A runner asks for another call, since it copies the run for an earlier one.
 struct CopyInProgress
--- a/tests/hostile/test_runendreview.cpp
+++ b/tests/hostile/test_doubtfulend.cpp
@@ -61,8 +61,10 @@
     Duration pause{};
     Duration notice = 2000ms;
     std::string path = "/generation/a";
-    /// The list tells that the runner was started again before it replies to the first check.
+    /// The list tells that the runner was started again before it replies to the first check, or only its
+    /// reply does.
     bool isRestarted = false;
+    bool isRestartStated = false;
     /// Without a reply about the run, the stream may be continued from its copy.
     bool mayContinue = false;
 };
@@ -78,7 +80,13 @@
         })
     {}
 
-    CallerView play() { return this->fixture.call(this->test.path, "id-1"); }
+    CallerView play()
+    {
+        for (RunnerEntry &entry : this->fixture.runners)
+            entry.startedAtMs = this->test.isRestartStated ? 1 : 0;
+        this->fixture.gateway.applyFleet(this->fixture.runners);
+        return this->fixture.call(this->test.path, "id-1");
+    }
 
     size_t callCount = 0;
     int continuationCount = 0;
@@ -209,8 +217,17 @@
 // Guards against a part that is delivered as complete because a runner that was started again has no run.
 TEST_CASE("A runner that was started again tells nothing about earlier runs", "[hostile]")
 {
-    EndCase test{"started again", false, {Refusal}, Continuation::Accepts};
-    test.isRestarted = true;
+    const StopReply stated{404, "", R"({"born":2})"};
+    using Cell = std::tuple<const char *, std::vector<StopReply>, bool>;
+    const auto &[name, replies, isListed] = GENERATE_COPY(values<Cell>({
+            {"listed before the reply to the check", {Refusal}, true},
+            {"stated in the reply to the check", {Refusal, stated, stated}, false},
+            {"stated in the reply to the call", {stated, stated, stated}, false},
+    }));
+    INFO(name);
+    EndCase test{"started again", false, replies, Continuation::Accepts};
+    test.isRestarted = isListed;
+    test.isRestartStated = !isListed;
     LeavingRun run(test);
     const CallerView view = run.play();
     CHECK(run.continuationCount > 0);
