--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -45,10 +45,10 @@
 // that call is sent after RunEndDelay, and a runner replies within a round trip that it has no such run.
 constexpr Duration FurtherCallWait = std::chrono::milliseconds{300};
 
-/// What a reply that there is no such run tells if the list shows the runner, or nullptr, for the id of the
-/// one that was called.
-RunStopReply replyOfListed(NoSuchRun reply, const RunnerPool::RunnerPointer &listed,
-                           const RunnerPool::Runner &called)
+/// What the reply that there is no such run tells about a run at the called runner. The list shows another
+/// runner under its id after a restart, and nullptr stands for none.
+RunStopReply statementOfRunner(NoSuchRun reply, const RunnerPool::RunnerPointer &listed,
+                               const RunnerPool::Runner &called)
 {
     const int64_t startedAtMs = called.entry.startedAtMs;
     if (startedAtMs != 0 && reply.startedAtMs.value_or(startedAtMs) != startedAtMs)
@@ -119,7 +119,7 @@
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
     // A successor at the address knows nothing of the run.
     if (const auto *noRun = std::get_if<NoSuchRun>(&reply))
-        reply = replyOfListed(*noRun, gateway.runners.find(runner->entry.id), *runner);
+        reply = statementOfRunner(*noRun, gateway.runners.find(runner->entry.id), *runner);
     logInfo("run-ended-by-call", {{"request", request.requestId},
                                   {"runner", runner->entry.id},
                                   {"status", std::to_string(response ? response->result_int() : 0)},
--- a/src/libgateway/runstopcalls.cpp
+++ b/src/libgateway/runstopcalls.cpp
@@ -11,6 +11,12 @@
 // run goes on.
 constexpr Duration MaxEventDelay = std::chrono::milliseconds{250};
 
+template <typename Kind>
+bool is(const std::optional<RunStopReply> &reply)
+{
+    return reply && std::holds_alternative<Kind>(*reply);
+}
+
 /// The runner has closed the stream by itself and does not tell why.
 RunEnd endWithoutStatement(const ReceivedEnd &end)
 {
@@ -114,15 +120,13 @@
     for (const Call &call : this->calls) {
         if (!call.concerns(end.runnerId, end.sentAt) || isAboutEarlierRun(call, end))
             continue;
-        const bool isStopped = call.reply && std::holds_alternative<RunStopped>(*call.reply);
-        if (hasEnded && call.reply && !isStopped)
+        // Later calls found nothing to stop, whatever became of them.
+        if (hasEnded && call.reply && !is<RunStopped>(call.reply))
             continue;
-        hasEnded = hasEnded ||
-                   (result == RunEnd::Complete && call.reply &&
-                    std::holds_alternative<NoSuchRun>(*call.reply) && !hasContinued(end, call.repliedAt));
-        isCheckRefused =
-                isCheckRefused || (call.reply && std::holds_alternative<CallNotExecuted>(*call.reply) &&
-                                   call.calledAt > end.endedAt);
+        if (is<NoSuchRun>(call.reply) && result == RunEnd::Complete && !hasContinued(end, call.repliedAt))
+            hasEnded = true;
+        if (is<CallNotExecuted>(call.reply) && call.calledAt > end.endedAt)
+            isCheckRefused = true;
         if (call.reply)
             result = std::visit(EndJudgement{result, end, call.calledAt <= end.endedAt, call.repliedAt},
                                 *call.reply);
@@ -138,11 +142,9 @@
 
 bool RunStopCalls::isAboutEarlierRun(const Call &call, const ReceivedEnd &end)
 {
-    if (!call.reply)
-        return false;
-    if (std::holds_alternative<NoSuchRun>(*call.reply))
+    if (is<NoSuchRun>(call.reply))
         return call.calledAt < end.sentAt;
-    return std::holds_alternative<RunStopped>(*call.reply) && hasContinued(end, call.repliedAt);
+    return is<RunStopped>(call.reply) && hasContinued(end, call.repliedAt);
 }
 
 bool RunStopCalls::needsCheck(const ReceivedEnd &end) const
@@ -163,7 +165,7 @@
     const auto latest = std::find_if(this->calls.rbegin(), this->calls.rend(), [&](const Call &call) {
         return call.calledAt > end.endedAt && call.concerns(end.runnerId, end.sentAt);
     });
-    if (latest == this->calls.rend() || !latest->reply || std::holds_alternative<NoSuchRun>(*latest->reply))
+    if (latest == this->calls.rend() || !latest->reply || is<NoSuchRun>(latest->reply))
         return false;
     // A runner that does not reply in time is not asked again.
     const auto *unknown = std::get_if<NoRunStatement>(&*latest->reply);
@@ -186,9 +188,8 @@
 bool RunStopCalls::mayBeCopying(std::string_view runnerId, TimePoint sentAt) const
 {
     return std::ranges::any_of(this->calls, [&](const Call &call) {
-        const bool isSettled = call.reply && (std::holds_alternative<RunStopped>(*call.reply) ||
-                                              std::holds_alternative<NoSuchRun>(*call.reply) ||
-                                              std::holds_alternative<CallNotExecuted>(*call.reply));
+        const bool isSettled =
+                is<RunStopped>(call.reply) || is<NoSuchRun>(call.reply) || is<CallNotExecuted>(call.reply);
         return !isSettled && call.concerns(runnerId, sentAt);
     });
 }
@@ -196,8 +197,8 @@
 bool RunStopCalls::needsCall(std::string_view runnerId, TimePoint sentAt) const
 {
     return std::ranges::none_of(this->calls, [&](const Call &call) {
-        const bool tells = !call.reply || std::holds_alternative<RunStopped>(*call.reply) ||
-                           (std::holds_alternative<NoSuchRun>(*call.reply) && call.calledAt >= sentAt);
+        const bool tells = !call.reply || is<RunStopped>(call.reply) ||
+                           (is<NoSuchRun>(call.reply) && call.calledAt >= sentAt);
         return tells && call.concerns(runnerId, sentAt);
     });
 }
