--- a/tests/hostile/test_doubtfulend.cpp
+++ b/tests/hostile/test_doubtfulend.cpp
@@ -1,7 +1,5 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 using namespace eelgrasslift;
@@ -17,23 +15,6 @@
 // Longer than a gateway waits for a reply before it tries to continue a stream from its copy.
 constexpr auto LateReply = 200ms;
 
-std::string eventsBetween(int first, int last)
-{
-    std::string events;
-    for (int id = first; id <= last; ++id)
-        events += "id: " + std::to_string(id) + "\ndata:\n\n";
-    return events;
-}
-
-std::string valueOf(const std::string &message, const std::string &name)
-{
-    const size_t at = message.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
-}
-
 /// Reply to a call that stops the run; without a status the runner closes the connection.
 struct StopReply
 {
@@ -92,12 +73,6 @@
     int continuationCount = 0;
 
 private:
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     static asio::awaitable<void> reply(tcp::socket &connection, unsigned status, std::string fields,
                                        std::string body)
     {
@@ -124,7 +99,7 @@
     {
         const size_t call = this->callCount++;
         const StopReply next = call < this->test.replies.size() ? this->test.replies[call] : StopReply{};
-        co_await this->wait(next.delay);
+        co_await wait(next.delay);
         if (this->test.isRestarted && this->isClosed) {
             for (RunnerEntry &entry : this->fixture.runners)
                 entry.startedAtMs = entry.id == this->sourceId ? 1 : entry.startedAtMs;
@@ -145,7 +120,7 @@
         int id = 1;
         for (; id <= EventCount && !this->isReplied && !(pauses && id > EventsBeforeNotice); ++id) {
             co_await sendBytes(connection, eventsBetween(id, id));
-            co_await this->wait(EventInterval);
+            co_await wait(EventInterval);
             if (id != EventsBeforeNotice)
                 continue;
             ResponseMetadata metadata;
@@ -155,7 +130,7 @@
             gateway.recordPause(*gateway.runners.find(runnerId), metadata, "id-0");
             this->fixture.announceStop(this->test.notice);
         }
-        co_await this->wait(this->test.silence);
+        co_await wait(this->test.silence);
         if (this->test.isRunComplete)
             co_await sendBytes(connection, eventsBetween(id, EventCount));
         connection.close();
--- a/tests/hostile/test_refusedcopies.cpp
+++ b/tests/hostile/test_refusedcopies.cpp
@@ -1,7 +1,5 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -18,20 +16,6 @@
 constexpr int RunnerCount = 4;
 constexpr auto EventInterval = 20ms;
 
-std::string eventText(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata:\n\n";
-}
-
-std::string valueOf(const std::string &message, const std::string &name)
-{
-    const size_t at = message.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
-}
-
 struct RefusalCase
 {
     const char *name;
@@ -64,10 +48,6 @@
     int returnCount = 0;
     /// Runners that have refused, each with the number of refusals, in their order.
     std::vector<std::pair<std::string, int>> refusals;
-    const auto wait = [&](Duration duration) -> asio::awaitable<void> {
-        asio::steady_timer timer(gateway->io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    };
     GatewayFixture fixture([&](tcp::socket &connection, int, std::string message) -> asio::awaitable<void> {
         const std::string runnerId = valueOf(message, "X-Expect-Instance");
         if (message.starts_with("POST /v1/kv-move")) {
@@ -85,8 +65,7 @@
             if (known == refusals.end())
                 known = refusals.insert(refusals.end(), {runnerId, 0});
             ++known->second;
-            co_await sendBytes(connection, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: id-1\r\n"
-                                           "Content-Length: 0\r\n\r\n");
+            co_await sendRefusal(connection);
         } else {
             const bool isFirst = source.empty();
             source = runnerId;
@@ -96,7 +75,7 @@
             co_await sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n");
             int id = isFirst ? 1 : std::stoi(valueOf(message, "Last-Event-Id")) + 1;
             for (; !isStopped && id <= EventCount; ++id) {
-                co_await sendBytes(connection, eventText(id));
+                co_await sendBytes(connection, eventsBetween(id, id));
                 if (isFirst && id == EventsBeforeNotice)
                     gateway->announceStop(test.notice);
                 co_await wait(EventInterval);
@@ -113,11 +92,8 @@
     }
     fixture.gateway.applyFleet(fixture.runners);
     const CallerView view = fixture.call("/generation/a", "id-1");
-    std::string expected;
-    for (int id = 1; id <= EventCount; ++id)
-        expected += eventText(id);
     CHECK(view.isComplete);
-    CHECK(view.body == expected);
+    CHECK(view.body == eventsBetween(1, EventCount));
     CHECK(returnCount == 1);
     REQUIRE_FALSE(refusals.empty());
     CHECK(refusals.front().second <= test.maxFirstRefusals);
--- a/tests/hostile/test_stopreplies.cpp
+++ b/tests/hostile/test_stopreplies.cpp
@@ -1,7 +1,5 @@
-#include "gatewayfixture.h"
+#include "modelrequest.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -84,23 +82,6 @@
 using enum Change;
 using enum Announcement;
 
-std::string eventsBetween(int first, int last)
-{
-    std::string events;
-    for (int id = first; id <= last; ++id)
-        events += "id: " + std::to_string(id) + "\ndata:\n\n";
-    return events;
-}
-
-std::string valueOf(const std::string &message, const std::string &name)
-{
-    const size_t at = message.find(name + ": ");
-    if (at == std::string::npos)
-        return {};
-    const size_t from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
-}
-
 /// A leaving runner with a generation whose response has neither length nor chunks, and another one at the
 /// same address.
 class LeavingRunner
@@ -133,18 +114,6 @@
 private:
     bool isRunComplete() const { return this->test.outcome == Outcome::Complete; }
 
-    asio::awaitable<void> wait(Duration duration)
-    {
-        asio::steady_timer timer(this->fixture.io, duration);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
-    asio::awaitable<void> waitFor(const bool &condition)
-    {
-        while (!condition)
-            co_await this->wait(1ms);
-    }
-
     asio::awaitable<void> respond(tcp::socket &connection, std::string message)
     {
         const std::string runnerId = valueOf(message, "X-Expect-Instance");
@@ -152,7 +121,7 @@
             co_await this->stop(connection);
         } else if (message.starts_with("POST /v1/kv-move")) {
             if (this->test.kept != Kept::Copy)
-                co_await this->waitFor(this->isClosed);
+                co_await waitFor([this] { return this->isClosed; });
             StopReply answer{503};
             if (this->test.kept == Kept::Copy && !this->isClosed)
                 answer = {200, "h"};
@@ -175,7 +144,7 @@
         const StopReply answer = call < this->test.replies.size() ? this->test.replies[call] : StopReply{};
         this->isCalled = true;
         if (this->test.close == Close::OnCall)
-            co_await this->waitFor(this->isClosed);
+            co_await waitFor([this] { return this->isClosed; });
         if (call == 0)
             this->changeList();
         co_await reply(connection, answer);
@@ -201,20 +170,8 @@
 
     static asio::awaitable<void> reply(tcp::socket &connection, const StopReply &reply)
     {
-        return sendReply(connection, reply.status, reply.handle, reply.fields);
-    }
-
-    static asio::awaitable<void> sendReply(tcp::socket &connection, unsigned status, std::string handle,
-                                           std::string fields)
-    {
-        if (status == 0) {
-            connection.close();
-            co_return;
-        }
-        const std::string body = handle.empty() ? "{}" : R"({"handle":")" + handle + R"(","made":1})";
-        co_await sendBytes(connection, "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields +
-                                               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                                               body);
+        return sendReply(connection,
+                         CopyReply{reply.status, reply.handle, CopyReply::DefaultMade, reply.fields});
     }
 
     asio::awaitable<int> sendEvents(tcp::socket &connection, int first, int last, const bool &isStopped)
@@ -222,7 +179,7 @@
         int id = first;
         for (; id <= last && !isStopped; ++id) {
             co_await sendBytes(connection, eventsBetween(id, id));
-            co_await this->wait(EventInterval);
+            co_await wait(EventInterval);
         }
         co_return id;
     }
@@ -246,13 +203,13 @@
             this->fixture.announceStop(isSoon ? Duration(ShortNotice) : Duration(Notice));
         if (this->test.close == Close::ByItself) {
             if (this->test.kept == Kept::Copy)
-                co_await this->waitFor(this->isCopyReplied);
+                co_await waitFor([this] { return this->isCopyReplied; });
         } else if (this->test.close == Close::OnCall) {
             id = co_await this->sendEvents(connection, id, EventCount, this->isCalled);
         } else {
             id = co_await this->sendEvents(connection, id, EventCount, this->isReplied);
             if (this->test.close == Close::AfterPause)
-                co_await this->wait(Preemption);
+                co_await wait(Preemption);
             const int last = this->isRunComplete() ? EventCount : id + EventsAfterReply - 1;
             if (this->test.close == Close::AfterPause && !this->isRunComplete())
                 co_await sendBytes(connection, eventsBetween(id, last));
@@ -263,9 +220,9 @@
         if (this->isRunComplete() && id <= EventCount)
             co_await sendBytes(connection, eventsBetween(id, EventCount));
         while (isSoon && std::chrono::steady_clock::now() < announcedAt + ShortNotice)
-            co_await this->wait(1ms);
+            co_await wait(1ms);
         // The gateway has read the events.
-        co_await this->wait(EventInterval);
+        co_await wait(EventInterval);
         connection.close();
         this->isClosed = true;
     }
