gateway: give up a response without framing whose upload was reset

Cause: a socket reports its error once. The reset that arrives during the write is reported by the write; reads after it return what was received, then the end of the connection. The sessions read a response also after a failed write, since a runner may respond before it has read the request, and ignored how the write had ended, so that this end passed for the end of the response. From a bare socket on this machine: write ECONNRESET, reads "part", end, end; without the write: "part", ECONNRESET.

Change: writeRequest() keeps that a write has failed, and RunnerConnection::isEndReliable() tells whether a response that was read to its end has ended there. If not, it is treated like a reset that a read reports: repeated or continued where that is allowed, else 502 or a cut stream; the run counts as lost and the runner as failed. Responses with framing and refusals, whose promise is in the head, count as before. A response whose runner ends its side before it resets is given up as well, since nothing that sockets promise tells it from a cut one.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace eelgrasslift {
 
@@ -153,16 +152,15 @@
         co_return SendResult{SendOutcome::NotConnected, std::nullopt, "quarantined"};
     ++this->sendCount;
     this->activeConnection = connection;
-    RunnerRequest request = this->makeRunnerRequest(runner, {});
-    boost::system::error_code error;
+    const RunnerRequest request = this->makeRunnerRequest(runner, {});
     const Duration attemptTimeout = std::max(
             isLastAttempt ? remaining : std::chrono::duration_cast<Duration>(remaining * AttemptTimeoutShare),
             Duration{1});
     const TimePoint attemptEnd = steadyNow() + attemptTimeout;
     connection->stream.expires_after(attemptTimeout);
-    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
-    // A runner may refuse a request before it has read all of it, so its response is read even after a failed
-    // write.
+    // A runner may respond to a request before it has read all of it, so its response is read even after a
+    // failed write.
+    co_await writeRequest(*connection, request);
     SendResult result = co_await this->receive(connection, runner, attemptEnd);
     this->activeConnection.reset();
     if (result.outcome == SendOutcome::Unknown)
@@ -211,6 +209,7 @@
         if (isInterim(parser.get()))
             continue;
         const bool isUnbounded = parser.need_eof();
+        const bool isEndReliable = connection->isEndReliable(parser);
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
         if (this->isStray(responseMetadata, *connection)) {
             logWarning("stray-answer",
@@ -221,6 +220,11 @@
         this->recordOwnResponse(responseMetadata, *connection);
         this->gateway.connections.release(connection, responseMetadata);
         SendResult result = this->classify(parser.release(), responseMetadata, isOwnRefusal);
+        // The promise of a refusal is in its header, which is whole.
+        if (!isEndReliable && !isCertainlyNotRun(result.outcome)) {
+            this->recordFailedReceive(runner.entry, asio::error::connection_reset, RunStage::Beginning);
+            co_return SendResult{SendOutcome::Unknown, std::nullopt, "runner-broke-off"};
+        }
         result.isUnframed = isUnbounded;
         const bool isRun = result.outcome == SendOutcome::Answered || result.outcome == SendOutcome::Failed;
         if (isUnbounded && isRun)
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -122,13 +121,10 @@
             connection = co_await this->acquire(address, deadline - steadyNow());
         if (!connection)
             co_return HttpFailure::NotConnected;
-        HttpRequest request = makeRequest(call.method, *endpoint, call.target, call.body);
-        boost::system::error_code error;
+        const HttpRequest request = makeRequest(call.method, *endpoint, call.target, call.body);
         connection->stream.expires_after(std::max(deadline - steadyNow(), Duration{1}));
-        co_await http::async_write(connection->stream, request,
-                                   asio::redirect_error(asio::use_awaitable, error));
         Result<HttpResponse, HttpFailure> result = HttpFailure::Broken;
-        if (!error)
+        if (co_await writeRequest(*connection, request))
             result = co_await this->receive(connection, maxResponseBytes, use);
         const auto *failure = std::get_if<HttpFailure>(&result);
         const bool isRepeated = failure != nullptr && *failure == HttpFailure::Broken &&
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -3,7 +3,10 @@
 #include "eelgrasslift/httpclient.h"
 #include "gateway/wireformat.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <deque>
 #include <functional>
@@ -27,6 +30,9 @@
     bool isReused = false;
     /// Whether the peer has named the request in an earlier response.
     bool namesRequests = false;
+    /// A request could not be written. The failure took the error of the socket, so that reads after it
+    /// report the end of the connection even if the peer has reset it.
+    bool hasWriteFailed = false;
     /// When the pool stops reusing the connection.
     TimePoint idleUntil{};
 
@@ -35,10 +41,30 @@
         boost::system::error_code ignored;
         return this->stream.socket().is_open() && this->stream.socket().available(ignored) > 0;
     }
+
+    /// Whether a response that was read to its end has ended there. One without length and chunks ends with
+    /// its connection, which may have been reset if a write has failed.
+    template <typename Parser>
+    bool isEndReliable(const Parser &parser) const
+    {
+        return !this->hasWriteFailed || !parser.need_eof();
+    }
 };
 
 using RunnerConnectionPointer = std::shared_ptr<RunnerConnection>;
 
+/// Writes a request to the connection; returns false after a failure. A response that the peer has sent
+/// before can still be read.
+template <typename Request>
+boost::asio::awaitable<bool> writeRequest(RunnerConnection &connection, const Request &request)
+{
+    boost::system::error_code error;
+    co_await boost::beast::http::async_write(connection.stream, request,
+                                             boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    connection.hasWriteFailed = error.failed();
+    co_return !error;
+}
+
 /// Size limit of what coordinators and the platform return.
 constexpr size_t MaxCallResponseBytes = size_t{4} << 20;
 /// The same for what a runner says of itself and of its copies. A report takes some kilobytes; a coordinator
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -10,7 +10,6 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -364,8 +363,7 @@
         attempt.lastEventId = *this->splitter.lastId();
     else if (this->context.metadata.lastEventId)
         attempt.lastEventId = *this->context.metadata.lastEventId;
-    RunnerRequest request = this->makeRunnerRequest(runner, attempt);
-    boost::system::error_code error;
+    const RunnerRequest request = this->makeRunnerRequest(runner, attempt);
     // A handler that was queued before its timer is destroyed still runs.
     const auto isWaiting = std::make_shared<bool>(true);
     asio::steady_timer overlapTimer(this->gateway.io, MaxRunnerOverlap);
@@ -381,8 +379,7 @@
         });
     }
     stream.connection->stream.expires_after(std::max(this->remainingTime(), Duration{1}));
-    co_await http::async_write(stream.connection->stream, request,
-                               asio::redirect_error(asio::use_awaitable, error));
+    co_await writeRequest(*stream.connection, request);
     std::optional<RelayResult> failure = co_await this->receiveHeader(stream, isContinuation);
     *isWaiting = false;
     if (failure) {
@@ -514,7 +511,7 @@
         if (!buffered.resize(body.size()))
             co_return std::nullopt;
     }
-    if (error || !parser.is_done())
+    if (error || !parser.is_done() || !connection.isEndReliable(parser))
         co_return std::nullopt;
     co_return body;
 }
@@ -582,6 +579,8 @@
         const bool isCancelled = error == asio::error::operation_aborted && this->requestedSwitch;
         if (error == http::error::need_buffer || isCancelled)
             error = {};
+        if (!error && parser.is_done() && !stream.connection->isEndReliable(parser))
+            error = asio::error::connection_reset;
         const std::string_view received(bytes.data(), bytes.size() - parser.get().body().size);
         const uint64_t previousCount = this->splitter.eventCount();
         const std::string_view events = this->splitter.feed(received);
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -108,6 +108,12 @@
     co_return !error;
 }
 
+void resetConnection(tcp::socket &connection)
+{
+    connection.set_option(asio::socket_base::linger(true, 0));
+    connection.close();
+}
+
 asio::awaitable<uint64_t> sendEndlessly(tcp::socket &connection, std::string bytes)
 {
     while (bytes.size() < 4096)
@@ -157,7 +163,7 @@
             break;
         std::string head = received.substr(0, size);
         received.erase(0, size);
-        const size_t bodySize = contentLength(head);
+        const size_t bodySize = std::min(contentLength(head), this->maxBodyBytes);
         if (received.size() < bodySize)
             co_await asio::async_read(connection, asio::dynamic_buffer(received),
                                       asio::transfer_exactly(bodySize - received.size()),
@@ -276,6 +282,10 @@
     context.request = HttpRequest(http::verb::get, path, 11);
     context.request.set(http::field::host, "h");
     context.request.set("X-Attempt-Id", requestId);
+    if (!this->body.empty()) {
+        context.request.method(http::verb::post);
+        context.request.body() = this->body;
+    }
     if (path.starts_with("/generation/") || path.starts_with("/backed/") || path.starts_with("/resumable/")) {
         context.request.set("X-Token-Usage", "100,2000");
         context.request.set("X-Length-Hint", "1000");
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <limits>
 
 namespace eelgrasslift {
 
@@ -29,6 +30,9 @@
     /// Connections that were closed by either side.
     int closedCount() const { return this->closed; }
 
+    /// Bytes of a request's body that it reads before its script begins; the rest stays unread.
+    size_t maxBodyBytes = std::numeric_limits<size_t>::max();
+
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket connection);
@@ -110,6 +114,8 @@
     bool areCallersReading = true;
     /// Parts of the prompts of the next requests as the platform writes them; none if empty.
     std::string prompt;
+    /// Body of the next requests. One with a body is a POST, others are a GET.
+    std::string body;
 
 private:
     boost::asio::awaitable<void> runSession(boost::beast::tcp_stream caller, RequestContext context,
@@ -118,11 +124,16 @@
     std::weak_ptr<RequestSession> session;
 };
 
+/// Size of a request's body of which the buffers of both sockets hold only a part.
+constexpr size_t LargeBodyBytes = size_t{32} << 20;
+
 /// The configuration of GatewayFixture, as an operator sends it. Its version is 1.
 const std::string &fixtureConfig();
 
 /// Writes the bytes; returns false if the peer has closed the connection.
 boost::asio::awaitable<bool> sendBytes(boost::asio::ip::tcp::socket &connection, std::string bytes);
+/// Closes the connection with a reset, so that the peer loses what it has not received.
+void resetConnection(boost::asio::ip::tcp::socket &connection);
 /// Writes the bytes again and again until the peer closes the connection. Returns how many were written.
 boost::asio::awaitable<uint64_t> sendEndlessly(boost::asio::ip::tcp::socket &connection, std::string bytes);
 
