entry: take an engine's response with an invalid status for a lost connection

Cause: EngineConnection took each status but 200 for a refusal, which says that the engine has not begun the generation. A status that is none (below 100, 101, above 599) comes from an engine in trouble and promises nothing.

Change: such a status ends the connection as a lost one does, so that the generation counts as possibly run; whether it is repeated is decided as before. All other statuses are read as before.

That callers get "not run" is read from GenerationStream::failAttempt(), not played with processes.

--- a/src/eelgrasslift/engineconnection.cpp
+++ b/src/eelgrasslift/engineconnection.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslift/engineconnection.h"
 
+#include "eelgrasslift/responsestatus.h"
 #include "libcore/core.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -144,6 +145,9 @@
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return EngineFailure::ConnectionBroken;
+    // A status that is none promises nothing.
+    if (statusClass(parser.get().result_int()) == StatusClass::Invalid)
+        co_return EngineFailure::ConnectionBroken;
     if (parser.get().result_int() != 200)
         co_return refusalOf(parser.get().base(), this->isResume);
 
--- a/tests/hostile/test_clientresponses.cpp
+++ b/tests/hostile/test_clientresponses.cpp
@@ -141,6 +141,23 @@
     CHECK(result == (isRefusal ? "refused" : "broken"));
 }
 
+// Guards against a response without a valid status that passes for one, or for a refusal.
+TEST_CASE("A client rejects a response with an invalid status", "[hostile]")
+{
+    const Client client = GENERATE(Client::Pool, Client::Engine);
+    const std::string status = GENERATE("000", "000 OK", "099 Early", "101 Switching", "600 Error", "2x0 OK");
+    const bool hasLength = GENERATE(true, false);
+    INFO(static_cast<int>(client) << ", " << status << ", length " << hasLength);
+    ClientFixture fixture(
+            [&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+                std::string bytes = wholeResponse("HTTP/1.1 " + status + "\r\n", hasLength);
+                co_await sendBytes(connection, std::move(bytes));
+                connection.close();
+            },
+            std::numeric_limits<size_t>::max());
+    CHECK(fixture.call(client, "request") == "broken");
+}
+
 // Guards against the tests above passing because the client understands no response at all.
 TEST_CASE("A client accepts a whole response", "[hostile]")
 {
