--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -121,6 +121,20 @@
     });
 }
 
+void HttpSession::sendRaw(std::string bytes, bool isReset)
+{
+    if (!this->socket.is_open())
+        return;
+    this->outgoing = std::move(bytes);
+    net::async_write(this->socket, net::buffer(this->outgoing),
+                     [self = shared_from_this(), isReset](error_code error, size_t) {
+                         if (error || !isReset)
+                             return self->abort();
+                         self->socket.set_option(net::socket_base::linger(true, 0), error);
+                         self->socket.close(error);
+                     });
+}
+
 void HttpSession::stream(unsigned status, const HttpHeaders &headers, StreamSource source)
 {
     if (!this->socket.is_open())
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -73,6 +73,9 @@
     /// Sends the reply after the delay, or at once if the delay is not positive.
     void respondAfter(std::chrono::milliseconds delay, HttpReply reply);
 
+    /// Sends the bytes as they are in place of a response, then closes or resets the connection.
+    void sendRaw(std::string bytes, bool isReset);
+
     /// Starts a chunked response. The source is called for the next chunk as soon as the previous one is
     /// written; after it has returned Pending, wake() calls it again.
     void stream(unsigned status, const HttpHeaders &headers, StreamSource source);
--- a/standins/serviceserver.cpp
+++ b/standins/serviceserver.cpp
@@ -65,9 +65,12 @@
     const bool delays = this->consumeFault("delay");
     const bool changesStatus = this->consumeFault("status");
     const bool staysOpen = this->consumeFault("status-open");
+    const bool isRaw = this->consumeFault("raw");
     HttpReply reply = this->run(session->request(), target);
     if (closes)
         return session->abort();
+    if (isRaw)
+        return session->sendRaw(this->faultBytes, this->isFaultReset);
     if (fails)
         reply = jsonReply(500, {{"error", "failed after running"}});
     if (staysOpen)
@@ -128,6 +131,8 @@
     this->faultCount = this->faultName == "none" ? 0 : body->value("count", uint64_t{1});
     this->faultDelay = milliseconds{body->value("ms", int64_t{0})};
     this->faultStatus = body->value("status", 0U);
+    this->faultBytes = body->value("bytes", std::string{});
+    this->isFaultReset = body->value("reset", false);
     session->respond(jsonReply(200, {{"done", true}}));
 }
 
--- a/standins/serviceserver.h
+++ b/standins/serviceserver.h
@@ -27,6 +27,8 @@
 /// fail            runs the request and responds 500
 /// status          runs the request and responds with "status", which may be invalid
 /// status-open     like status, but the body never ends
+/// raw             runs the request and sends "bytes" in place of a response, then closes the connection,
+///                 with "reset":true by a reset
 /// none            clears the fault
 class ServiceServer
 {
@@ -59,6 +61,8 @@
     uint64_t faultCount = 0;
     std::chrono::milliseconds faultDelay{0};
     unsigned faultStatus = 0;
+    std::string faultBytes;
+    bool isFaultReset = false;
     std::map<std::string, uint64_t> runsPerRequestId;
     std::map<std::string, uint64_t> runsPerBody;
     std::map<std::string, uint64_t> runsPerKey;
--- a/tests/hostile/test_clientresponses.cpp
+++ b/tests/hostile/test_clientresponses.cpp
@@ -158,6 +158,28 @@
     CHECK(fixture.call(client, "request") == "broken");
 }
 
+// Guards against a response whose head is none, and that passes for one.
+TEST_CASE("A client rejects a response with a malformed line in a head", "[hostile]")
+{
+    const Client client = GENERATE(Client::Pool, Client::Single, Client::Engine);
+    const std::string line = GENERATE("X A: b", "X-A : b", "X\x01-A: b", "X\x7f-A: b", " X-A: b",
+                                      "Content-Length : 3", "Transfer-Encoding : chunked", ": b", "X-A");
+    const std::string before = GENERATE(as<std::string>{}, "", "HTTP/1.1 103 Early Hints\r\n");
+    const bool hasLength = GENERATE(true, false);
+    INFO(static_cast<int>(client) << ", " << before << line << ", length " << hasLength);
+    ClientFixture fixture(
+            [&](tcp::socket &connection, int, std::string) -> asio::awaitable<void> {
+                const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+                std::string bytes = wholeResponse(statusLine + line + "\r\n", hasLength);
+                if (!before.empty())
+                    bytes = before + line + "\r\n\r\n" + wholeResponse(statusLine, hasLength);
+                co_await sendBytes(connection, std::move(bytes));
+                connection.close();
+            },
+            std::numeric_limits<size_t>::max());
+    CHECK(fixture.call(client, "request") == "broken");
+}
+
 // Guards against the tests above passing because the client understands no response at all.
 TEST_CASE("A client accepts a whole response", "[hostile]")
 {
