--- a/src/eelgrasslift/engineconnection.cpp
+++ b/src/eelgrasslift/engineconnection.cpp
@@ -145,7 +145,7 @@
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return EngineFailure::ConnectionBroken;
-    // A status that is none promises nothing.
+    // An invalid status does not tell whether the generation has run.
     if (statusClass(parser.get().result_int()) == StatusClass::Invalid)
         co_return EngineFailure::ConnectionBroken;
     if (parser.get().result_int() != 200)
--- a/tests/hostile/test_clientresponses.cpp
+++ b/tests/hostile/test_clientresponses.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration CallTimeout = 3s;
 
-/// How the product's own clients send a request.
+/// Clients of the product other than the sessions of a gateway.
 enum class Client {
     Pool,   ///< Calls between gateways and coordinators, and to runners and the platform.
     Single, ///< Calls on a connection of their own.
@@ -110,8 +110,8 @@
 
 } // namespace
 
-// Guards against a part of a response that passes for the whole one in calls between the product's own
-// processes, and in the streams of engines.
+// Guards against a part of a response that is taken for the whole one in calls between processes and in the
+// streams of engines.
 TEST_CASE("A client does not take a part of a response for the whole one if its upload was reset",
           "[hostile]")
 {
@@ -141,7 +141,7 @@
     CHECK(result == (isRefusal ? "refused" : "broken"));
 }
 
-// Guards against a response without a valid status that passes for one, or for a refusal.
+// Guards against a response with an invalid status that is accepted, or taken for a refusal.
 TEST_CASE("A client rejects a response with an invalid status", "[hostile]")
 {
     const Client client = GENERATE(Client::Pool, Client::Engine);
@@ -158,7 +158,7 @@
     CHECK(fixture.call(client, "request") == "broken");
 }
 
-// Guards against a response whose head is none, and that passes for one.
+// Guards against a response with a malformed head that is accepted.
 TEST_CASE("A client rejects a response with a malformed line in a head", "[hostile]")
 {
     const Client client = GENERATE(Client::Pool, Client::Single, Client::Engine);
@@ -180,7 +180,7 @@
     CHECK(fixture.call(client, "request") == "broken");
 }
 
-// Guards against the tests above passing because the client understands no response at all.
+// Guards against clients that pass the tests above because they reject every response.
 TEST_CASE("A client accepts a whole response", "[hostile]")
 {
     const Client client = GENERATE(Client::Pool, Client::Single, Client::Engine);
--- a/tests/hostile/test_malformedhead.cpp
+++ b/tests/hostile/test_malformedhead.cpp
@@ -16,7 +16,7 @@
     std::string text;
 };
 
-// Lines that are no field of a header (RFC 9112, section 5).
+// Lines that do not match the syntax of a header field (RFC 9112, section 5).
 const auto MalformedLines = {
         MalformedLine{"blank in the name", "X A: b"},
         MalformedLine{"tab in the name", "X\tA: b"},
@@ -75,8 +75,8 @@
 
 } // namespace
 
-// Guards against a response whose head is none: with such a line passed on, with a body that is framed in
-// another way than the runner has meant, or with a promise that nobody has given.
+// Guards against a response with a malformed head that reaches the caller: with the malformed line, with a
+// body that ends elsewhere than the runner's, or as a refusal.
 TEST_CASE("A response with a malformed line in a head is rejected", "[hostile]")
 {
     const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a");
@@ -107,7 +107,7 @@
         CHECK(fixture.runner.requestCount() == 1);
 }
 
-// Guards against a first line without a name that is joined to the status line.
+// Guards against a continued line without a field before it, which is joined to the status line.
 TEST_CASE("A head that begins with a blank is rejected", "[hostile]")
 {
     const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/generation/a");
--- a/tests/scenario/brokenresponse.lua
+++ b/tests/scenario/brokenresponse.lua
@@ -1,5 +1,5 @@
--- Guards against a service's response that is none, by its status, its head or its end, and that reaches a caller, is kept
--- for its key, or holds up the caller until its call times out.
+-- Guards against a service's response with an invalid status, a malformed head or a reset that reaches a caller, is kept for
+-- its key, or holds up the caller until its call times out.
 
 local LIMIT_MS = 2500 -- half the service's timeout
 
@@ -19,7 +19,7 @@
     end)
 end
 
---- Sends a request through the entry while the service responds with the status to the next `count` requests.
+--- Sends a request through the entry while the service responds with the fault of the row to the next `count` requests.
 local function call(entry, row, count, method, path, body, key)
     fault(service, {fault = row.fault, status = row.status, bytes = row.bytes, reset = row.reset, count = count})
     local started = runner.unix_now()
