gateway: leave a runner that pauses only if its run can be ended

A runner that ran a generation asked the gateway for a pause.

During its pause a runner takes two requests from a gateway, as the users specify. A stream that leaves its runner by itself now reserves both first, for the call and its repetition, and stays if they are not there: four generations that stall together would need four calls. The reservation belongs to the runner's pause and comes back if the stream stays. A run whose stream was broken off is called to end with what is left, or when the pause is over, until its deadline. Copies are no longer freed during a pause, as that is a request too.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -291,11 +291,13 @@
     co_return result;
 }
 
-asio::awaitable<void> GatewayState::releaseCopy(std::string sourceAddress, std::string handle)
+asio::awaitable<void> GatewayState::releaseCopy(RunnerPool::RunnerPointer source, std::string handle)
 {
     // A copy that is not released is freed by its runners some seconds later.
+    if (this->runners.isPaused(*source, steadyNow()))
+        co_return;
     OutgoingCall call = this->format.releaseCopyCall(handle);
-    co_await this->connections.call(std::move(sourceAddress), std::move(call), CopyReleaseTimeout,
+    co_await this->connections.call(source->entry.address, std::move(call), CopyReleaseTimeout,
                                     MaxRunnerStatementBytes);
 }
 
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -84,8 +84,8 @@
     /// Asks the runner to copy a KV cache; returns its response.
     boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
     requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout);
-    /// Lets the runners free a copy of a KV cache that was made by the runner at the address.
-    boost::asio::awaitable<void> releaseCopy(std::string sourceAddress, std::string handle);
+    /// Lets the runners free a copy of a KV cache that was made by the source, unless that pauses.
+    boost::asio::awaitable<void> releaseCopy(RunnerPool::RunnerPointer source, std::string handle);
 
     /// Waits for the end of the runners' pauses, at most until the limit; returns early as
     /// waitForCapacity() does, so that the caller chooses again. Returns false if nextSend is later.
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -78,7 +78,7 @@
     this->gateway.removeStream(*this);
     if (this->copy)
         spawnTask(this->gateway.io, "copy-release",
-                  this->gateway.releaseCopy(this->copy->sourceAddress, this->copy->handle));
+                  this->gateway.releaseCopy(this->copy->source, this->copy->handle));
 }
 
 double StreamSession::generatedTokens() const
@@ -306,7 +306,7 @@
             this->eventBuffer.resize(0);
             boost::system::error_code ignored;
             stream->connection->stream.socket().close(ignored);
-            this->endRun(lastRunner, nullptr);
+            this->endRun(lastRunner, nullptr, this->runSentAt, std::exchange(this->runEndCalls, {}));
         }
     }
     this->activeConnection.reset();
@@ -386,7 +386,7 @@
         boost::system::error_code ignored;
         stream.connection->stream.socket().close(ignored);
         if (failure->outcome == SendOutcome::Unknown)
-            this->endRun(destination.runner, nullptr);
+            this->endRun(destination.runner, nullptr, stream.sentAt);
         co_return std::move(*failure);
     }
     co_return std::move(stream);
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -73,14 +73,29 @@
     struct Copy
     {
         Destination destination;
-        /// ip:port of the runner that has made it, and the name of the copy there.
-        std::string sourceAddress;
+        /// The runner that has made it, and the name of the copy there.
+        RunnerPool::RunnerPointer source;
         std::string handle;
         TimePoint madeAt{};
         /// Memory that the copy occupies there.
         RunnerLoadReservation load;
     };
 
+    /// A run that the stream has left, and that its runner is called to end.
+    struct LeftRun
+    {
+        RunnerPool::RunnerPointer runner;
+        /// When the request was sent to the runner, and when that ends the run by itself.
+        TimePoint sentAt{};
+        TimePoint deadline{};
+        /// The call that ends the run.
+        CopyRequest request;
+        /// Name of the copy from which the stream continues, which must not be freed.
+        std::string keptHandle;
+        /// Reserved for the run.
+        PauseCalls calls;
+    };
+
     /// Result of one attempt.
     struct RelayResult
     {
@@ -141,6 +156,9 @@
     /// runner.
     boost::asio::awaitable<std::optional<RelayResult>> switchRunner(RunnerStream &stream);
     boost::asio::awaitable<std::optional<Destination>> chooseSwitchDestination(SwitchReason reason);
+    /// Whether the current runner can be called to end the run after the stream has left it; reserves the
+    /// calls.
+    bool prepareRunEnd();
     /// Replaces the stream by the next one, whose runner has accepted the request.
     void moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
                     SwitchReason reason);
@@ -161,19 +179,19 @@
     /// its reply, which names what it keeps. Nothing if there is none, or if the run was complete.
     boost::asio::awaitable<std::optional<Destination>> takeStoppedSource();
     /// Asks the runner, whose connection is closed, to end the run: not all runners do so by themselves.
-    /// nextRunner has taken the stream over; nullptr if none has.
-    void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner);
+    /// nextRunner has taken the stream over; nullptr if none has. sentAt is when the run was sent to the
+    /// runner.
+    void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner,
+                TimePoint sentAt, PauseCalls calls = {});
     /// Calls the runner to end the run and returns its reply.
     static boost::asio::awaitable<RunStopReply> callRunStop(GatewayState &gateway,
                                                             RunnerPool::RunnerPointer runner,
                                                             CopyRequest request, StopPurpose purpose);
-    /// The calls for endRun() of the run that was sent to the runner at the time. Does nothing if the stream
-    /// has gone on at the same runner meanwhile, or an earlier call has ended the run. Does not free the copy
-    /// with the name keptHandle, from which the stream continues.
+    /// The calls for endRun(). Waits for the end of the runner's pause if that takes no more calls during it.
+    /// Does nothing if the stream has gone on at the same runner meanwhile, or an earlier call has ended the
+    /// run.
     static boost::asio::awaitable<void> requestRunEnd(GatewayState &gateway,
-                                                      std::weak_ptr<StreamSession> stream,
-                                                      RunnerPool::RunnerPointer runner, TimePoint sentAt,
-                                                      CopyRequest request, std::string keptHandle);
+                                                      std::weak_ptr<StreamSession> stream, LeftRun run);
     /// Asks the current runner, which is leaving, to end the run.
     void stopRun(StopPurpose purpose);
     /// Takes note of the reply to a call of stopCalls.
@@ -299,6 +317,8 @@
     TimePoint lastEventAwaitedAt{};
     /// When the request was sent to the current runner.
     TimePoint runSentAt{};
+    /// Reserved at the current runner to end the run, as long as the stream is leaving it.
+    PauseCalls runEndCalls;
     /// The end of the last run, if it may have been complete; until another run continues the stream.
     std::optional<ReceivedEnd> doubtfulEnd;
     /// Cancelled when there is a reply to a call of stopCalls.
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -256,14 +256,14 @@
         RunnerLoadReservation reservation(destination, this->expectedLoad());
         const std::optional<std::string> handle = co_await this->copyMemory(source, destination);
         isCopied = handle.has_value();
-        const std::string &address = source->entry.address;
         // Another runner may have taken the stream over meanwhile.
         if (isCopied && this->current.runner == source)
-            this->copy = Copy{{destination, this->gateway.format.copyReference(address, *handle), "move"},
-                              address,
-                              *handle,
-                              steadyNow(),
-                              std::move(reservation)};
+            this->copy = Copy{
+                    {destination, this->gateway.format.copyReference(source->entry.address, *handle), "move"},
+                    source,
+                    *handle,
+                    steadyNow(),
+                    std::move(reservation)};
         if (isCopied && isStillOnSource())
             this->startStallWatch();
     }
@@ -301,16 +301,33 @@
     co_return Destination{runner, {}, "resume"};
 }
 
+bool StreamSession::prepareRunEnd()
+{
+    const EngineTraits *engine = this->context.engine();
+    // Other engines end a run with its connection only.
+    if (engine == nullptr || !engine->supportsMigration)
+        return true;
+    auto calls = this->gateway.runners.reserveCalls(*this->load.runner(), steadyNow());
+    if (!calls)
+        return false;
+    this->runEndCalls = std::move(*calls);
+    return true;
+}
+
 asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::switchRunner(RunnerStream &stream)
 {
     const SwitchReason reason = *std::exchange(this->requestedSwitch, std::nullopt);
     const auto isConnected = [&] { return stream.connection->stream.socket().is_open(); };
     this->isSwitching = true;
-    std::optional<Destination> destination = co_await this->chooseSwitchDestination(reason);
+    RelayResult failure{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-runner", std::nullopt};
+    std::optional<Destination> destination;
+    if (this->prepareRunEnd())
+        destination = co_await this->chooseSwitchDestination(reason);
+    else
+        failure.cause = "run-end-not-possible";
     // A stalled runner may have gone on meanwhile.
     if (reason == SwitchReason::Stall && stream.connection->hasUnreadBytes())
         destination.reset();
-    RelayResult failure{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-runner", std::nullopt};
     SwitchStep step = destination ? SwitchStep::Retry : SwitchStep::Stay;
     for (uint32_t refusals = 1; step == SwitchStep::Retry && !this->isAbandoned; ++refusals) {
         auto opened = co_await this->open(*destination, stream.connection);
@@ -346,6 +363,7 @@
     else
         this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
     if (isConnected()) {
+        this->runEndCalls = {};
         this->activeConnection = stream.connection;
         this->lastRunnerId = source->entry.id;
         co_return std::nullopt;
@@ -362,7 +380,7 @@
     boost::system::error_code ignored;
     stream.connection->stream.socket().close(ignored);
     const RunnerPool::RunnerPointer source = this->load.runner();
-    this->endRun(source, destination.runner.get());
+    this->endRun(source, destination.runner.get(), stream.sentAt, std::exchange(this->runEndCalls, {}));
     // A call that ends the earlier run must not meet a new one.
     this->triedRunners.insert(source->entry.id);
     this->lastSwitch.emplace(source->entry.id, reason);
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -25,6 +25,8 @@
 // A runner that copies the run for another call asks for one more try.
 constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
 constexpr int MaxRunEndCalls = 3;
+// A request whose deadline has passed, or is brought forward by a shutdown, still leaves time for the call.
+constexpr Duration MinRunEndTime = std::chrono::milliseconds{1000};
 // A runner that stands still answers when it goes on.
 constexpr Duration RunEndTimeout = std::chrono::milliseconds{2500};
 
@@ -63,7 +65,8 @@
 
 } // namespace
 
-void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner)
+void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner,
+                           TimePoint sentAt, PauseCalls calls)
 {
     const EngineTraits *engine = this->context.engine();
     if (engine == nullptr || !engine->supportsMigration)
@@ -74,10 +77,16 @@
             nextRunner ? nullptr
                        : this->chooseCopyDestination(*runner, runner->entry.domain, CopyMemoryLimit);
     const RunnerPool::Runner &destination = nextRunner ? *nextRunner : other ? *other : *runner;
+    LeftRun run;
+    run.runner = runner;
+    run.sentAt = sentAt;
+    run.deadline = std::max<TimePoint>(this->context.deadline, steadyNow() + MinRunEndTime);
+    run.request = CopyRequest{this->context.metadata.id, destination.entry.address, true};
+    if (this->copy)
+        run.keptHandle = this->copy->handle;
+    run.calls = std::move(calls);
     spawnTask(this->gateway.io, "run-end",
-              requestRunEnd(this->gateway, this->weak_from_this(), runner, this->runSentAt,
-                            {this->context.metadata.id, destination.entry.address, true},
-                            this->copy ? this->copy->handle : std::string{}));
+              requestRunEnd(this->gateway, this->weak_from_this(), std::move(run)));
 }
 
 void StreamSession::stopRun(StopPurpose purpose)
@@ -130,31 +139,39 @@
 }
 
 asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
-                                                   RunnerPool::RunnerPointer runner, TimePoint sentAt,
-                                                   CopyRequest request, std::string keptHandle)
+                                                   LeftRun run)
 {
+    const RunnerPool::RunnerPointer runner = run.runner;
+    const std::string &runnerId = runner->entry.id;
     const auto hasReturned = [&] {
         const auto session = stream.lock();
-        return session && session->activeConnection && session->lastRunnerId == runner->entry.id;
+        return session && session->activeConnection && session->lastRunnerId == runnerId;
     };
     boost::system::error_code ignored;
     asio::steady_timer delay(gateway.io);
-    Duration wait = RunEndDelay;
+    TimePoint nextCallAt = steadyNow() + RunEndDelay;
     RunStopReply reply;
     for (int calls = 0; calls < MaxRunEndCalls;) {
-        delay.expires_after(std::exchange(wait, RunEndRetryDelay));
+        delay.expires_after(nextCallAt - steadyNow());
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (hasReturned() || gateway.runners.isPaused(*runner, steadyNow()))
+        nextCallAt = steadyNow() + RunEndRetryDelay;
+        if (hasReturned() || steadyNow() >= run.deadline)
             co_return;
         auto session = stream.lock();
-        if (session && session->stopCalls.isPending(runner->entry.id, sentAt))
+        if (session && session->stopCalls.isPending(runnerId, run.sentAt))
             continue;
-        if (session && !session->stopCalls.needsCall(runner->entry.id, sentAt))
+        if (session && !session->stopCalls.needsCall(runnerId, run.sentAt))
             co_return;
-        const size_t call = session ? session->stopCalls.begin(runner->entry.id, steadyNow()) : 0;
+        if (!gateway.runners.useCall(*runner, run.calls, steadyNow())) {
+            nextCallAt = gateway.runners.pausedUntil(*runner, steadyNow()).value_or(nextCallAt);
+            if (nextCallAt >= run.deadline)
+                co_return;
+            continue;
+        }
+        const size_t call = session ? session->stopCalls.begin(runnerId, steadyNow()) : 0;
         ++calls;
         session.reset();
-        reply = co_await callRunStop(gateway, runner, request, StopPurpose::StreamLeft);
+        reply = co_await callRunStop(gateway, runner, run.request, StopPurpose::StreamLeft);
         session = stream.lock();
         // The copy is freed below.
         const bool isStopped = std::holds_alternative<RunStopped>(reply);
@@ -164,8 +181,8 @@
             break;
     }
     const auto *stopped = std::get_if<RunStopped>(&reply);
-    if (stopped != nullptr && !stopped->handle.empty() && stopped->handle != keptHandle)
-        co_await gateway.releaseCopy(runner->entry.address, stopped->handle);
+    if (stopped != nullptr && !stopped->handle.empty() && stopped->handle != run.keptHandle)
+        co_await gateway.releaseCopy(runner, stopped->handle);
 }
 
 asio::awaitable<RunEnd> StreamSession::judgeRunEnd(const RunnerStream &stream)
--- a/src/libgateway/runnerpauses.cpp
+++ b/src/libgateway/runnerpauses.cpp
@@ -23,6 +23,12 @@
 // Time until a runner without a free slot is looked at again.
 constexpr Duration FullRetryDelay = std::chrono::milliseconds{10};
 
+// Requests that a runner takes from one gateway during its pause, as specified by the users. The limit
+// applies from half a second after the response that asks for the pause; a call takes the remainder of that
+// time to arrive.
+constexpr uint32_t MaxPauseCalls = 2;
+constexpr Duration UnlimitedCallTime = std::chrono::milliseconds{250};
+
 } // namespace
 
 Duration ReturnRate::interval() const
@@ -51,14 +57,52 @@
         found = this->pauses.emplace(RunnerIncarnation::of(runner), Pause{}).first;
     const Duration interval = rate.interval();
     const auto offset = std::chrono::duration_cast<Duration>(interval * random.uniform());
-    found->second = Pause{until, until + offset, interval};
+    Pause &recorded = found->second;
+    recorded.until = until;
+    recorded.nextSendAt = until + offset;
+    recorded.interval = interval;
+    if (!wasPaused) {
+        recorded.begunAt = now;
+        recorded.callsLeft = std::make_shared<uint32_t>(MaxPauseCalls);
+    }
     return wasPaused ? Change::Extended : Change::Begun;
 }
 
 bool RunnerPauses::isPaused(const RunnerEntry &runner, TimePoint now) const
+{
+    return this->pausedUntil(runner, now).has_value();
+}
+
+std::optional<TimePoint> RunnerPauses::pausedUntil(const RunnerEntry &runner, TimePoint now) const
+{
+    const auto found = this->pauses.find(runner);
+    if (found == this->pauses.end() || now >= found->second.until)
+        return std::nullopt;
+    return found->second.until;
+}
+
+std::optional<PauseCalls> RunnerPauses::reserveCalls(const RunnerEntry &runner, TimePoint now)
+{
+    if (!this->isPaused(runner, now))
+        return PauseCalls{};
+    const std::shared_ptr<uint32_t> &left = this->pauses.find(runner)->second.callsLeft;
+    if (*left < MaxPauseCalls)
+        return std::nullopt;
+    return PauseCalls(left);
+}
+
+bool RunnerPauses::useCall(const RunnerEntry &runner, PauseCalls &reserved, TimePoint now)
 {
     const auto found = this->pauses.find(runner);
-    return found != this->pauses.end() && now < found->second.until;
+    if (found == this->pauses.end() || now >= found->second.until)
+        return true;
+    const Pause &pause = found->second;
+    if (now < pause.begunAt + UnlimitedCallTime || reserved.use(pause.callsLeft))
+        return true;
+    if (*pause.callsLeft == 0)
+        return false;
+    --*pause.callsLeft;
+    return true;
 }
 
 std::optional<TimePoint> RunnerPauses::nextSend(const RunnerEntry &runner, uint32_t activeRequests,
--- a/src/libgateway/runnerpauses.h
+++ b/src/libgateway/runnerpauses.h
@@ -6,9 +6,11 @@
 #include <compare>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace eelgrasslift {
@@ -32,6 +34,51 @@
     Duration interval() const;
 };
 
+/// Calls reserved by RunnerPauses::reserveCalls(). Unused ones return to the pause with the object.
+class PauseCalls
+{
+public:
+    PauseCalls() = default;
+    /// Reserves all calls that are left.
+    explicit PauseCalls(std::shared_ptr<uint32_t> left)
+        : left(std::move(left))
+        , count(std::exchange(*this->left, 0))
+    {}
+    PauseCalls(PauseCalls &&other) noexcept
+        : left(std::move(other.left))
+        , count(std::exchange(other.count, 0))
+    {}
+    PauseCalls &operator=(PauseCalls &&other) noexcept
+    {
+        std::swap(this->left, other.left);
+        std::swap(this->count, other.count);
+        other.release();
+        return *this;
+    }
+    ~PauseCalls() { this->release(); }
+
+    /// Uses one of the calls if they are of the pause with this counter; returns whether it did.
+    bool use(const std::shared_ptr<uint32_t> &counter)
+    {
+        if (this->left != counter || this->count == 0)
+            return false;
+        --this->count;
+        return true;
+    }
+
+private:
+    void release()
+    {
+        if (this->left)
+            *this->left += std::exchange(this->count, 0);
+        this->left.reset();
+    }
+
+    /// Calls of the pause that are neither sent nor reserved.
+    std::shared_ptr<uint32_t> left;
+    uint32_t count = 0;
+};
+
 /// The runners that have asked a gateway for a pause, and how requests come back to them afterwards. A pause
 /// belongs to one incarnation of a runner (id, address and start time): it also holds while the runner is
 /// missing from the list, and never for its successor.
@@ -42,6 +89,9 @@
 /// ReturnRate::interval() after the end, then sends a request per interval, each interval a tenth shorter,
 /// and only while the runner has a free slot. A gateway that leaves an interval unused has no backlog: its
 /// requests are not paced any longer.
+///
+/// A runner goes on with its runs during its pause. It takes two calls from the gateway meanwhile, as
+/// specified by the users, to end runs that would go on beside their continuations.
 class RunnerPauses
 {
 public:
@@ -70,6 +120,15 @@
     /// once.
     std::optional<TimePoint> nextSend(const RunnerEntry &runner, uint32_t activeRequests,
                                       TimePoint now) const;
+    /// When the runner's pause ends; nothing if it does not pause.
+    std::optional<TimePoint> pausedUntil(const RunnerEntry &runner, TimePoint now) const;
+
+    /// Reserves the calls that end a run which is about to go on elsewhere; they are empty if the runner does
+    /// not pause. Nothing if it takes fewer calls than that needs, one and its repetition.
+    std::optional<PauseCalls> reserveCalls(const RunnerEntry &runner, TimePoint now);
+    /// Whether a call that ends a run may be sent to the runner. During its pause this uses one of the
+    /// reserved calls, or else one that nobody has reserved.
+    bool useCall(const RunnerEntry &runner, PauseCalls &reserved, TimePoint now);
     /// Counts a request that is sent to the runner after its pause.
     void recordSend(const RunnerEntry &runner, TimePoint now);
 
@@ -99,6 +158,9 @@
         TimePoint nextSendAt{};
         /// Time between two requests after the pause.
         Duration interval{};
+        TimePoint begunAt{};
+        /// See PauseCalls.
+        std::shared_ptr<uint32_t> callsLeft;
 
         /// Whether requests are neither held back nor paced any longer.
         bool isOver(TimePoint now) const;
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -150,6 +150,21 @@
     {
         return this->pauses.isPaused(runner.entry, now);
     }
+    /// See RunnerPauses.
+    std::optional<TimePoint> pausedUntil(const Runner &runner, TimePoint now) const
+    {
+        return this->pauses.pausedUntil(runner.entry, now);
+    }
+    /// See RunnerPauses.
+    std::optional<PauseCalls> reserveCalls(const Runner &runner, TimePoint now)
+    {
+        return this->pauses.reserveCalls(runner.entry, now);
+    }
+    /// See RunnerPauses.
+    bool useCall(const Runner &runner, PauseCalls &reserved, TimePoint now)
+    {
+        return this->pauses.useCall(runner.entry, reserved, now);
+    }
     /// Whether a run may be moved to the runner: it neither leaves nor pauses, and is not evacuated.
     bool acceptsMoves(const Runner &runner, TimePoint now) const
     {
--- a/tests/gateway/test_runnerpauses.cpp
+++ b/tests/gateway/test_runnerpauses.cpp
@@ -143,6 +143,82 @@
     CHECK_FALSE(pool.isPaused(*pool.find("a"), Start));
 }
 
+namespace {
+
+/// What is done during the pauses of a runner.
+struct PauseStep
+{
+    enum class Kind {
+        Pause,     ///< The runner asks for a pause of 3 s.
+        Reserve,   ///< A stream is about to leave the runner.
+        GiveBack,  ///< The streams that have reserved calls stay.
+        CallFirst, ///< Sends a call of the first stream that has reserved any.
+        Call,      ///< Sends a call of a stream that has reserved none.
+    };
+    Duration at;
+    Kind kind;
+    /// Whether it is allowed; not used for Pause and GiveBack.
+    bool isAllowed = true;
+};
+
+struct PauseCallsCase
+{
+    const char *name;
+    std::vector<PauseStep> steps;
+};
+
+} // namespace
+
+// Guards against more calls than a runner takes during its pause, and against a stream that leaves the runner
+// while its run there cannot be ended.
+TEST_CASE("Two calls may be sent to a runner during its pause", "[runnerpauses]")
+{
+    using enum PauseStep::Kind;
+    const auto test = GENERATE(values<PauseCallsCase>({
+            {"no pause", {{0s, Reserve}, {0s, Reserve}, {0s, Call}, {0s, Call}, {0s, Call}, {0s, CallFirst}}},
+            {"one stream",
+             {{0s, Pause}, {1s, Reserve}, {1s, CallFirst}, {1s, CallFirst}, {1s, CallFirst, false}}},
+            {"second stream", {{0s, Pause}, {1s, Reserve}, {1s, Reserve, false}, {1s, Call, false}}},
+            {"given back", {{0s, Pause}, {1s, Reserve}, {1s, GiveBack}, {2s, Reserve}}},
+            {"given back after a call",
+             {{0s, Pause}, {1s, Reserve}, {1s, CallFirst}, {1s, GiveBack}, {2s, Reserve, false}, {2s, Call}}},
+            {"without reservation",
+             {{0s, Pause}, {1s, Call}, {1s, Reserve, false}, {1s, Call}, {1s, Call, false}}},
+            {"just begun", {{0s, Pause}, {200ms, Call}, {200ms, Call}, {200ms, Call}, {200ms, Reserve}}},
+            {"extended", {{0s, Pause}, {1s, Call}, {1s, Call}, {2s, Pause}, {4s, Call, false}}},
+            {"after the end", {{0s, Pause}, {1s, Call}, {1s, Call}, {3s, Call}, {3s, Reserve}}},
+            {"next pause",
+             {{0s, Pause}, {1s, Call}, {1s, Call}, {4s, Pause}, {5s, Reserve}, {5s, Call, false}}},
+            {"reserved in an earlier pause",
+             {{0s, Pause}, {1s, Reserve}, {4s, Pause}, {5s, Call}, {5s, CallFirst}, {5s, CallFirst, false}}},
+    }));
+    INFO(test.name);
+    RunnerPool pool;
+    Random random{1};
+    pool.setFleet(std::vector{makeEntry("a")}, Start);
+    const RunnerPool::Runner &runner = *pool.find("a");
+    std::vector<PauseCalls> reserved;
+    PauseCalls none;
+    for (const PauseStep &step : test.steps) {
+        INFO(toMilliseconds(step.at) << " ms");
+        const TimePoint now = Start + step.at;
+        if (step.kind == Pause)
+            pool.recordPause(runner, 3s, OneGateway, now, random);
+        if (step.kind == GiveBack)
+            reserved.clear();
+        if (step.kind == Reserve) {
+            auto calls = pool.reserveCalls(runner, now);
+            CHECK(calls.has_value() == step.isAllowed);
+            if (calls)
+                reserved.push_back(std::move(*calls));
+        }
+        if (step.kind == CallFirst)
+            CHECK(pool.useCall(runner, reserved.front(), now) == step.isAllowed);
+        if (step.kind == Call)
+            CHECK(pool.useCall(runner, none, now) == step.isAllowed);
+    }
+}
+
 // Guards against a paused runner that is used as the last resort, and against a wait for one while another
 // runner can be used.
 TEST_CASE("The choice leaves out paused runners and tells when the first one may be used", "[runnerpauses]")
--- a/tests/hostile/modelrequest.cpp
+++ b/tests/hostile/modelrequest.cpp
@@ -26,6 +26,12 @@
         request.kind = message.find(R"("last":true)") == std::string::npos ? Kind::Copy : Kind::Stop;
     else if (message.starts_with("DELETE /v1/kv-handle/"))
         request.kind = Kind::Release;
+    request.requestId = valueOf(message, "X-Attempt-Id");
+    constexpr std::string_view IdMember = R"("id":")";
+    if (const size_t at = message.find(IdMember); request.requestId.empty() && at != std::string::npos) {
+        const size_t from = at + IdMember.size();
+        request.requestId = message.substr(from, message.find('"', from) - from);
+    }
     request.runnerId = valueOf(message, "X-Expect-Instance");
     if (const std::string lastId = valueOf(message, "Last-Event-Id"); !lastId.empty())
         request.lastEventId = std::stoi(lastId);
--- a/tests/hostile/modelrequest.h
+++ b/tests/hostile/modelrequest.h
@@ -20,6 +20,8 @@
     static ModelRequest parse(const std::string &message);
 
     Kind kind = Kind::Run;
+    /// Id of the request that is run or copied.
+    std::string requestId;
     std::string runnerId;
     /// Number of the runner, if they have different addresses.
     int runner = 0;
