gateway: do not reuse the connection of a call that copies a run

A caller got a whole stream of which the later events were those of another generation. A runner's reply to a copy names the copy, but not the request that was copied, and such calls shared pooled connections.

The connection of such a call is closed after the reply, so that nothing else can read a late one. The call may still take an idle connection: the responses to the requests that it carried name them, so that late ones are skipped.

The new test fails without the change in 2 of 2 rows: the copy of id-2 gets the name of that of id-1. It passes with it.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -151,7 +151,7 @@
         if (isInterim(parser.get()) || (use.isStray && use.isStray(parser.get())))
             continue;
         ResponseMetadata metadata;
-        metadata.isClosing = !parser.keep_alive();
+        metadata.isClosing = use.isLastUse || !parser.keep_alive();
         this->release(connection, metadata);
         co_return parser.release();
     }
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -76,6 +76,9 @@
 {
     /// A late response to an earlier call on a reused connection may look like that to this one.
     bool isNew = false;
+    /// The connection is closed after the response. For calls whose responses do not name them: a late copy
+    /// of such a response would look like that to the next request on the connection.
+    bool isLastUse = false;
     /// Whether to skip a final response; none is skipped if empty.
     std::function<bool(const ResponseHeader &)> isStray;
 };
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -276,6 +276,8 @@
     CallConnection use;
     // The reply to such a call decides whether a response was complete.
     use.isNew = request.endsRun;
+    // The reply names the copy, but not the request that it belongs to.
+    use.isLastUse = !request.endsRun;
     use.isStray = [this, id = request.requestId, runner](const ResponseHeader &header) {
         const ResponseMetadata metadata = this->format.decodeResponse(header);
         return (!metadata.requestId.empty() && metadata.requestId != id) ||
