gateway: keep replies that name no request off the connections of requests

A caller got a 404 without a seal for a request that its runner ran. It was the runner's reply to a call of the gateway, which had asked it to end the run of another caller: a faulty runner sent that reply once more, where it was due for the next request on the connection.

The connections of all calls about runs and copies are closed after the reply: those that end a run, and those that free a copy. The same holds for a response without an id to a request, if its runner names requests; whether it does is known for the runner and no longer for the connection. A gateway without coordinators reads the reports of runners over connections of its own, as they name no request either. Calls about copies use an idle connection only of runners that name requests.

A test whose copy was still being made at its end crashed at its teardown: the fixture now waits for the end of the session.

--- a/src/gateway/callsession.cpp
+++ b/src/gateway/callsession.cpp
@@ -169,7 +169,7 @@
 }
 
 asio::awaitable<CallSession::SendResult> CallSession::receive(const RunnerConnectionPointer &connection,
-                                                              const RunnerPool::Runner &runner,
+                                                              RunnerPool::Runner &runner,
                                                               TimePoint attemptEnd)
 {
     for (int strayCount = 0; strayCount <= MaxStrayResponses; ++strayCount) {
@@ -191,7 +191,7 @@
                 responseMetadata = this->gateway.format.decodeResponse(parser.get());
                 this->gateway.recordAnswer(runner.entry, parser.get().result_int(), responseMetadata,
                                            this->context.metadata.id);
-                if (!this->isStray(responseMetadata, *connection))
+                if (!this->isStray(responseMetadata, *connection, runner))
                     this->gateway.recordPause(runner, responseMetadata, this->context.metadata.id);
             }
             // The timeout of the connection only ends a read that waits.
@@ -211,15 +211,15 @@
         const bool isUnbounded = parser.need_eof();
         const bool isEndReliable = connection->isEndReliable(parser);
         responseMetadata.isClosing = responseMetadata.isClosing || isUnbounded || !parser.keep_alive();
-        if (this->isStray(responseMetadata, *connection)) {
+        if (this->isStray(responseMetadata, *connection, runner)) {
             logWarning("stray-answer",
                        {{"request", this->context.metadata.id}, {"belongs_to", responseMetadata.requestId}});
             continue;
         }
+        runner.namesRequests = runner.namesRequests || !responseMetadata.requestId.empty();
         const bool isOwnRefusal = this->isOwnRefusal(responseMetadata, *connection);
-        this->recordOwnResponse(responseMetadata, *connection);
-        this->gateway.connections.release(connection, responseMetadata);
-        SendResult result = this->classify(parser.release(), responseMetadata, isOwnRefusal);
+        this->releaseConnection(connection, responseMetadata, runner);
+        SendResult result = classify(parser.release(), responseMetadata, isOwnRefusal);
         // The promise of a refusal is in its header, which is whole.
         if (!isEndReliable && !isCertainlyNotRun(result.outcome)) {
             this->recordFailedReceive(runner.entry, asio::error::connection_reset, RunStage::Beginning);
@@ -235,7 +235,7 @@
 }
 
 CallSession::SendResult CallSession::classify(HttpResponse response, const ResponseMetadata &responseMetadata,
-                                              bool isOwnRefusal) const
+                                              bool isOwnRefusal)
 {
     const unsigned status = response.result_int();
     if (status == 421 && isOwnRefusal)
--- a/src/gateway/callsession.h
+++ b/src/gateway/callsession.h
@@ -33,10 +33,10 @@
     boost::asio::awaitable<SendResult> send(RunnerPool::Runner &runner, bool isLastAttempt);
     /// Receives the response; gives up at the end of the attempt.
     boost::asio::awaitable<SendResult> receive(const RunnerConnectionPointer &connection,
-                                               const RunnerPool::Runner &runner, TimePoint attemptEnd);
+                                               RunnerPool::Runner &runner, TimePoint attemptEnd);
     /// Derives the outcome of an attempt from a complete response; see isOwnRefusal().
-    SendResult classify(HttpResponse response, const ResponseMetadata &responseMetadata,
-                        bool isOwnRefusal) const;
+    static SendResult classify(HttpResponse response, const ResponseMetadata &responseMetadata,
+                               bool isOwnRefusal);
 
     /// Addresses of the runners to which the request was sent.
     std::set<std::string> usedAddresses;
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -28,8 +28,6 @@
     std::string address;
     /// Whether an earlier request was sent on it.
     bool isReused = false;
-    /// Whether the peer has named the request in an earlier response.
-    bool namesRequests = false;
     /// A request could not be written. The failure took the error of the socket, so that reads after it
     /// report the end of the connection even if the peer has reset it.
     bool hasWriteFailed = false;
--- a/src/gateway/coordinatorclient.cpp
+++ b/src/gateway/coordinatorclient.cpp
@@ -49,7 +49,7 @@
     : gateway(state)
     , loadSettings(std::move(settingsLoader))
     , connections(state.io.get_executor())
-    , fallbackReader(state.io, state.format, state.connections, state.runners.leavingRunners(),
+    , fallbackReader(state.io, state.format, this->connections, state.runners.leavingRunners(),
                      fallbackReaderSettings(state.settings))
     , coordinators(state.settings.domain)
     , configSubscriber(state, this->coordinators, this->connections)
--- a/src/gateway/coordinatorclient.h
+++ b/src/gateway/coordinatorclient.h
@@ -39,6 +39,7 @@
 
     GatewayState &gateway;
     SettingsLoader loadSettings;
+    /// Connections to coordinators, and of the fallbackReader to runners, whose reports name no request.
     ConnectionPool connections;
     /// Polls the runners while no coordinator can be reached.
     FleetReader fallbackReader;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -275,9 +275,9 @@
     OutgoingCall call = this->format.copyCall(request);
     CallConnection use;
     // The reply to such a call decides whether a response was complete.
-    use.isNew = request.endsRun;
-    // The reply names the copy, but not the request that it belongs to.
-    use.isLastUse = !request.endsRun;
+    use.isNew = request.endsRun || !runner->namesRequests;
+    // The reply does not name the request that it belongs to.
+    use.isLastUse = true;
     use.isStray = [this, id = request.requestId, runner](const ResponseHeader &header) {
         const ResponseMetadata metadata = this->format.decodeResponse(header);
         return (!metadata.requestId.empty() && metadata.requestId != id) ||
@@ -299,8 +299,10 @@
     if (this->runners.isPaused(*source, steadyNow()))
         co_return;
     OutgoingCall call = this->format.releaseCopyCall(handle);
+    CallConnection use;
+    use.isLastUse = true;
     co_await this->connections.call(source->entry.address, std::move(call), CopyReleaseTimeout,
-                                    MaxRunnerStatementBytes);
+                                    MaxRunnerStatementBytes, std::move(use));
 }
 
 asio::awaitable<bool> GatewayState::waitForPausedRunner(TimePoint nextSend, TimePoint limit)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -25,6 +25,8 @@
     boost::asio::io_context &io;
     const NodeSettings &settings;
     const WireFormat &format;
+    /// Connections to runners. Each idle one has carried only requests whose responses name them, so that a
+    /// late response can be told from that to the next request; see RequestSession::releaseConnection().
     ConnectionPool connections;
     RunnerPool runners;
     SharedRetryBudget retryBudget;
--- a/src/gateway/requestcontext.h
+++ b/src/gateway/requestcontext.h
@@ -80,23 +80,27 @@
     double retryAfterSeconds() const;
     /// Whether the response is a late one to an earlier request on the connection. One without an id counts
     /// as such if the runner has named the requests of earlier responses.
-    bool isStray(const ResponseMetadata &metadata, const RunnerConnection &connection) const
+    bool isStray(const ResponseMetadata &metadata, const RunnerConnection &connection,
+                 const RunnerPool::Runner &runner) const
     {
         if (metadata.requestId.empty())
-            return connection.namesRequests && !this->context.metadata.id.empty();
+            return connection.isReused && runner.namesRequests && !this->context.metadata.id.empty();
         return metadata.requestId != this->context.metadata.id;
     }
-    /// Takes note that the connection has carried a response to this request.
-    void recordOwnResponse(const ResponseMetadata &metadata, RunnerConnection &connection) const
-    {
-        connection.namesRequests = connection.namesRequests || !metadata.requestId.empty();
-    }
     /// Whether a refusal on the connection says that this request was not run. One without an id on a reused
-    /// connection may be a late one to another call.
+    /// connection may be a late one to another request.
     bool isOwnRefusal(const ResponseMetadata &metadata, const RunnerConnection &connection) const
     {
-        return !this->isStray(metadata, connection) &&
-               (!connection.isReused || !metadata.requestId.empty() || this->context.metadata.id.empty());
+        return !connection.isReused || !metadata.requestId.empty() || this->context.metadata.id.empty();
+    }
+    /// Returns the connection to the pool after the complete response to this request. A late copy of a
+    /// response without an id would look like that to the next request, so that the connection is closed
+    /// after one, unless the runner names no requests at all.
+    void releaseConnection(const RunnerConnectionPointer &connection, const ResponseMetadata &metadata,
+                           const RunnerPool::Runner &runner)
+    {
+        if (!metadata.requestId.empty() || !runner.namesRequests)
+            this->gateway.connections.release(connection, metadata);
     }
     /// Identifies requests of the same account with the same target and body, whatever their ids are.
     const Sha256 &fingerprint() const;
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -442,7 +442,7 @@
                                    stream.metadata, this->context.metadata.id);
         if (isInterim(stream.parser->get())) {
             ++interimCount;
-        } else if (this->isStray(stream.metadata, *stream.connection)) {
+        } else if (this->isStray(stream.metadata, *stream.connection, *stream.load.runner())) {
             logWarning("stray-answer",
                        {{"request", this->context.metadata.id}, {"belongs_to", stream.metadata.requestId}});
             const bool isSkipped = ++strayCount <= MaxStrayResponses &&
@@ -452,7 +452,8 @@
                                       std::nullopt};
         } else {
             this->gateway.recordPause(*stream.load.runner(), stream.metadata, this->context.metadata.id);
-            this->recordOwnResponse(stream.metadata, *stream.connection);
+            bool &namesRequests = stream.load.runner()->namesRequests;
+            namesRequests = namesRequests || !stream.metadata.requestId.empty();
             isFinal = true;
         }
     }
@@ -627,7 +628,7 @@
     ResponseMetadata metadata = stream.metadata;
     metadata.isClosing = metadata.isClosing || this->isUnframed || !stream.parser->keep_alive();
     if (outcome == RelayOutcome::Complete)
-        this->gateway.connections.release(stream.connection, metadata);
+        this->releaseConnection(stream.connection, metadata, *this->load.runner());
     co_return RelayResult{outcome, SendOutcome::Answered, "complete", std::nullopt};
 }
 
--- a/src/libgateway/runnerpool.h
+++ b/src/libgateway/runnerpool.h
@@ -93,6 +93,8 @@
         /// Exponential moving average of the duration of Good sends, in seconds; 0 before the first. Used for
         /// plain services only.
         double meanCallSeconds = 0;
+        /// Whether a response of the runner has named its request.
+        bool namesRequests = false;
         /// End of the ejection for repeated failures; until then the runner gets requests only if there is no
         /// other.
         std::optional<TimePoint> ejectedUntil;
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -262,7 +262,8 @@
 {
     std::optional<CallerView> result;
     this->start(path, requestId, [&](const CallerView &view) { result = view; });
-    this->runUntil([&] { return result.has_value(); });
+    // A copy that is being made keeps the session, which must not outlive the gateway.
+    this->runUntil([&] { return result.has_value() && this->session.expired(); });
     return *result;
 }
 
--- a/tests/hostile/modelrunners.cpp
+++ b/tests/hostile/modelrunners.cpp
@@ -40,10 +40,7 @@
 
 CallerView ModelRunners::call(const std::string &path)
 {
-    const CallerView view = this->fixture.call(path, RequestId);
-    // A copy that is being made keeps the session.
-    this->fixture.runUntil([this] { return this->fixture.lastSession() == nullptr; });
-    return view;
+    return this->fixture.call(path, RequestId);
 }
 
 void ModelRunners::announceStop(int number)
--- a/tests/hostile/test_unnamedreplies.cpp
+++ b/tests/hostile/test_unnamedreplies.cpp
@@ -128,8 +128,10 @@
     const bool hasIdleConnection = GENERATE(true, false);
     INFO(test.name << ", " << test.path << (hasIdleConnection ? ", idle connection" : ""));
     RepeatingRunner runner;
-    if (hasIdleConnection)
-        runner.play(Exchange::Request, test.path, "id-0");
+    // Shows that the runner names requests.
+    runner.play(Exchange::Request, test.path, "id-0");
+    if (!hasIdleConnection)
+        runner.fixture.gateway.connections.dropIdle(runner.fixture.runner.address());
     runner.play(test.first, test.path, test.first == Exchange::UnnamedResponse ? "id-unnamed" : "id-1");
     const std::string received = runner.play(test.second, test.path, "id-2");
     if (test.second == Exchange::Copy)
@@ -146,3 +148,24 @@
 {
     checkLateReply({"copy, copy", Exchange::Copy, Exchange::Copy, "/generation/a"});
 }
+
+// Guards against a request that gets the reply to a call of the gateway about another one, or the response to
+// another request, because that does not name its request (review, case 7).
+TEST_CASE("A late reply that names no request is not taken for the response to another request", "[hostile]")
+{
+    const std::string path = GENERATE("/safe/a", "/unsafe/a", "/stream/a", "/resumable/a", "/generation/a");
+    const auto first = GENERATE(Exchange::Copy, Exchange::Stop, Exchange::Release, Exchange::UnnamedResponse);
+    checkLateReply({"request after a call", first, Exchange::Request, path});
+}
+
+// Guards against a copy that seems to have failed, or to be that of another generation.
+TEST_CASE("A late reply that names no request is not taken for that to a copy", "[hostile]")
+{
+    const auto test = GENERATE(values<LateReplyCase>({
+            {"copy after a stop", Exchange::Stop, Exchange::Copy, "/generation/a"},
+            {"copy after a release", Exchange::Release, Exchange::Copy, "/generation/a"},
+            {"copy after an unnamed response", Exchange::UnnamedResponse, Exchange::Copy, "/generation/a"},
+            {"copy after a request", Exchange::Request, Exchange::Copy, "/generation/a"},
+    }));
+    checkLateReply(test);
+}
