gateway: call a runner to end a run until it confirms that

A generation stalled and went on at its backup. A call that the runner read and did not answer was not repeated either: any reply but "copy in progress" ended the calls, also none.

The call is now repeated until the runner confirms the end, is gone (replaced, or listed no more and out of reach) or has reached the request's deadline; often while the run may still end within the 400 ms that two runners may work on a request, rarely later. That does not help with a runner that resets connections for longer, so a stream leaves a runner by itself only after the connection for the call was accepted and not reset, and uses that connection for the first call. A runner that resets it lives; the stream stays.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace eelgrasslift {
 
 namespace asio = boost::asio;
@@ -114,8 +116,10 @@
     if (!endpoint)
         co_return HttpFailure::NotConnected;
     for (;;) {
-        RunnerConnectionPointer connection;
-        if (use.isNew)
+        RunnerConnectionPointer connection = std::exchange(use.opened, nullptr);
+        if (connection && isReusable(*connection))
+            connection->stream.expires_after(std::max(deadline - steadyNow(), Duration{1}));
+        else if (use.isNew)
             connection = co_await this->connect(address, deadline - steadyNow());
         else
             connection = co_await this->acquire(address, deadline - steadyNow());
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -77,6 +77,8 @@
     /// The connection is closed after the response. For calls whose responses do not name them: a late copy
     /// of such a response would look like that to the next request on the connection.
     bool isLastUse = false;
+    /// A new connection that is used instead of another one if it is still open; may be nullptr.
+    RunnerConnectionPointer opened;
     /// Whether to skip a final response; none is skipped if empty.
     std::function<bool(const ResponseHeader &)> isStray;
 };
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -269,13 +269,16 @@
                              {"suppressed", std::to_string(std::exchange(this->suppressedPauseLogs, 0))}});
 }
 
-asio::awaitable<Result<HttpResponse, HttpFailure>>
-GatewayState::requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout)
+asio::awaitable<Result<HttpResponse, HttpFailure>> GatewayState::requestCopy(RunnerPool::RunnerPointer runner,
+                                                                             CopyRequest request,
+                                                                             Duration timeout,
+                                                                             RunnerConnectionPointer opened)
 {
     OutgoingCall call = this->format.copyCall(request);
     CallConnection use;
     // The reply to such a call decides whether a response was complete.
     use.isNew = request.endsRun || !runner->namesRequests;
+    use.opened = std::move(opened);
     // The reply does not name the request that it belongs to.
     use.isLastUse = true;
     use.isStray = [this, id = request.requestId, runner](const ResponseHeader &header) {
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -83,9 +83,11 @@
     /// or their load have changed.
     void handleFleetUpdate();
 
-    /// Asks the runner to copy a KV cache; returns its response.
+    /// Asks the runner to copy a KV cache; returns its response. opened is a new connection to the runner
+    /// that is used if it is still open; nullptr if there is none.
     boost::asio::awaitable<Result<HttpResponse, HttpFailure>>
-    requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout);
+    requestCopy(RunnerPool::RunnerPointer runner, CopyRequest request, Duration timeout,
+                RunnerConnectionPointer opened = nullptr);
     /// Lets the runners free a copy of a KV cache that was made by the source, unless that pauses.
     boost::asio::awaitable<void> releaseCopy(RunnerPool::RunnerPointer source, std::string handle);
 
--- a/src/gateway/streamsession.cpp
+++ b/src/gateway/streamsession.cpp
@@ -306,7 +306,7 @@
             this->eventBuffer.resize(0);
             boost::system::error_code ignored;
             stream->connection->stream.socket().close(ignored);
-            this->endRun(lastRunner, nullptr, this->runSentAt, std::exchange(this->runEndCalls, {}));
+            this->endRun(lastRunner, nullptr, this->runSentAt, std::exchange(this->runEndMeans, {}));
         }
     }
     this->activeConnection.reset();
--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -81,6 +81,15 @@
         RunnerLoadReservation load;
     };
 
+    /// What is prepared before a stream leaves a runner, so that the runner can be called to end the run.
+    struct RunEndMeans
+    {
+        /// Reserved during the runner's pause.
+        PauseCalls calls;
+        /// A new connection for the first call; nullptr if there is none.
+        RunnerConnectionPointer connection;
+    };
+
     /// A run that the stream has left, and that its runner is called to end.
     struct LeftRun
     {
@@ -92,8 +101,7 @@
         CopyRequest request;
         /// Name of the copy from which the stream continues, which must not be freed.
         std::string keptHandle;
-        /// Reserved for the run.
-        PauseCalls calls;
+        RunEndMeans means;
     };
 
     /// Result of one attempt.
@@ -156,9 +164,9 @@
     /// runner.
     boost::asio::awaitable<std::optional<RelayResult>> switchRunner(RunnerStream &stream);
     boost::asio::awaitable<std::optional<Destination>> chooseSwitchDestination(SwitchReason reason);
-    /// Whether the current runner can be called to end the run after the stream has left it; reserves the
-    /// calls.
-    bool prepareRunEnd();
+    /// Whether the current runner can be called to end the run after the stream has left it; prepares
+    /// runEndMeans.
+    boost::asio::awaitable<bool> prepareRunEnd();
     /// Replaces the stream by the next one, whose runner has accepted the request.
     void moveStream(RunnerStream &stream, RunnerStream &next, const Destination &destination,
                     SwitchReason reason);
@@ -182,14 +190,16 @@
     /// nextRunner has taken the stream over; nullptr if none has. sentAt is when the run was sent to the
     /// runner.
     void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner,
-                TimePoint sentAt, PauseCalls calls = {});
-    /// Calls the runner to end the run and returns its reply.
+                TimePoint sentAt, RunEndMeans means = {});
+    /// Calls the runner to end the run and returns its reply. opened as for GatewayState::requestCopy().
     static boost::asio::awaitable<RunStopReply> callRunStop(GatewayState &gateway,
                                                             RunnerPool::RunnerPointer runner,
-                                                            CopyRequest request, StopPurpose purpose);
-    /// The calls for endRun(). Waits for the end of the runner's pause if that takes no more calls during it.
-    /// Does nothing if the stream has gone on at the same runner meanwhile, or an earlier call has ended the
-    /// run.
+                                                            CopyRequest request, StopPurpose purpose,
+                                                            RunnerConnectionPointer opened = nullptr);
+    /// The calls for endRun(), repeated until the runner confirms the end of the run, is gone, or has ended
+    /// the run at its deadline. Waits for the end of the runner's pause if that takes no more calls during
+    /// it. Does nothing if the stream has gone on at the same runner meanwhile, or an earlier call has ended
+    /// the run.
     static boost::asio::awaitable<void> requestRunEnd(GatewayState &gateway,
                                                       std::weak_ptr<StreamSession> stream, LeftRun run);
     /// Asks the current runner, which is leaving, to end the run.
@@ -317,8 +327,8 @@
     TimePoint lastEventAwaitedAt{};
     /// When the request was sent to the current runner.
     TimePoint runSentAt{};
-    /// Reserved at the current runner to end the run, as long as the stream is leaving it.
-    PauseCalls runEndCalls;
+    /// Set as long as the stream is leaving the current runner.
+    RunEndMeans runEndMeans;
     /// The end of the last run, if it may have been complete; until another run continues the stream.
     std::optional<ReceivedEnd> doubtfulEnd;
     /// Cancelled when there is a reply to a call of stopCalls.
--- a/src/gateway/streamsession_continuation.cpp
+++ b/src/gateway/streamsession_continuation.cpp
@@ -301,19 +301,6 @@
     co_return Destination{runner, {}, "resume"};
 }
 
-bool StreamSession::prepareRunEnd()
-{
-    const EngineTraits *engine = this->context.engine();
-    // Other engines end a run with its connection only.
-    if (engine == nullptr || !engine->supportsMigration)
-        return true;
-    auto calls = this->gateway.runners.reserveCalls(*this->load.runner(), steadyNow());
-    if (!calls)
-        return false;
-    this->runEndCalls = std::move(*calls);
-    return true;
-}
-
 asio::awaitable<std::optional<StreamSession::RelayResult>> StreamSession::switchRunner(RunnerStream &stream)
 {
     const SwitchReason reason = *std::exchange(this->requestedSwitch, std::nullopt);
@@ -321,7 +308,7 @@
     this->isSwitching = true;
     RelayResult failure{RelayOutcome::Withheld, SendOutcome::NotConnected, "no-runner", std::nullopt};
     std::optional<Destination> destination;
-    if (this->prepareRunEnd())
+    if (co_await this->prepareRunEnd())
         destination = co_await this->chooseSwitchDestination(reason);
     else
         failure.cause = "run-end-not-possible";
@@ -363,7 +350,7 @@
     else
         this->nextMigrationAt = steadyNow() + MigrationRetryDelay;
     if (isConnected()) {
-        this->runEndCalls = {};
+        this->runEndMeans = {};
         this->activeConnection = stream.connection;
         this->lastRunnerId = source->entry.id;
         co_return std::nullopt;
@@ -380,7 +367,7 @@
     boost::system::error_code ignored;
     stream.connection->stream.socket().close(ignored);
     const RunnerPool::RunnerPointer source = this->load.runner();
-    this->endRun(source, destination.runner.get(), stream.sentAt, std::exchange(this->runEndCalls, {}));
+    this->endRun(source, destination.runner.get(), stream.sentAt, std::exchange(this->runEndMeans, {}));
     // A call that ends the earlier run must not meet a new one.
     this->triedRunners.insert(source->entry.id);
     this->lastSwitch.emplace(source->entry.id, reason);
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -22,14 +22,21 @@
 // A runner that ends a run with its connection has done so after this time. Two runners may work on one
 // request for 400 ms, as specified by the users; this and MaxRunnerOverlap leave time for the call.
 constexpr Duration RunEndDelay = std::chrono::milliseconds{80};
-// A runner that copies the run for another call asks for one more try.
+// A call that was lost is repeated so often that the run ends within the 400 ms if the runner takes calls
+// again by then. Later the repetitions become rare: the run only takes capacity from others.
 constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
-constexpr int MaxRunEndCalls = 3;
+constexpr Duration MaxRunEndRetryDelay = std::chrono::milliseconds{1000};
+constexpr int MaxRunEndChecks = 3;
 // A request whose deadline has passed, or is brought forward by a shutdown, still leaves time for the call.
 constexpr Duration MinRunEndTime = std::chrono::milliseconds{1000};
 // A runner that stands still answers when it goes on.
 constexpr Duration RunEndTimeout = std::chrono::milliseconds{2500};
 
+// Before a stream leaves a runner, the connection for the call is opened. A runner that can be reached
+// accepts it, or resets it, within two round trips; the pause limit leaves no time for more.
+constexpr Duration RunEndConnectTimeout = std::chrono::milliseconds{10};
+constexpr Duration ConnectionResetDelay = std::chrono::milliseconds{10};
+
 // A runner replies within a round trip that it has no such run. One that has stopped the run replies after
 // the copy; most of the pause limit is left then to continue elsewhere.
 constexpr Duration StopReplyWait = std::chrono::milliseconds{50};
@@ -63,10 +70,57 @@
     return NoRunStatement{};
 }
 
+/// Whether the runner that has given the reply has ended: another one is listed under its id, or it is listed
+/// no more and cannot be reached.
+bool isRunnerGone(const RunnerPool &runners, const RunnerPool::Runner &runner, const RunStopReply &reply)
+{
+    const RunnerPool::RunnerPointer listed = runners.find(runner.entry.id);
+    const auto *notExecuted = std::get_if<CallNotExecuted>(&reply);
+    return listed ? listed.get() != &runner : notExecuted != nullptr && notExecuted->isUnreachable;
+}
+
+/// Time until the next call to end a run after the reply to one that has not ended it.
+Duration runEndRetryDelay(const RunStopReply &reply, Duration sinceLeft)
+{
+    // A runner that cannot be reached has probably ended, and one that is silent will read the call later.
+    const auto *notExecuted = std::get_if<CallNotExecuted>(&reply);
+    const auto *unknown = std::get_if<NoRunStatement>(&reply);
+    const bool isSlow = (notExecuted != nullptr && notExecuted->isUnreachable) ||
+                        (unknown != nullptr && unknown->mayTakeEffect);
+    return std::clamp<Duration>(isSlow ? sinceLeft : sinceLeft / 8, RunEndRetryDelay, MaxRunEndRetryDelay);
+}
+
 } // namespace
 
+asio::awaitable<bool> StreamSession::prepareRunEnd()
+{
+    const EngineTraits *engine = this->context.engine();
+    // Other engines end a run with its connection only.
+    if (engine == nullptr || !engine->supportsMigration)
+        co_return true;
+    const RunnerPool::RunnerPointer runner = this->load.runner();
+    auto calls = this->gateway.runners.reserveCalls(*runner, steadyNow());
+    if (!calls)
+        co_return false;
+    std::string address = runner->entry.address;
+    RunnerConnectionPointer connection =
+            co_await this->gateway.connections.connect(std::move(address), RunEndConnectTimeout);
+    if (connection) {
+        boost::system::error_code ignored;
+        asio::steady_timer delay(this->gateway.io, ConnectionResetDelay);
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        // A runner that resets new connections lives and goes on with the run, but no call reaches it.
+        if (!ConnectionPool::isReusable(*connection))
+            co_return false;
+        connection->stream.expires_never();
+    }
+    this->runEndMeans.calls = std::move(*calls);
+    this->runEndMeans.connection = std::move(connection);
+    co_return true;
+}
+
 void StreamSession::endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner,
-                           TimePoint sentAt, PauseCalls calls)
+                           TimePoint sentAt, RunEndMeans means)
 {
     const EngineTraits *engine = this->context.engine();
     if (engine == nullptr || !engine->supportsMigration)
@@ -84,7 +138,7 @@
     run.request = CopyRequest{this->context.metadata.id, destination.entry.address, true};
     if (this->copy)
         run.keptHandle = this->copy->handle;
-    run.calls = std::move(calls);
+    run.means = std::move(means);
     spawnTask(this->gateway.io, "run-end",
               requestRunEnd(this->gateway, this->weak_from_this(), std::move(run)));
 }
@@ -113,17 +167,18 @@
 
 asio::awaitable<RunStopReply> StreamSession::callRunStop(GatewayState &gateway,
                                                          RunnerPool::RunnerPointer runner,
-                                                         CopyRequest request, StopPurpose purpose)
+                                                         CopyRequest request, StopPurpose purpose,
+                                                         RunnerConnectionPointer opened)
 {
     const TimePoint calledAt = steadyNow();
     const Duration timeout = purpose == StopPurpose::Check ? CheckTimeout : RunEndTimeout;
-    const auto result = co_await gateway.requestCopy(runner, request, timeout);
+    const auto result = co_await gateway.requestCopy(runner, request, timeout, std::move(opened));
     const auto *response = std::get_if<HttpResponse>(&result);
     RunStopReply reply;
     if (response != nullptr)
         reply = gateway.format.decodeRunStopReply(*response, response->body());
     else if (std::get<HttpFailure>(result) == HttpFailure::NotConnected)
-        reply = CallNotExecuted{};
+        reply = CallNotExecuted{true};
     else
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
     // A successor at the address knows nothing of the run.
@@ -149,36 +204,37 @@
     };
     boost::system::error_code ignored;
     asio::steady_timer delay(gateway.io);
-    TimePoint nextCallAt = steadyNow() + RunEndDelay;
+    const TimePoint leftAt = steadyNow();
+    TimePoint nextCallAt = leftAt + RunEndDelay;
     RunStopReply reply;
-    for (int calls = 0; calls < MaxRunEndCalls;) {
+    for (bool isConfirmed = false; !isConfirmed;) {
         delay.expires_after(nextCallAt - steadyNow());
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         nextCallAt = steadyNow() + RunEndRetryDelay;
-        if (hasReturned() || steadyNow() >= run.deadline)
+        if (hasReturned() || steadyNow() >= run.deadline || isRunnerGone(gateway.runners, *runner, reply))
             co_return;
         auto session = stream.lock();
         if (session && session->stopCalls.isPending(runnerId, run.sentAt))
             continue;
         if (session && !session->stopCalls.needsCall(runnerId, run.sentAt))
             co_return;
-        if (!gateway.runners.useCall(*runner, run.calls, steadyNow())) {
+        if (!gateway.runners.useCall(*runner, run.means.calls, steadyNow())) {
             nextCallAt = gateway.runners.pausedUntil(*runner, steadyNow()).value_or(nextCallAt);
             if (nextCallAt >= run.deadline)
                 co_return;
             continue;
         }
         const size_t call = session ? session->stopCalls.begin(runnerId, steadyNow()) : 0;
-        ++calls;
         session.reset();
-        reply = co_await callRunStop(gateway, runner, run.request, StopPurpose::StreamLeft);
+        reply = co_await callRunStop(gateway, runner, run.request, StopPurpose::StreamLeft,
+                                     std::exchange(run.means.connection, nullptr));
         session = stream.lock();
         // The copy is freed below.
         const bool isStopped = std::holds_alternative<RunStopped>(reply);
         if (session)
             session->recordStopReply(call, isStopped ? RunStopReply(RunStopped{}) : reply);
-        if (!std::holds_alternative<CopyInProgress>(reply))
-            break;
+        isConfirmed = isStopped || std::holds_alternative<NoSuchRun>(reply);
+        nextCallAt = steadyNow() + runEndRetryDelay(reply, steadyNow() - leftAt);
     }
     const auto *stopped = std::get_if<RunStopped>(&reply);
     if (stopped != nullptr && !stopped->handle.empty() && stopped->handle != run.keptHandle)
@@ -215,7 +271,7 @@
     // A runner that is busy, or copies the run for another call, may tell a moment later.
     boost::system::error_code ignored;
     asio::steady_timer delay(this->gateway.io);
-    for (int checks = 1; checks < MaxRunEndCalls && this->stopCalls.needsRepeatedCheck(end) &&
+    for (int checks = 1; checks < MaxRunEndChecks && this->stopCalls.needsRepeatedCheck(end) &&
                          steadyNow() + RunEndRetryDelay < limit;
          ++checks) {
         delay.expires_after(RunEndRetryDelay);
--- a/src/libgateway/runstopcalls.h
+++ b/src/libgateway/runstopcalls.h
@@ -30,7 +30,9 @@
 
 /// The runner could not be reached, or states that it has not executed the call.
 struct CallNotExecuted
-{};
+{
+    bool isUnreachable = false;
+};
 
 /// There was no reply, or one that tells nothing about the run.
 struct NoRunStatement
--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -147,6 +147,10 @@
                 co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error)
             continue;
+        if (this->resetsConnections) {
+            resetConnection(connection);
+            continue;
+        }
         spawnTask(this->io, "runner-connection", this->serve(std::move(connection)));
     }
 }
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -30,6 +30,9 @@
     /// Connections that were closed by either side.
     int closedCount() const { return this->closed; }
 
+    /// Whether it resets new connections.
+    bool resetsConnections = false;
+
     /// Bytes of a request's body that it reads before its script begins; the rest stays unread.
     size_t maxBodyBytes = std::numeric_limits<size_t>::max();
 
--- a/tests/hostile/test_leftrun.cpp
+++ b/tests/hostile/test_leftrun.cpp
@@ -1,6 +1,7 @@
 #include "longruns.h"
 
 #include "gateway/clock.h"
+#include "gateway/task.h"
 
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
@@ -91,3 +92,93 @@
     // As specified by the users.
     CHECK(play.arrivalCount(source, *pausedAt + 500ms, *pausedAt + test.pause) <= 2);
 }
+
+namespace {
+
+struct LostCallCase
+{
+    const char *name;
+    std::string path;
+    /// Time without an event at the first runner.
+    Duration silence;
+    /// From the beginning of that time, or of the continuation, until the runner resets new connections, and
+    /// for how long it does.
+    bool isFromContinuation;
+    Duration resetsFrom;
+    Duration resetsFor;
+    /// Calls to end the run that the runner loses.
+    int lostCalls;
+    /// Whether the stream goes on elsewhere.
+    bool isMoved;
+};
+
+} // namespace
+
+// Guards against a generation that runs at two runners because the call that should end the earlier run was
+// lost, or could not reach its runner (review, case 9).
+TEST_CASE("A run that its stream has left is called to end until that is confirmed", "[hostile]")
+{
+    const auto test = GENERATE(values<LostCallCase>({
+            {"call lost once", "/backed/a", 300ms, false, 0ms, 0ms, 1, true},
+            {"call lost twice", "/backed/a", 300ms, false, 0ms, 0ms, 2, true},
+            {"call lost three times", "/backed/a", 300ms, false, 0ms, 0ms, 3, true},
+            {"resumable, call lost", "/resumable/a", 900ms, false, 0ms, 0ms, 2, true},
+            {"connections reset", "/backed/a", 300ms, false, 0ms, 300ms, 0, false},
+            {"connections reset for long", "/backed/a", 700ms, false, 0ms, 700ms, 0, false},
+            {"resumable, connections reset", "/resumable/a", 900ms, false, 0ms, 900ms, 0, false},
+            {"connections reset after the stream has left", "/backed/a", 300ms, true, 10ms, 250ms, 0, true},
+            {"the same, and the call is lost", "/backed/a", 300ms, true, 10ms, 200ms, 1, true},
+    }));
+    INFO(test.name);
+    LongRuns play(2);
+    int lostCalls = 0;
+    play.losesStopCall = [&] { return ++lostCalls <= test.lostCalls; };
+    const auto reset = [&](int runner) {
+        if (test.resetsFor > Duration::zero()) {
+            spawnTask(play.runners.fixture.io, "resets", [&, runner]() -> asio::awaitable<void> {
+                co_await wait(test.resetsFrom);
+                play.runners.at(runner).resetsConnections = true;
+                co_await wait(test.resetsFor);
+                play.runners.at(runner).resetsConnections = false;
+            });
+        }
+    };
+    play.beforeEvent = [&](LongRuns::Run &run, int event) -> asio::awaitable<void> {
+        if (event != 15 || &run != &play.runs.front())
+            co_return;
+        if (!test.isFromContinuation)
+            reset(run.runner);
+        co_await wait(test.silence);
+    };
+    play.beforeContinuation = [&]() -> asio::awaitable<void> {
+        if (test.isFromContinuation)
+            reset(play.runs.front().runner);
+        co_return;
+    };
+    const std::vector<CallerView> views = play.play(test.path, 1);
+    CHECK(views.front().isComplete);
+    CHECK(views.front().body == ModelRunners::allEvents());
+    CHECK((play.runs.size() > 1) == test.isMoved);
+    CHECK(play.longestOverlap() < MaxOverlap);
+}
+
+// Guards against calls without end to a runner that has ended.
+TEST_CASE("A runner that has ended is not called again once it is listed no more", "[hostile]")
+{
+    LongRuns play(2);
+    GatewayFixture &fixture = play.runners.fixture;
+    play.beforeEvent = [&](LongRuns::Run &run, int event) -> asio::awaitable<void> {
+        if (event != 15 || &run != &play.runs.front())
+            co_return;
+        play.runners.at(run.runner).end();
+        co_await wait(300ms);
+        const std::string number = std::to_string(run.runner);
+        std::erase_if(fixture.runners, [&](const RunnerEntry &entry) { return entry.id.ends_with(number); });
+        fixture.gateway.applyFleet(fixture.runners);
+        run.isCalled = true;
+    };
+    const std::vector<CallerView> views = play.play("/backed/a", 1);
+    CHECK(views.front().isComplete);
+    CHECK(play.runs.size() == 2);
+    CHECK(play.stopCallCount() == 0);
+}
