gateway: stop calling a runner that has replied, though it is listed no more

Nobody saw it; found on reading the diff. Whoever replies, the run does not go on, so that the calls end; how the run has ended is judged as before. The test row "replies" expects one call.

--- a/src/gateway/streamsession.h
+++ b/src/gateway/streamsession.h
@@ -90,6 +90,14 @@
         RunnerConnectionPointer connection;
     };
 
+    /// What a runner has replied to a call to end a run.
+    struct RunStopResult
+    {
+        RunStopReply reply;
+        /// The run does not go on: either the runner or its successor at the address has no such run.
+        bool isRunOver = false;
+    };
+
     /// A run that the stream has left, and that its runner is called to end.
     struct LeftRun
     {
@@ -192,10 +200,10 @@
     void endRun(const RunnerPool::RunnerPointer &runner, const RunnerPool::Runner *nextRunner,
                 TimePoint sentAt, RunEndMeans means = {});
     /// Calls the runner to end the run and returns its reply. opened as for GatewayState::requestCopy().
-    static boost::asio::awaitable<RunStopReply> callRunStop(GatewayState &gateway,
-                                                            RunnerPool::RunnerPointer runner,
-                                                            CopyRequest request, StopPurpose purpose,
-                                                            RunnerConnectionPointer opened = nullptr);
+    static boost::asio::awaitable<RunStopResult> callRunStop(GatewayState &gateway,
+                                                             RunnerPool::RunnerPointer runner,
+                                                             CopyRequest request, StopPurpose purpose,
+                                                             RunnerConnectionPointer opened = nullptr);
     /// The calls for endRun(), repeated until the runner confirms the end of the run, is gone, or has ended
     /// the run at its deadline. Waits for the end of the runner's pause if that takes no more calls during
     /// it. Does nothing if the stream has gone on at the same runner meanwhile, or an earlier call has ended
--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -153,9 +153,9 @@
     spawnTask(this->gateway.io, "run-end",
               [&state = this->gateway, stream = this->weak_from_this(), source, call, purpose,
                request = CopyRequest{this->context.metadata.id, address, true}]() -> asio::awaitable<void> {
-                  RunStopReply reply = co_await callRunStop(state, source, request, purpose);
+                  RunStopResult result = co_await callRunStop(state, source, request, purpose);
                   if (const auto session = stream.lock())
-                      session->recordStopReply(call, std::move(reply));
+                      session->recordStopReply(call, std::move(result.reply));
               });
 }
 
@@ -165,10 +165,9 @@
     this->stopReplied.cancel();
 }
 
-asio::awaitable<RunStopReply> StreamSession::callRunStop(GatewayState &gateway,
-                                                         RunnerPool::RunnerPointer runner,
-                                                         CopyRequest request, StopPurpose purpose,
-                                                         RunnerConnectionPointer opened)
+asio::awaitable<StreamSession::RunStopResult>
+StreamSession::callRunStop(GatewayState &gateway, RunnerPool::RunnerPointer runner, CopyRequest request,
+                           StopPurpose purpose, RunnerConnectionPointer opened)
 {
     const TimePoint calledAt = steadyNow();
     const Duration timeout = purpose == StopPurpose::Check ? CheckTimeout : RunEndTimeout;
@@ -181,7 +180,9 @@
         reply = CallNotExecuted{true};
     else
         reply = NoRunStatement{std::get<HttpFailure>(result) == HttpFailure::TimedOut};
-    // A successor at the address knows nothing of the run.
+    const bool isRunOver =
+            std::holds_alternative<RunStopped>(reply) || std::holds_alternative<NoSuchRun>(reply);
+    // A successor at the address knows nothing of how the run has ended.
     if (const auto *noRun = std::get_if<NoSuchRun>(&reply))
         reply = statementOfRunner(*noRun, gateway.runners.find(runner->entry.id), *runner);
     logInfo("run-ended-by-call", {{"request", request.requestId},
@@ -190,7 +191,7 @@
                                   {"reply", std::string(eelgrasslift::toString(reply))},
                                   {"purpose", std::string(toString(purpose))},
                                   {"ms", std::to_string(toMilliseconds(steadyNow() - calledAt))}});
-    co_return reply;
+    co_return RunStopResult{std::move(reply), isRunOver};
 }
 
 asio::awaitable<void> StreamSession::requestRunEnd(GatewayState &gateway, std::weak_ptr<StreamSession> stream,
@@ -226,14 +227,15 @@
         }
         const size_t call = session ? session->stopCalls.begin(runnerId, steadyNow()) : 0;
         session.reset();
-        reply = co_await callRunStop(gateway, runner, run.request, StopPurpose::StreamLeft,
-                                     std::exchange(run.means.connection, nullptr));
+        RunStopResult result = co_await callRunStop(gateway, runner, run.request, StopPurpose::StreamLeft,
+                                                    std::exchange(run.means.connection, nullptr));
+        reply = std::move(result.reply);
         session = stream.lock();
         // The copy is freed below.
         const bool isStopped = std::holds_alternative<RunStopped>(reply);
         if (session)
             session->recordStopReply(call, isStopped ? RunStopReply(RunStopped{}) : reply);
-        isConfirmed = isStopped || std::holds_alternative<NoSuchRun>(reply);
+        isConfirmed = result.isRunOver;
         nextCallAt = steadyNow() + runEndRetryDelay(reply, steadyNow() - leftAt);
     }
     const auto *stopped = std::get_if<RunStopped>(&reply);
--- a/tests/hostile/test_leftrun.cpp
+++ b/tests/hostile/test_leftrun.cpp
@@ -162,16 +162,33 @@
     CHECK(play.longestOverlap() < MaxOverlap);
 }
 
-// Guards against calls without end to a runner that has ended.
-TEST_CASE("A runner that has ended is not called again once it is listed no more", "[hostile]")
+namespace {
+
+struct GoneCase
+{
+    const char *name;
+    bool isReachable;
+    int64_t stopCalls;
+};
+
+} // namespace
+
+// Guards against calls without end to a runner that has ended, or that replies though it is listed no more.
+TEST_CASE("A runner that is listed no more is not called again and again", "[hostile]")
 {
+    const auto test = GENERATE(values<GoneCase>({
+            {"ended", false, 0},
+            {"replies", true, 1},
+    }));
+    INFO(test.name);
     LongRuns play(2);
     GatewayFixture &fixture = play.runners.fixture;
     play.beforeEvent = [&](LongRuns::Run &run, int event) -> asio::awaitable<void> {
         if (event != 15 || &run != &play.runs.front())
             co_return;
-        play.runners.at(run.runner).end();
-        co_await wait(300ms);
+        if (!test.isReachable)
+            play.runners.at(run.runner).end();
+        co_await wait(150ms);
         const std::string number = std::to_string(run.runner);
         std::erase_if(fixture.runners, [&](const RunnerEntry &entry) { return entry.id.ends_with(number); });
         fixture.gateway.applyFleet(fixture.runners);
@@ -180,5 +197,5 @@
     const std::vector<CallerView> views = play.play("/backed/a", 1);
     CHECK(views.front().isComplete);
     CHECK(play.runs.size() == 2);
-    CHECK(play.stopCallCount() == 0);
+    CHECK(play.stopCallCount() == test.stopCalls);
 }
