--- a/src/gateway/streamsession_runend.cpp
+++ b/src/gateway/streamsession_runend.cpp
@@ -23,8 +23,10 @@
 // request for 400 ms, as specified by the users; this and MaxRunnerOverlap leave time for the call.
 constexpr Duration RunEndDelay = std::chrono::milliseconds{80};
 // A call that was lost is repeated so often that the run ends within the 400 ms if the runner takes calls
-// again by then. Later the repetitions become rare: the run only takes capacity from others.
+// again by then. After that the repetitions become rare: the delay is this share of the time since the stream
+// has left.
 constexpr Duration RunEndRetryDelay = std::chrono::milliseconds{50};
+constexpr double RunEndRetryShare = 0.125;
 constexpr Duration MaxRunEndRetryDelay = std::chrono::milliseconds{1000};
 constexpr int MaxRunEndChecks = 3;
 // A request whose deadline has passed, or is brought forward by a shutdown, still leaves time for the call.
@@ -85,9 +87,10 @@
     // A runner that cannot be reached has probably ended, and one that is silent will read the call later.
     const auto *notExecuted = std::get_if<CallNotExecuted>(&reply);
     const auto *unknown = std::get_if<NoRunStatement>(&reply);
-    const bool isSlow = (notExecuted != nullptr && notExecuted->isUnreachable) ||
-                        (unknown != nullptr && unknown->mayTakeEffect);
-    return std::clamp<Duration>(isSlow ? sinceLeft : sinceLeft / 8, RunEndRetryDelay, MaxRunEndRetryDelay);
+    const bool isUrgent = !(notExecuted != nullptr && notExecuted->isUnreachable) &&
+                          !(unknown != nullptr && unknown->mayTakeEffect);
+    const auto share = std::chrono::duration_cast<Duration>(sinceLeft * RunEndRetryShare);
+    return std::clamp<Duration>(isUrgent ? share : sinceLeft, RunEndRetryDelay, MaxRunEndRetryDelay);
 }
 
 } // namespace
