--- a/tests/hostile/gatewayfixture.cpp
+++ b/tests/hostile/gatewayfixture.cpp
@@ -139,6 +139,14 @@
     this->acceptor.close(ignored);
 }
 
+void ScriptedRunner::resume()
+{
+    const std::string port = this->listenAddress.substr(this->listenAddress.find(':') + 1);
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), static_cast<uint16_t>(std::stoi(port)));
+    this->acceptor = tcp::acceptor(this->io, endpoint);
+    spawnTask(this->io, "runner", this->accept());
+}
+
 asio::awaitable<void> ScriptedRunner::accept()
 {
     while (this->acceptor.is_open()) {
--- a/tests/hostile/gatewayfixture.h
+++ b/tests/hostile/gatewayfixture.h
@@ -23,6 +23,8 @@
 
     /// Ends the runner: from now on it refuses connections. Its script closes the open ones.
     void end();
+    /// Accepts connections again after end(), at the same address.
+    void resume();
 
     /// ip:port
     std::string address() const { return this->listenAddress; }
--- a/tests/hostile/test_leftrun.cpp
+++ b/tests/hostile/test_leftrun.cpp
@@ -193,6 +193,11 @@
         std::erase_if(fixture.runners, [&](const RunnerEntry &entry) { return entry.id.ends_with(number); });
         fixture.gateway.applyFleet(fixture.runners);
         run.isCalled = true;
+        if (test.isReachable)
+            co_return;
+        // After the next call has found it out of reach; a further one would arrive.
+        co_await wait(300ms);
+        play.runners.at(run.runner).resume();
     };
     const std::vector<CallerView> views = play.play("/backed/a", 1);
     CHECK(views.front().isComplete);
