review: Show a stream that goes on twice after its runner was listed anew

Cause: a runner whose entry in the list is unreadable for one read becomes another object. Streams that began before take it for one that has ended, and never call it to end their run when they leave it.

--- a/review/standins-3/kit.cpp
+++ b/review/standins-3/kit.cpp
@@ -60,6 +60,13 @@
                                       : text.substr(begin, text.find_last_not_of(" \t\r") + 1 - begin);
 }
 
+std::string streamHead(const std::string &requestId, const std::string &runnerId)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + requestId +
+           "\r\nX-Server-Seal: " + runnerId +
+           "\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
 } // namespace
 
 double now()
@@ -378,7 +385,8 @@
     const auto settings = [&](const Process &process) {
         return "node_name=" + process.name + "\nip=" + process.service.ip +
                "\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\nzones.zone-b=region-a\n" +
-               "internal_ports=" + std::to_string(port(0)) + "," + std::to_string(port(15)) + "\nseeds=" + seeds +
+               "internal_ports=" + std::to_string(port(0)) + "," + std::to_string(port(15)) +
+               "\nseeds=" + seeds +
                "\nbootstrap=true\nfault_tolerance.machines=1\nfault_tolerance.zones=1\ncloud.address=" +
                list.text() +
                "\ncloud.rate_per_s=47\ncloud.lag_ms=800\nbounds.contact_ms=3000\nbounds.drain_ms=3000\n"
@@ -521,9 +529,9 @@
 {
     const std::lock_guard lock(this->mutex);
     return R"({"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queue_depth":)" +
-           std::to_string(this->queued) + R"(,"running":)" + std::to_string(this->running) + R"(,"kv_used":)" +
-           std::to_string(this->running * 500) + R"(,"kv_total":34364,"handles":0,"state":"ready","born":)" +
-           std::to_string(this->bornMs) + "}";
+           std::to_string(this->queued) + R"(,"running":)" + std::to_string(this->running) +
+           R"(,"kv_used":)" + std::to_string(this->running * 500) +
+           R"(,"kv_total":34364,"handles":0,"state":"ready","born":)" + std::to_string(this->bornMs) + "}";
 }
 
 bool ModelRunner::answer(Connection &connection, int status, const std::string &requestId,
@@ -538,8 +546,26 @@
     return connection.write(response(status, fields, body));
 }
 
+void ModelRunner::fallSilent(double seconds)
+{
+    const std::lock_guard lock(this->mutex);
+    this->silentUntil = now() + seconds;
+    this->record.note(this->traits.id + ": is silent for " + std::to_string(seconds) + " s");
+}
+
+void ModelRunner::waitWhileSilent()
+{
+    const auto isSilent = [this] {
+        const std::lock_guard lock(this->mutex);
+        return now() < this->silentUntil;
+    };
+    while (isSilent())
+        sleepFor(0.002);
+}
+
 bool ModelRunner::handle(Connection &connection, const Message &request)
 {
+    this->waitWhileSilent();
     const std::string target = request.target();
     if (target == "/v1/report")
         return this->answer(connection, 200, {}, this->report());
@@ -623,11 +649,9 @@
         return false;
     const std::string &part = this->traits.crashingPart;
     if (!part.empty() && request.field("x-prompt-prefix").find(part + ":") != std::string::npos) {
-        if (std::getenv("HEAD"))
-            connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id +
-                             "\r\nX-Server-Seal: " + this->traits.id +
-                             "\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
-        if (std::getenv("HEAD")) sleepFor(0.002);
+        // It begins to write the answer, and ends.
+        connection.write(streamHead(id, this->traits.id));
+        sleepFor(0.002);
         this->crash(id);
         return false;
     }
@@ -636,11 +660,12 @@
         const std::lock_guard lock(this->mutex);
         return this->incarnation != ownIncarnation || this->active[id];
     };
-    bool isConnected = connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " +
-                                        id + "\r\nX-Server-Seal: " + this->traits.id +
-                                        "\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool isConnected = connection.write(streamHead(id, this->traits.id));
     int event = first;
     for (; event <= events && now() < deadline && !isEndedByCall(); ++event) {
+        this->waitWhileSilent();
+        if (isEndedByCall())
+            break;
         const std::string text =
                 "id: " + std::to_string(event) + "\ndata: " + id + " " + std::to_string(event) + "\n\n";
         char size[16];
@@ -659,7 +684,7 @@
             --this->running;
             this->active.erase(id);
         }
-        this->allRuns.push_back({id, begin, now(), isComplete});
+        this->allRuns.push_back({id, begin, now(), std::max(begin, this->silentUntil), isComplete});
     }
     this->slotFreed.notify_all();
     this->record.note(this->traits.id + ": ended the run of " + id + (isComplete ? ", complete" : ""));
--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -111,8 +111,8 @@
     using Handler = std::function<bool(Connection &, const Message &)>;
     Server(const std::string &ip, Handler handler);
     const Address &address() const { return this->served; }
-    /// Ends all connections, in the order in which they were accepted, and refuses new ones for the time, as a
-    /// process does that has ended. beforeReturn is called before it accepts connections again.
+    /// Ends all connections, in the order in which they were accepted, and refuses new ones for the time, as
+    /// a process does that has ended. beforeReturn is called before it accepts connections again.
     void goDown(double seconds, std::function<void()> beforeReturn);
 
 private:
@@ -163,7 +163,8 @@
     std::vector<Process> gateways;
 };
 
-/// Stand-in for a model runner. It runs `slots` requests at once and queues others; a queued one has not begun.
+/// Stand-in for a model runner. It runs `slots` requests at once and queues others; a queued one has not
+/// begun.
 class ModelRunner
 {
 public:
@@ -172,6 +173,8 @@
         std::string request;
         double begin = 0;
         double end = 0;
+        /// When the last silence of the runner during the run was over; begin if there was none.
+        double lastSilence = 0;
         bool isComplete = false;
     };
 
@@ -193,6 +196,8 @@
     std::string listEntry();
     const std::string &id() const { return this->traits.id; }
     std::vector<Run> runs();
+    /// Neither reads nor sends anything for the time; its runs stand still.
+    void fallSilent(double seconds);
     /// Times at which the runner has ended under a request.
     std::vector<double> crashes();
 
@@ -200,6 +205,7 @@
     bool handle(Connection &connection, const Message &request);
     bool generate(Connection &connection, const Message &request);
     void crash(const std::string &requestId);
+    void waitWhileSilent();
     bool move(Connection &connection, const Message &request);
     std::string report();
     bool answer(Connection &connection, int status, const std::string &requestId, const std::string &body,
@@ -217,6 +223,7 @@
     int incarnation = 0;
     std::vector<Run> allRuns;
     std::vector<double> crashTimes;
+    double silentUntil = 0;
     /// Requests that are being run, and whether a call has ended the run.
     std::map<std::string, bool> active;
     std::unique_ptr<Server> server;
