review: Show that configurations of running streams take a gateway over its memory

Cause: each request keeps the whole route table that was in force as it began. Generations last up to 39 s, and a configuration may be large and change several times a second.

--- a/review/standins-3/kit.cpp
+++ b/review/standins-3/kit.cpp
@@ -25,9 +25,8 @@
 
 const auto started = std::chrono::steady_clock::now();
 
-// Of the users' engines: reading a prompt, and an event of four tokens at 7 ms each.
+// Of the users' engines.
 constexpr double PromptTokensPerSecond = 14000;
-constexpr double EventSeconds = 0.028;
 constexpr double TokensPerEvent = 4;
 
 sockaddr_in socketAddress(const Address &address)
@@ -472,6 +471,21 @@
     return process.pid > 0;
 }
 
+double Deployment::gatewayMemory(size_t index) const
+{
+    std::ifstream status("/proc/" + std::to_string(this->gateways.at(index).pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:"))
+            return std::atof(line.c_str() + 6) / 1024;
+    }
+    return 0;
+}
+
+void Deployment::killGateway(size_t index)
+{
+    kill(this->gateways.at(index).pid, SIGKILL);
+}
+
 ModelRunner::ModelRunner(Record &runRecord, Traits runnerTraits)
     : record(runRecord)
     , traits(std::move(runnerTraits))
@@ -525,6 +539,18 @@
     });
 }
 
+int ModelRunner::askedPause()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->retryAfter;
+}
+
+bool ModelRunner::hasLostAnswer(const std::string &requestId)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->lostAnswers.contains(requestId);
+}
+
 std::string ModelRunner::report()
 {
     const std::lock_guard lock(this->mutex);
@@ -553,6 +579,19 @@
     this->record.note(this->traits.id + ": is silent for " + std::to_string(seconds) + " s");
 }
 
+void ModelRunner::turnAway(int retryAfterSeconds)
+{
+    const std::lock_guard lock(this->mutex);
+    this->retryAfter = retryAfterSeconds;
+}
+
+void ModelRunner::loseAnswer(const std::string &requestId)
+{
+    const std::lock_guard lock(this->mutex);
+    this->lostAnswers.insert(requestId);
+    this->record.note(this->traits.id + ": loses its answer to " + requestId);
+}
+
 void ModelRunner::waitWhileSilent()
 {
     const auto isSilent = [this] {
@@ -614,6 +653,14 @@
     // No copy is kept here.
     if (!request.field("kv-from").empty())
         return this->answer(connection, 503, id, {}, true);
+    if (const int seconds = this->askedPause(); seconds > 0) {
+        this->record.note(this->traits.id + ": turns " + id + " away, Retry-After " +
+                          std::to_string(seconds));
+        return connection.write(response(
+                503,
+                {{"X-Attempt-Id", id}, {"X-Not-Executed", "1"}, {"Retry-After", std::to_string(seconds)}},
+                {}));
+    }
     const double deadline = now() + std::atof(request.field("x-request-deadline").c_str()) / 1000;
     const std::string usage = request.field("x-token-usage");
     const double prompt = std::atof(usage.c_str());
@@ -661,6 +708,7 @@
         return this->incarnation != ownIncarnation || this->active[id];
     };
     bool isConnected = connection.write(streamHead(id, this->traits.id));
+    bool isAnswerLost = false;
     int event = first;
     for (; event <= events && now() < deadline && !isEndedByCall(); ++event) {
         this->waitWhileSilent();
@@ -670,10 +718,14 @@
                 "id: " + std::to_string(event) + "\ndata: " + id + " " + std::to_string(event) + "\n\n";
         char size[16];
         std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+        if (!isAnswerLost && this->hasLostAnswer(id)) {
+            isAnswerLost = true;
+            connection.end();
+        }
         isConnected = connection.write(size + text + "\r\n") && isConnected;
-        if (!isConnected && this->traits.dropsClosed)
+        if (!isConnected && this->traits.dropsClosed && !isAnswerLost)
             break;
-        sleepFor(EventSeconds);
+        sleepFor(this->traits.eventSeconds);
     }
     const bool isComplete = event > events;
     if (isComplete)
--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -145,6 +145,10 @@
     bool waitUntilReady();
     const Address &gateway(size_t index) const { return this->gateways.at(index).service; }
     bool isGatewayRunning(size_t index);
+    /// Resident memory of the gateway's process, in MB; 0 if there is none.
+    double gatewayMemory(size_t index) const;
+    /// Ends the gateway's process, as the platform does with one that uses too much memory.
+    void killGateway(size_t index);
 
 private:
     struct Process
@@ -190,6 +194,7 @@
         /// Part of a prompt under which the runner ends as it begins to write an answer; none if empty.
         std::string crashingPart = {};
         double downSeconds = 2.5;
+        double eventSeconds = 0.028;
     };
 
     ModelRunner(Record &record, Traits runnerTraits);
@@ -198,6 +203,10 @@
     std::vector<Run> runs();
     /// Neither reads nor sends anything for the time; its runs stand still.
     void fallSilent(double seconds);
+    /// Turns requests away from now on, and asks for a pause of that many seconds; 0: takes them again.
+    void turnAway(int retryAfterSeconds);
+    /// Loses the answer to a request that it runs: ends the connection and goes on with the run.
+    void loseAnswer(const std::string &requestId);
     /// Times at which the runner has ended under a request.
     std::vector<double> crashes();
 
@@ -206,6 +215,8 @@
     bool generate(Connection &connection, const Message &request);
     void crash(const std::string &requestId);
     void waitWhileSilent();
+    int askedPause();
+    bool hasLostAnswer(const std::string &requestId);
     bool move(Connection &connection, const Message &request);
     std::string report();
     bool answer(Connection &connection, int status, const std::string &requestId, const std::string &body,
@@ -224,6 +235,8 @@
     std::vector<Run> allRuns;
     std::vector<double> crashTimes;
     double silentUntil = 0;
+    int retryAfter = 0;
+    std::set<std::string> lostAnswers;
     /// Requests that are being run, and whether a call has ended the run.
     std::map<std::string, bool> active;
     std::unique_ptr<Server> server;
