--- a/review/standins-3/kit.cpp
+++ b/review/standins-3/kit.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -98,16 +99,26 @@
            std::to_string(number);
 }
 
-uint16_t freePort(const std::string &ip)
+uint16_t freePorts(const std::vector<std::string> &ips)
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = socketAddress({ip, 0});
-    socklen_t size = sizeof address;
-    if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0)
-        std::exit(2);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
+    const auto isFree = [](const Address &candidate) {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = socketAddress(candidate);
+        const bool isBound =
+                bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(descriptor);
+        return isBound;
+    };
+    for (int base = 20000 + getpid() % 10000; base + PortCount < 32768; base += PortCount) {
+        bool areFree = true;
+        for (const std::string &ip : ips) {
+            for (int offset = 0; offset < PortCount; ++offset)
+                areFree = areFree && isFree({ip, static_cast<uint16_t>(base + offset)});
+        }
+        if (areFree)
+            return static_cast<uint16_t>(base);
+    }
+    std::exit(2);
 }
 
 Connection::~Connection()
@@ -368,11 +379,17 @@
     this->folder = mkdtemp(pattern.data());
     constexpr int FirstCoordinator = 11;
     constexpr int FirstGateway = 21;
+    constexpr int CoordinatorCount = 3;
     // All processes use the same ports, as on the users' platform.
-    const uint16_t base = freePort(loopback(FirstCoordinator));
-    const auto port = [base](int offset) { return static_cast<uint16_t>(20000 + base % 20000 + offset); };
+    std::vector<std::string> ips;
+    for (int i = 0; i < CoordinatorCount; ++i)
+        ips.push_back(loopback(FirstCoordinator + i));
+    for (int i = 0; i < gatewayCount; ++i)
+        ips.push_back(loopback(FirstGateway + i));
+    const uint16_t base = freePorts(ips);
+    const auto port = [base](int offset) { return static_cast<uint16_t>(base + offset); };
     std::string seeds;
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < CoordinatorCount; ++i) {
         const std::string ip = loopback(FirstCoordinator + i);
         this->coordinators.push_back({"core-" + std::to_string(i), {ip, port(20)}, {}, -1});
         seeds += (i > 0 ? "," : "") + this->coordinators.back().service.text();
@@ -412,6 +429,8 @@
     const std::string log = this->folder + "/" + process.name + ".log";
     process.pid = fork();
     if (process.pid == 0) {
+        // Also if this program is ended before it can end its processes.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -43,9 +43,11 @@
     std::string text() const { return this->ip + ":" + std::to_string(this->port); }
 };
 
-/// A loopback address of this program alone, and a port that is free there.
+/// A loopback address of this program alone.
 std::string loopback(int number);
-uint16_t freePort(const std::string &ip);
+/// The first of PortCount ports in a row that are free at all the addresses.
+constexpr int PortCount = 24;
+uint16_t freePorts(const std::vector<std::string> &ips);
 
 /// A TCP connection; reads and writes block. Functions return false or fewer bytes once it has ended.
 class Connection
